--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+MODULES = . ./cowslipd ./cowslipctl ./standin
+PACKAGES = ./... ./cowslipd/... ./cowslipctl/... ./standin/...
+TOOL = cd tools && GOWORK=off go build -o ../bin/
+
+.PHONY: build test lint tools demo
+
+build:
+	go build -o bin/ ./cowslipd ./cowslipctl ./standin
+
+test:
+	go test -race $(PACKAGES)
+
+tools:
+	$(TOOL) github.com/mgechev/revive golang.org/x/tools/cmd/goimports honnef.co/go/tools/cmd/staticcheck
+
+lint: tools
+	test -z "$$(bin/goimports -l $$(git ls-files '*.go'))"
+	go vet $(PACKAGES)
+	bin/revive -config revive.toml -set_exit_status $(PACKAGES)
+	bin/staticcheck $(PACKAGES)
--- /dev/null
+++ b/cowslipctl/main.go
@@ -0,0 +1,4 @@
+// Command cowslipctl is the operators' command line of cowslipproxy.
+package main
+
+func main() {}
--- /dev/null
+++ b/cowslipd/main.go
@@ -0,0 +1,4 @@
+// Command cowslipd is the entry daemon of cowslipproxy.
+package main
+
+func main() {}
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,100 @@
+package cowslipproxy
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Outcome says how a request ended, as far as can be known.
+type Outcome string
+
+// Outcomes of a request. Each request ends in exactly one of them.
+const (
+	OutcomeDone    Outcome = "done"    // the caller got the whole answer
+	OutcomeRefused Outcome = "refused" // the request provably did not run
+	OutcomeUnknown Outcome = "unknown" // the request may have run, wholly or in part
+)
+
+// Reason says why a request was not answered.
+type Reason string
+
+// Reasons for outcomes other than done.
+const (
+	ReasonUnauthorized   Reason = "unauthorized"
+	ReasonMalformed      Reason = "malformed"
+	ReasonTooLarge       Reason = "too_large"
+	ReasonModelUnknown   Reason = "model_unknown"
+	ReasonServiceUnknown Reason = "service_unknown"
+	ReasonNotReady       Reason = "not_ready"
+	ReasonOverLimit      Reason = "over_limit"
+	ReasonOverloaded     Reason = "overloaded"
+	ReasonDeadline       Reason = "deadline"
+	ReasonNoChain        Reason = "no_chain"
+	ReasonNoUpstream     Reason = "no_upstream"
+	ReasonQuarantined    Reason = "quarantined"
+	ReasonLogUnavailable Reason = "log_unavailable"
+	ReasonKeyReused      Reason = "key_reused"
+	ReasonKeyExpired     Reason = "key_expired"
+	ReasonOwnerGone      Reason = "owner_gone"
+	ReasonStopping       Reason = "stopping"
+	ReasonUpstreamFailed Reason = "upstream_failed"
+	ReasonCancelled      Reason = "cancelled"
+	ReasonAnswerLost     Reason = "answer_lost"
+)
+
+// Failure is the error of a request that did not end with a whole answer.
+type Failure struct {
+	Outcome    Outcome
+	Reason     Reason
+	Message    string
+	RetryAfter time.Duration // zero when a retry can't help
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("%s: %s: %s", f.Outcome, f.Reason, f.Message)
+}
+
+// Refuse returns the failure of a request that provably did not run.
+func Refuse(reason Reason, format string, args ...any) *Failure {
+	return &Failure{Outcome: OutcomeRefused, Reason: reason, Message: fmt.Sprintf(format, args...)}
+}
+
+// Unknown returns the failure of a request that may have run.
+func Unknown(reason Reason, format string, args ...any) *Failure {
+	return &Failure{Outcome: OutcomeUnknown, Reason: reason, Message: fmt.Sprintf(format, args...)}
+}
+
+// After returns a copy of f that tells the caller when a retry can help.
+func (f *Failure) After(wait time.Duration) *Failure {
+	later := *f
+	later.RetryAfter = wait
+	return &later
+}
+
+var refusedStatus = map[Reason]int{
+	ReasonUnauthorized:   http.StatusUnauthorized,
+	ReasonMalformed:      http.StatusBadRequest,
+	ReasonTooLarge:       http.StatusRequestEntityTooLarge,
+	ReasonModelUnknown:   http.StatusNotFound,
+	ReasonServiceUnknown: http.StatusNotFound,
+	ReasonOverLimit:      http.StatusTooManyRequests,
+	ReasonQuarantined:    http.StatusConflict,
+	ReasonKeyReused:      http.StatusConflict,
+	ReasonKeyExpired:     http.StatusConflict,
+}
+
+// Status returns the HTTP status that goes with the failure.
+func (f *Failure) Status() int {
+	if f.Outcome == OutcomeUnknown {
+		if f.Reason == ReasonDeadline {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	if status, ok := refusedStatus[f.Reason]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/steps.go
@@ -0,0 +1,170 @@
+package cowslipproxy
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// StepKind says what a stage does with a step.
+type StepKind string
+
+// Kinds of steps.
+const (
+	StepPrefill StepKind = "prefill" // starts a context from a prompt, or from all positions' activations
+	StepDecode  StepKind = "decode"  // advances the context by one position
+)
+
+// StepID names one step. A reply counts only if it carries the id of an
+// outstanding step.
+type StepID struct {
+	Request string     `json:"request"`
+	Attempt int        `json:"attempt"`
+	Token   int        `json:"token"` // index of the token that the step helps to produce
+	Range   LayerRange `json:"range"`
+}
+
+// Check reports the first field that is out of range.
+func (s StepID) Check() error {
+	if s.Request == "" {
+		return errors.New("request: found nothing, accepted is an id")
+	}
+	if s.Attempt < 1 {
+		return errors.Errorf("attempt: found %d, accepted are numbers from 1", s.Attempt)
+	}
+	if s.Token < 0 {
+		return errors.Errorf("token: found %d, accepted are numbers from 0", s.Token)
+	}
+	return s.Range.Check()
+}
+
+// Step asks a stage to run its layers for one token of one request.
+type Step struct {
+	StepID
+	Kind     StepKind      `json:"kind"`
+	Model    string        `json:"model"`
+	Version  string        `json:"version"`
+	Adapter  string        `json:"adapter,omitempty"`
+	Priority int           `json:"priority"`         // larger goes first
+	Prompt   string        `json:"prompt,omitempty"` // first stage, prefill
+	Given    []int         `json:"given,omitempty"`  // first stage: the tokens after the prompt
+	State    []byte        `json:"state,omitempty"`  // later stages: activations of the stage before
+	Left     time.Duration `json:"left,omitempty"`   // time left until the caller's deadline
+}
+
+// Check reports the first field that is out of range.
+func (s Step) Check() error {
+	if s.Kind != StepPrefill && s.Kind != StepDecode {
+		return errors.Errorf("kind: found %q, accepted are prefill and decode", s.Kind)
+	}
+	if s.Model == "" {
+		return errors.New("model: found nothing, accepted is a name")
+	}
+	return s.StepID.Check()
+}
+
+// Fault says why a stage didn't run a step.
+type Fault string
+
+// Faults of a step.
+const (
+	FaultNone     Fault = ""
+	FaultContext  Fault = "context"  // the stage holds no such context
+	FaultModel    Fault = "model"    // the stage doesn't hold this model, version, adapter or range
+	FaultFull     Fault = "full"     // no cache memory is left; the step was not started
+	FaultLeaving  Fault = "leaving"  // the stage takes no new contexts; the step was not started
+	FaultInternal Fault = "internal" // the stage failed while it ran the step
+)
+
+// Reply is a stage's answer to a step.
+type Reply struct {
+	StepID
+	State  []byte        `json:"state,omitempty"`  // activations for the next stage
+	Next   int           `json:"next,omitempty"`   // last stage: the token
+	Text   string        `json:"text,omitempty"`   // last stage: the token's text
+	Last   bool          `json:"last,omitempty"`   // last stage: the answer ends with this token
+	Prompt int           `json:"prompt,omitempty"` // first stage, prefill: length of the prompt in tokens
+	Cached int           `json:"cached,omitempty"` // prefill: tokens that the prefix cache saved
+	Spent  time.Duration `json:"spent,omitempty"`  // time that the stage computed, without queueing
+	Fault  Fault         `json:"fault,omitempty"`
+}
+
+// Check reports the first field that is out of range.
+func (r Reply) Check() error { return r.StepID.Check() }
+
+// Role says what an engine is used for.
+type Role string
+
+// Roles of an engine.
+const (
+	RoleServe Role = "serve"
+	RoleSpare Role = "spare"
+)
+
+// Report is an engine's own view of its load, which lags behind.
+type Report struct {
+	Model    string        `json:"model"`
+	Version  string        `json:"version"`
+	Adapters []string      `json:"adapters,omitempty"`
+	Range    LayerRange    `json:"range"`
+	Kind     string        `json:"kind"` // kind of accelerator
+	Role     Role          `json:"role"`
+	Queue    int           `json:"queue"`   // steps that wait
+	Running  int           `json:"running"` // steps in the current batch
+	Pace     time.Duration `json:"pace"`    // recent time for one layer of one decode step
+	Free     int           `json:"free"`    // free cache memory, in tokens
+	Leaving  bool          `json:"leaving,omitempty"`
+}
+
+// Check reports the first field that is out of range.
+func (r Report) Check() error {
+	if r.Queue < 0 || r.Running < 0 || r.Free < 0 || r.Pace < 0 {
+		return errors.Errorf("report: found queue %d, running %d, free %d, pace %v, accepted are values from 0", r.Queue, r.Running, r.Free, r.Pace)
+	}
+	if r.Role == RoleSpare {
+		return nil
+	}
+	return r.Range.Check()
+}
+
+// CacheEvent tells which prompt prefixes an engine stored and evicted.
+// Events come late, and a gap in Seq means that some were lost.
+type CacheEvent struct {
+	Seq     uint64   `json:"seq"`
+	Stored  []uint64 `json:"stored,omitempty"`  // hashes of prefixes, see PrefixHashes
+	Evicted []uint64 `json:"evicted,omitempty"` // hashes of prefixes
+}
+
+// Cache is an exported KV cache of one stage's context.
+type Cache struct {
+	StepID
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Tokens  int    `json:"tokens"` // positions that the cache covers
+	Data    []byte `json:"data"`
+}
+
+// Check reports the first field that is out of range.
+func (c Cache) Check() error { return c.StepID.Check() }
+
+// Order tells an engine which state it shall have. A repeated order is harmless.
+type Order struct {
+	ID       string     `json:"id"`
+	Fence    uint64     `json:"fence"` // fencing number of the lease under which the order is given
+	Model    string     `json:"model"`
+	Version  string     `json:"version"`
+	Adapters []string   `json:"adapters,omitempty"`
+	Range    LayerRange `json:"range"`
+	Role     Role       `json:"role"`
+}
+
+// Check reports the first field that is out of range.
+func (o Order) Check() error {
+	if o.ID == "" {
+		return errors.New("id: found nothing, accepted is an id")
+	}
+	if o.Role != RoleServe && o.Role != RoleSpare {
+		return errors.Errorf("role: found %q, accepted are serve and spare", o.Role)
+	}
+	return o.Range.Check()
+}
