--- /dev/null
+++ b/caller/chat.go
@@ -0,0 +1,138 @@
+package caller
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Content is a message's text, given as a string or as a list of text parts.
+type Content string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *Content) UnmarshalJSON(data []byte) error {
+	var plain string
+	if err := json.Unmarshal(data, &plain); err == nil {
+		*c = Content(plain)
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return errors.New("messages.content: accepted is a text or a list of text parts")
+	}
+	var text strings.Builder
+	for _, part := range parts {
+		if part.Type != "text" {
+			return errors.Errorf("messages.content.type: found %q, accepted is text", part.Type)
+		}
+		text.WriteString(part.Text)
+	}
+	*c = Content(text.String())
+	return nil
+}
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string  `json:"role" validate:"required,max=32"`
+	Content Content `json:"content"`
+}
+
+// generation holds the fields that chats and plain completions share.
+type generation struct {
+	Model               string `json:"model" validate:"required,max=160"`
+	Stream              bool   `json:"stream"`
+	MaxTokens           int    `json:"max_tokens" validate:"gte=0,lte=10000000"`
+	MaxCompletionTokens int    `json:"max_completion_tokens" validate:"gte=0,lte=10000000"`
+	N                   int    `json:"n" validate:"gte=0,lte=1"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// max returns the most tokens that the caller asks for.
+func (g generation) max() int {
+	const usual = 256
+	if g.MaxCompletionTokens > 0 {
+		return g.MaxCompletionTokens
+	}
+	if g.MaxTokens > 0 {
+		return g.MaxTokens
+	}
+	return usual
+}
+
+// ChatRequest is the body of a chat-completions request. Fields that the router
+// has no use for are accepted and ignored.
+type ChatRequest struct {
+	generation
+	Messages []Message `json:"messages" validate:"required,min=1,max=10000,dive"`
+}
+
+// prompt renders the messages. Messages only ever append to the text, so that
+// the turns of one chat share their prefix.
+func (r ChatRequest) prompt() string {
+	var text strings.Builder
+	for _, message := range r.Messages {
+		text.WriteString("<|" + message.Role + "|>\n" + string(message.Content) + "\n")
+	}
+	text.WriteString("<|assistant|>\n")
+	return text.String()
+}
+
+// CompletionRequest is the body of a plain completions request.
+type CompletionRequest struct {
+	generation
+	Prompt string `json:"prompt" validate:"required"`
+}
+
+// Usage counts the tokens of an answer.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// Choice is the answer, or a part of it.
+type Choice struct {
+	Index        int     `json:"index"`
+	Message      *Answer `json:"message,omitempty"` // chat, whole answer
+	Delta        *Answer `json:"delta,omitempty"`   // chat, part of a stream
+	Text         *string `json:"text,omitempty"`    // plain completion
+	FinishReason *string `json:"finish_reason"`
+}
+
+// Answer is the assistant's message.
+type Answer struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// Completion is the body of an answer, or one event of a streamed answer.
+type Completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// ErrorBody is the body of an answer that isn't whole.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail describes a failure in the shape that clients of
+// chat-completions services know.
+type ErrorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Request string `json:"request"`
+}
--- /dev/null
+++ b/caller/complete.go
@@ -0,0 +1,269 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/decoder"
+	"github.com/cowslipproxy/cowslipproxy/driver"
+)
+
+// completion is a parsed request to a model.
+type completion struct {
+	*exchange
+	generation
+	prompt  string
+	chat    bool
+	model   cowslipproxy.Model
+	adapter string
+}
+
+func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
+	s.complete(w, r, func(c *completion) error {
+		var body ChatRequest
+		if err := decoder.JSON(c.body, &body); err != nil {
+			return err
+		}
+		c.generation, c.prompt, c.chat = body.generation, body.prompt(), true
+		return nil
+	})
+}
+
+func (s *Server) completion(w http.ResponseWriter, r *http.Request) {
+	s.complete(w, r, func(c *completion) error {
+		var body CompletionRequest
+		if err := decoder.JSON(c.body, &body); err != nil {
+			return err
+		}
+		c.generation, c.prompt = body.generation, body.Prompt
+		return nil
+	})
+}
+
+// complete serves a request to a model.
+func (s *Server) complete(w http.ResponseWriter, r *http.Request, parse func(*completion) error) {
+	e, err := s.begin(w, r)
+	if err != nil {
+		e.fail(err)
+		return
+	}
+	c := &completion{exchange: e}
+	if err := c.read(parse); err != nil {
+		e.fail(err)
+		return
+	}
+	if c.model.Effect == cowslipproxy.EffectRepeat {
+		c.run(w)
+		return
+	}
+	s.Guard.Once(w, r, e.send(), c.run)
+}
+
+func (e *exchange) send() Send {
+	return Send{Request: e.request, Customer: e.customer.Name, Key: e.r.Header.Get(HeaderKey), Body: e.body, Deadline: e.deadline}
+}
+
+func (c *completion) read(parse func(*completion) error) error {
+	if err := c.readBody(); err != nil {
+		return err
+	}
+	if err := parse(c); err != nil {
+		return cowslipproxy.Refuse(cowslipproxy.ReasonMalformed, "%v", err)
+	}
+	name, adapter, _ := strings.Cut(c.Model, ":")
+	var ok bool
+	if c.model, ok = c.settled.Model(name); !ok {
+		return cowslipproxy.Refuse(cowslipproxy.ReasonModelUnknown, "model: found %q, accepted are the models of /v1/models", name)
+	}
+	if c.adapter = adapter; adapter != "" && !c.model.HasAdapter(adapter) {
+		return cowslipproxy.Refuse(cowslipproxy.ReasonModelUnknown, "model: found adapter %q, accepted are %q", adapter, c.model.Adapters)
+	}
+	if need := c.tokens(); need > c.model.Window {
+		return cowslipproxy.Refuse(cowslipproxy.ReasonTooLarge, "prompt and answer: found about %d tokens, accepted are at most %d", need, c.model.Window)
+	}
+	return nil
+}
+
+// tokens estimates the tokens of the prompt and the answer.
+func (c *completion) tokens() int {
+	const bytesPerToken = 4
+	return len(c.prompt)/bytesPerToken + c.max()
+}
+
+// run admits and runs the request and writes the answer.
+func (c *completion) run(w http.ResponseWriter) {
+	c.w = w
+	s, ctx := c.server, c.r.Context()
+	var done func(int)
+	var err error
+	if done, err = s.Admitter.Admit(ctx, Admission{
+		Request:     c.request,
+		Customer:    c.customer,
+		Kind:        cowslipproxy.ScopeModel + c.model.Name,
+		Fingerprint: c.fingerprint(c.prompt),
+		Tokens:      c.tokens(),
+		Deadline:    c.deadline,
+	}); err != nil {
+		c.fail(err)
+		return
+	}
+	out := c.writer()
+	usage, err := s.Models.Run(ctx, driver.Job{
+		Request:  c.request,
+		Customer: c.customer.Name,
+		Model:    c.model,
+		Adapter:  c.adapter,
+		Prompt:   c.prompt,
+		Max:      c.max(),
+		Priority: c.customer.Class.Priority(),
+		Deadline: c.deadline,
+		Prefixes: cowslipproxy.PrefixHashes(c.model.Name, c.prompt),
+	}, out.token)
+	done(usage.Prompt + usage.Tokens)
+	out.end(usage, err)
+}
+
+// answerWriter writes the tokens of an answer.
+type answerWriter interface {
+	token(token driver.Token) error
+	end(usage driver.Usage, err error)
+}
+
+func (c *completion) writer() answerWriter {
+	if c.Stream {
+		return &streamWriter{completion: c, created: c.server.Clock()}
+	}
+	return &wholeWriter{completion: c}
+}
+
+// wholeWriter collects the answer and writes it at the end.
+type wholeWriter struct {
+	*completion
+	text strings.Builder
+}
+
+func (o *wholeWriter) token(token driver.Token) error {
+	o.text.WriteString(token.Text)
+	return nil
+}
+
+func (o *wholeWriter) end(usage driver.Usage, err error) {
+	if err != nil {
+		o.fail(err)
+		return
+	}
+	o.w.Header().Set(HeaderOutcome, string(cowslipproxy.OutcomeDone))
+	choice := Choice{FinishReason: o.finish(usage)}
+	text := o.text.String()
+	if o.chat {
+		choice.Message = &Answer{Role: "assistant", Content: text}
+	} else {
+		choice.Text = &text
+	}
+	writeJSON(o.w, http.StatusOK, o.answer("", o.server.Clock(), usageOf(usage), choice))
+}
+
+func usageOf(usage driver.Usage) *Usage {
+	return &Usage{PromptTokens: usage.Prompt, CompletionTokens: usage.Tokens, TotalTokens: usage.Prompt + usage.Tokens}
+}
+
+func (c *completion) finish(usage driver.Usage) *string {
+	reason := "stop"
+	if usage.Tokens >= c.max() {
+		reason = "length"
+	}
+	return &reason
+}
+
+func (c *completion) answer(suffix string, created time.Time, usage *Usage, choices ...Choice) Completion {
+	prefix, object := "cmpl-", "text_completion"
+	if c.chat {
+		prefix, object = "chatcmpl-", "chat.completion"+suffix
+	}
+	return Completion{ID: prefix + c.request, Object: object, Created: created.Unix(), Model: c.Model, Choices: choices, Usage: usage}
+}
+
+// streamWriter writes each token as a server-sent event. The status is written
+// with the first token, so that a failure before it is a plain error answer.
+type streamWriter struct {
+	*completion
+	created time.Time
+	begun   bool
+}
+
+func (o *streamWriter) begin() {
+	if o.begun {
+		return
+	}
+	o.begun = true
+	header := o.w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	header.Set("Trailer", HeaderOutcome+", "+HeaderReason)
+	o.w.WriteHeader(http.StatusOK)
+}
+
+func (o *streamWriter) token(token driver.Token) error {
+	o.begin()
+	choice := Choice{}
+	if o.chat {
+		choice.Delta = &Answer{Content: token.Text}
+		if token.Index == 0 {
+			choice.Delta.Role = "assistant"
+		}
+	} else {
+		choice.Text = &token.Text
+	}
+	return o.event(o.answer(".chunk", o.created, nil, choice))
+}
+
+func (o *streamWriter) event(value any) error {
+	var data []byte
+	var err error
+	if data, err = json.Marshal(value); err != nil {
+		return err
+	}
+	return o.data(data)
+}
+
+func (o *streamWriter) data(data []byte) error {
+	event := make([]byte, 0, len(data)+8)
+	event = append(event, "data: "...)
+	event = append(event, data...)
+	event = append(event, "\n\n"...)
+	if _, err := o.w.Write(event); err != nil {
+		return err
+	}
+	return http.NewResponseController(o.w).Flush()
+}
+
+func (o *streamWriter) end(usage driver.Usage, err error) {
+	if err != nil && !o.begun {
+		o.fail(err)
+		return
+	}
+	o.begin()
+	if err != nil {
+		failure := asFailure(err)
+		o.w.Header().Set(HeaderOutcome, string(failure.Outcome))
+		o.w.Header().Set(HeaderReason, string(failure.Reason))
+		_ = o.event(o.errorBody(failure)) // a caller that is gone can't be told
+		return
+	}
+	last := Choice{FinishReason: o.finish(usage)}
+	if o.chat {
+		last.Delta = &Answer{}
+	} else {
+		empty := ""
+		last.Text = &empty
+	}
+	_ = o.event(o.answer(".chunk", o.created, nil, last))
+	if o.StreamOptions.IncludeUsage {
+		_ = o.event(o.answer(".chunk", o.created, usageOf(usage)))
+	}
+	o.w.Header().Set(HeaderOutcome, string(cowslipproxy.OutcomeDone))
+	_ = o.data([]byte("[DONE]"))
+}
--- /dev/null
+++ b/caller/exchange.go
@@ -0,0 +1,132 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+// exchange is one request of a caller and its answer.
+type exchange struct {
+	server   *Server
+	request  string
+	w        http.ResponseWriter
+	r        *http.Request
+	settled  cowslipproxy.Settled
+	customer cowslipproxy.Customer
+	deadline time.Time
+	body     []byte
+}
+
+const maxDeadline = time.Hour
+
+func (s *Server) newID() string {
+	return s.Incarnation + "-" + strconv.FormatUint(s.sequence.Add(1), 36)
+}
+
+// begin identifies the customer and reads the deadline. The request is decided
+// under the configuration that is in force now.
+func (s *Server) begin(w http.ResponseWriter, r *http.Request) (*exchange, error) {
+	e := &exchange{server: s, request: s.newID(), w: w, r: r}
+	w.Header().Set(HeaderRequest, e.request)
+	var ready bool
+	if e.settled, ready = s.Settled(); !ready {
+		return e, cowslipproxy.Refuse(cowslipproxy.ReasonNotReady, "this daemon has no configuration yet").After(time.Second)
+	}
+	w.Header().Set(HeaderVersion, strconv.FormatUint(e.settled.Offset, 10))
+	var ok bool
+	if e.customer, ok = e.settled.Customer(bearerHash(r)); !ok {
+		return e, cowslipproxy.Refuse(cowslipproxy.ReasonUnauthorized, "the bearer key belongs to no customer")
+	}
+	return e, e.readDeadline()
+}
+
+func bearerHash(r *http.Request) string {
+	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func (e *exchange) readDeadline() error {
+	wait := e.server.Wait
+	if text := e.r.Header.Get(HeaderDeadline); text != "" {
+		var err error
+		if wait, err = time.ParseDuration(text); err != nil || wait <= 0 || wait > maxDeadline {
+			return cowslipproxy.Refuse(cowslipproxy.ReasonMalformed, "%s: found %q, accepted is a duration up to %v", HeaderDeadline, text, maxDeadline)
+		}
+	}
+	e.deadline = e.server.Clock().Add(wait)
+	return nil
+}
+
+// readBody reads the whole body.
+func (e *exchange) readBody() error {
+	var err error
+	if e.body, err = io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, e.server.BodyLimit)); err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return cowslipproxy.Refuse(cowslipproxy.ReasonTooLarge, "body: accepted are at most %d bytes", large.Limit)
+		}
+		return cowslipproxy.Refuse(cowslipproxy.ReasonMalformed, "body: %v", err)
+	}
+	return nil
+}
+
+// fingerprint identifies a customer's content, whatever key it is sent under.
+func (e *exchange) fingerprint(content string) uint64 {
+	return xxhash.Sum64String(e.customer.Name + "\x00" + content)
+}
+
+// fail answers with a failure. It must be called before anything was written.
+func (e *exchange) fail(err error) {
+	failure := asFailure(err)
+	header := e.w.Header()
+	header.Set(HeaderRequest, e.request)
+	header.Set(HeaderOutcome, string(failure.Outcome))
+	header.Set(HeaderReason, string(failure.Reason))
+	if failure.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(failure.RetryAfter.Seconds()))))
+	}
+	writeJSON(e.w, failure.Status(), e.errorBody(failure))
+}
+
+func asFailure(err error) *cowslipproxy.Failure {
+	var failure *cowslipproxy.Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return cowslipproxy.Unknown(cowslipproxy.ReasonUpstreamFailed, "%v", err)
+}
+
+var errorTypes = map[cowslipproxy.Outcome]string{
+	cowslipproxy.OutcomeRefused: "refused_error",
+	cowslipproxy.OutcomeUnknown: "unknown_outcome_error",
+}
+
+func (e *exchange) errorBody(failure *cowslipproxy.Failure) ErrorBody {
+	return ErrorBody{Error: ErrorDetail{
+		Message: failure.Message,
+		Type:    errorTypes[failure.Outcome],
+		Code:    string(failure.Reason),
+		Outcome: string(failure.Outcome),
+		Reason:  string(failure.Reason),
+		Request: e.request,
+	}}
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value) // a caller that is gone can't be told
+}
--- a/config.go
+++ b/config.go
@@ -140,4 +140,8 @@
 	Configuration
 	Offset uint64
 	At     time.Time // when it came into force on this daemon
+
+	customers map[string]int // by hashed key; see Indexed
+	models    map[string]int
+	services  map[string]int
 }
--- a/decoder/decode.go
+++ b/decoder/decode.go
@@ -9,12 +9,20 @@
 	"github.com/pkg/errors"
 )
 
-// YAML decodes one YAML document. Unknown and duplicate keys are errors.
+// YAML decodes one YAML document and checks it. Unknown and duplicate keys are errors.
 func YAML(data []byte, value any) error {
+	if err := YAMLUnchecked(data, value); err != nil {
+		return err
+	}
+	return Check(value)
+}
+
+// YAMLUnchecked decodes one YAML document, for values that are checked later.
+func YAMLUnchecked(data []byte, value any) error {
 	if err := yaml.UnmarshalWithOptions(data, value, yaml.Strict()); err != nil {
 		return errors.Errorf("yaml: %s", yaml.FormatError(err, false, false))
 	}
-	return Check(value)
+	return nil
 }
 
 // JSON decodes a JSON value and accepts unknown fields, since callers' client
--- /dev/null
+++ b/driver/replace.go
@@ -0,0 +1,104 @@
+package driver
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+)
+
+const (
+	maxRecoveries = 32                    // replacements for one job
+	recoveryWait  = 5 * time.Second       // longest wait for an engine that holds the missing layers
+	recoveryPoll  = 20 * time.Millisecond // first wait between two looks; it doubles
+	recoveryMax   = 200 * time.Millisecond
+)
+
+// replace puts other engines in the place of a stage that failed.
+func (r *run) replace(ctx context.Context, failed *stageError) error {
+	d := r.driver
+	r.recoveries++
+	if r.recoveries > maxRecoveries {
+		return errors.Wrapf(failed.err, "gave up after %d replacements", maxRecoveries)
+	}
+	lost := r.stages[failed.index]
+	r.avoid[lost.Upstream] = true
+	if d.Permit != nil {
+		if err := d.Permit(d.Clock(), r.job); err != nil {
+			return err
+		}
+	}
+	var stages []stage
+	var err error
+	if stages, err = r.substitute(ctx, failed.index); err != nil {
+		return err
+	}
+	substitute := stages[min(failed.index, len(stages)-1)]
+	r.stages = stages
+	r.usage.Replaced++
+	metrics.GetOrRegisterCounter(reporter.MetricStagesReplaced, d.Metrics).Inc(1)
+	reporter.EventStageReplaced.Log(ctx, d.Logger,
+		slog.String("request", r.job.Request),
+		slog.String("engine", lost.Upstream),
+		slog.String("substitute", substitute.Upstream),
+		slog.Int("token", len(r.given)),
+		slog.Any("error", failed.err))
+	return nil
+}
+
+// substitute returns the chain with the failed stage replaced, or a new chain
+// where no engine holds just its layers. While there is neither it waits, since
+// ejections end and engines come back.
+func (r *run) substitute(ctx context.Context, index int) ([]stage, error) {
+	d := r.driver
+	began := d.Clock()
+	avoid := r.avoid
+	for pause := recoveryPoll; ; pause = min(2*pause, recoveryMax) {
+		chosen, err := d.Chooser.Chain(d.Clock(), r.need(r.stages[index].Range, avoid))
+		if err == nil {
+			stages := append([]stage(nil), r.stages[:index]...)
+			stages = append(stages, fresh(chosen)...)
+			return append(stages, r.stages[index+1:]...), nil
+		}
+		whole := cowslipproxy.LayerRange{First: 0, End: r.job.Model.Layers}
+		if chosen, err = d.Chooser.Chain(d.Clock(), r.need(whole, avoid)); err == nil {
+			r.resume = resumption{}
+			return fresh(chosen), nil
+		}
+		if !r.dispatched || d.Clock().Sub(began) > recoveryWait {
+			return nil, err
+		}
+		avoid = nil // an engine that failed this job once may be the only one left
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(pause):
+		}
+	}
+}
+
+// need describes a range of the model's layers to the chooser.
+func (r *run) need(layers cowslipproxy.LayerRange, avoid map[string]bool) cowslipproxy.Need {
+	return cowslipproxy.Need{
+		Model:    r.job.Model.Name,
+		Version:  r.job.Model.Version,
+		Adapter:  r.job.Adapter,
+		Layers:   layers,
+		Prefixes: r.job.Prefixes,
+		Tokens:   r.length(),
+		Avoid:    avoid,
+	}
+}
+
+func fresh(chosen []cowslipproxy.Stage) []stage {
+	stages := make([]stage, len(chosen))
+	for i, s := range chosen {
+		stages[i] = stage{Stage: s, fresh: true}
+	}
+	return stages
+}
--- /dev/null
+++ b/loader/fields.go
@@ -0,0 +1,101 @@
+package loader
+
+import (
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+var fields = []Field{
+	{"name", "", "name of this VM, unique in the deployment", text(func(s *Settings) *string { return &s.Name })},
+	{"centre", "", "data centre of this VM", text(func(s *Settings) *string { return &s.Centre })},
+	{"callers", "", "IP number and port for callers", address(func(s *Settings) *netip.AddrPort { return &s.Callers })},
+	{"peers", "", "IP number and port for other entry daemons", address(func(s *Settings) *netip.AddrPort { return &s.Peers })},
+	{"operator", "", "IP number and port for operators", address(func(s *Settings) *netip.AddrPort { return &s.Operator })},
+	{"log", "", "URL of the log service", text(func(s *Settings) *string { return &s.Log })},
+	{"list", "", "URL of the list of VMs", text(func(s *Settings) *string { return &s.List })},
+	{"seeds", "", "addresses of other entry daemons that a new daemon asks first; a comma stands between two", addresses(func(s *Settings) *[]netip.AddrPort { return &s.Seeds })},
+	{"body", "8388608", "largest body of a caller's request, in bytes", number(func(s *Settings, n int64) { s.Body = n })},
+	{"wait", "1m0s", "deadline of requests that name none", duration(func(s *Settings) *cowslipproxy.Duration { return &s.Wait })},
+	{"lifetime", "10s", "how long callers may keep an answer to the question which entry VM to use", duration(func(s *Settings) *cowslipproxy.Duration { return &s.Lifetime })},
+	{"grace", "10m0s", "longest time that a planned stop waits for requests in flight", duration(func(s *Settings) *cowslipproxy.Duration { return &s.Grace })},
+	{"retain", "24h0m0s", "time that the log keeps records", duration(func(s *Settings) *cowslipproxy.Duration { return &s.Retain })},
+	{"streams", "4", "number of log streams for claims; equal on all daemons", number(func(s *Settings, n int64) { s.Streams = int(n) })},
+	{"sockets", "10000", "most connections of callers at a time", number(func(s *Settings, n int64) { s.Sockets = int(n) })},
+	{"queue", "10000", "most requests that wait for admission", number(func(s *Settings, n int64) { s.Queue = int(n) })},
+	{"floor", "0.1", "part of the capacity that is kept for the classes below critical", fraction(func(s *Settings) *float64 { return &s.Floor })},
+	{"level", "info", "lowest level of log events: debug, info, warn or error", text(func(s *Settings) *string { return &s.Level })},
+}
+
+type setter = func(*Settings, string) error
+
+func text(field func(*Settings) *string) setter {
+	return func(s *Settings, value string) error {
+		*field(s) = value
+		return nil
+	}
+}
+
+func address(field func(*Settings) *netip.AddrPort) setter {
+	return func(s *Settings, value string) error {
+		var err error
+		if *field(s), err = netip.ParseAddrPort(value); err != nil {
+			return errors.Errorf("found %q, accepted is an IP number and port", value)
+		}
+		return nil
+	}
+}
+
+func addresses(field func(*Settings) *[]netip.AddrPort) setter {
+	return func(s *Settings, value string) error {
+		*field(s) = nil
+		for _, part := range strings.Split(value, ",") {
+			var one netip.AddrPort
+			var err error
+			if one, err = netip.ParseAddrPort(strings.TrimSpace(part)); err != nil {
+				return errors.Errorf("found %q, accepted are IP numbers and ports with commas between them", value)
+			}
+			*field(s) = append(*field(s), one)
+		}
+		return nil
+	}
+}
+
+func duration(field func(*Settings) *cowslipproxy.Duration) setter {
+	return func(s *Settings, value string) error {
+		var parsed time.Duration
+		var err error
+		if parsed, err = time.ParseDuration(value); err != nil {
+			return errors.Errorf("found %q, accepted is a duration such as 250ms or 1m30s", value)
+		}
+		*field(s) = cowslipproxy.Duration(parsed)
+		return nil
+	}
+}
+
+func number(set func(*Settings, int64)) setter {
+	return func(s *Settings, value string) error {
+		var parsed int64
+		var err error
+		if parsed, err = strconv.ParseInt(value, 10, 64); err != nil {
+			return errors.Errorf("found %q, accepted is a whole number", value)
+		}
+		set(s, parsed)
+		return nil
+	}
+}
+
+func fraction(field func(*Settings) *float64) setter {
+	return func(s *Settings, value string) error {
+		var err error
+		if *field(s), err = strconv.ParseFloat(value, 64); err != nil {
+			return errors.Errorf("found %q, accepted is a number", value)
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/lookup.go
@@ -0,0 +1,67 @@
+package cowslipproxy
+
+import "crypto/subtle"
+
+// Indexed returns s with indexes, so that looking up names and keys doesn't
+// grow with the number of customers.
+func (s Settled) Indexed() Settled {
+	s.customers = make(map[string]int, len(s.Customers))
+	for i, customer := range s.Customers {
+		for _, key := range customer.Keys {
+			s.customers[key] = i
+		}
+	}
+	s.models = make(map[string]int, len(s.Models))
+	for i, model := range s.Models {
+		s.models[model.Name] = i
+	}
+	s.services = make(map[string]int, len(s.Services))
+	for i, service := range s.Services {
+		s.services[service.Name] = i
+	}
+	return s
+}
+
+// Customer returns the customer to whom a hashed bearer key belongs. The map
+// is keyed by hashes, so its timing tells nothing of a key.
+func (s Settled) Customer(hash string) (Customer, bool) {
+	i, ok := s.customers[hash]
+	if !ok {
+		return Customer{}, false
+	}
+	customer := s.Customers[i]
+	for _, key := range customer.Keys {
+		if subtle.ConstantTimeCompare([]byte(key), []byte(hash)) == 1 {
+			return customer, true
+		}
+	}
+	return Customer{}, false
+}
+
+// Model returns a declared model.
+func (s Settled) Model(name string) (Model, bool) {
+	i, ok := s.models[name]
+	if !ok {
+		return Model{}, false
+	}
+	return s.Models[i], true
+}
+
+// Service returns a declared service.
+func (s Settled) Service(name string) (Service, bool) {
+	i, ok := s.services[name]
+	if !ok {
+		return Service{}, false
+	}
+	return s.Services[i], true
+}
+
+// HasAdapter reports whether the model declares an adapter.
+func (m Model) HasAdapter(name string) bool {
+	for _, adapter := range m.Adapters {
+		if adapter == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/reporter/events_engines.go
@@ -0,0 +1,10 @@
+package reporter
+
+import "log/slog"
+
+// Events of the connections to engines, 700 to 799.
+var (
+	EventEngineConnected = newEvent(700, slog.LevelInfo, "engine connected", "The engine sent its first report and can be chosen.")
+	EventEngineLost      = newEvent(701, slog.LevelWarn, "engine connection lost", "The daemon reconnects with backoff. Steps in flight there are run elsewhere.")
+	EventStageReplaced   = newEvent(702, slog.LevelInfo, "stage replaced", "A stage failed while it ran a step. The request goes on with another engine for its layers.")
+)
--- /dev/null
+++ b/standin/emulator/context.go
@@ -0,0 +1,77 @@
+package emulator
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+// contextKey names one context. A new attempt of a request has its own.
+type contextKey struct {
+	request string
+	attempt int
+}
+
+// sequence is the context of one request on this engine.
+type sequence struct {
+	Seed      uint64       `json:"seed"`
+	Token     int          `json:"token"`     // token that the newest step helped to produce
+	Positions int          `json:"positions"` // positions that the states cover
+	States    []layerState `json:"states"`
+	owner     any          // stream that created the context
+}
+
+// prefill starts a context and returns its outputs and the length of the prompt.
+func (e *Engine) prefill(step cowslipproxy.Step, owner any) ([]uint64, *sequence, cowslipproxy.Fault) {
+	seq := &sequence{
+		Seed:   seedOf(step.Model, step.Version, step.Adapter),
+		Token:  step.Token,
+		States: make([]layerState, step.Range.Len()),
+		owner:  owner,
+	}
+	inputs := unpack(step.State)
+	if step.Range.First == 0 {
+		inputs = nil
+		for _, token := range append(tokens(step.Prompt), step.Given...) {
+			inputs = append(inputs, embed(token, seq.Seed))
+		}
+	}
+	if len(inputs) == 0 {
+		return nil, nil, cowslipproxy.FaultInternal
+	}
+	outputs := make([]uint64, 0, len(inputs))
+	for _, input := range inputs {
+		outputs = append(outputs, run(seq.States, step.Range, input, seq.Seed))
+	}
+	seq.Positions = len(inputs)
+	return outputs, seq, cowslipproxy.FaultNone
+}
+
+// decode advances a context by one position.
+func (e *Engine) decode(step cowslipproxy.Step, seq *sequence) ([]uint64, cowslipproxy.Fault) {
+	if seq == nil || seq.Token != step.Token-1 || len(seq.States) != step.Range.Len() {
+		return nil, cowslipproxy.FaultContext
+	}
+	inputs := unpack(step.State)
+	if step.Range.First == 0 {
+		if len(step.Given) != 1 {
+			return nil, cowslipproxy.FaultInternal
+		}
+		inputs = []uint64{embed(step.Given[0], seq.Seed)}
+	}
+	if len(inputs) != 1 {
+		return nil, cowslipproxy.FaultInternal
+	}
+	seq.Token, seq.Positions = step.Token, seq.Positions+1
+	return []uint64{run(seq.States, step.Range, inputs[0], seq.Seed)}, cowslipproxy.FaultNone
+}
+
+func (s *sequence) encode() ([]byte, error) {
+	return cbor.Marshal(s)
+}
+
+func decodeSequence(data []byte) (*sequence, error) {
+	seq := new(sequence)
+	return seq, errors.WithStack(cbor.Unmarshal(data, seq))
+}
--- /dev/null
+++ b/standin/emulator/pipeline_test.go
@@ -0,0 +1,269 @@
+package emulator_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/checker"
+	"github.com/cowslipproxy/cowslipproxy/driver"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/runner"
+	"github.com/cowslipproxy/cowslipproxy/standin/emulator"
+)
+
+var model = cowslipproxy.Model{Name: "scribe", Version: "1", Layers: 6, Window: 1000, Effect: cowslipproxy.EffectRepeat, Replicas: 2}
+
+// pipeline is a driver before stand-in engines on loopback.
+type pipeline struct {
+	t       *testing.T
+	driver  driver.Driver
+	engines map[string]*emulator.Engine
+	clients map[string]*runner.Engine
+	order   []string
+	mu      sync.Mutex
+	lost    []string // requests in flight on engines that were lost
+	down    map[string]bool
+}
+
+func newPipeline(t *testing.T) *pipeline {
+	p := &pipeline{t: t, engines: map[string]*emulator.Engine{}, clients: map[string]*runner.Engine{}, down: map[string]bool{}}
+	registry, logger := metrics.NewRegistry(), slog.New(slog.DiscardHandler)
+	p.driver = driver.Driver{
+		Chooser:  p,
+		Observer: p,
+		Engine: func(name string) (cowslipproxy.Engine, bool) {
+			client, ok := p.clients[name]
+			return client, ok
+		},
+		Checker: &checker.Checker{Metrics: registry, Logger: logger},
+		Clock:   time.Now,
+		Logger:  logger,
+		Metrics: registry,
+	}
+	t.Cleanup(func() { require.Zero(t, p.driver.Checker.Violations()) })
+	return p
+}
+
+// add starts an engine and connects to it.
+func (p *pipeline) add(name string, first, end int) *emulator.Engine {
+	engine := &emulator.Engine{Model: model, Range: cowslipproxy.LayerRange{First: first, End: end},
+		Pace: 50 * time.Microsecond, Batch: 8, Memory: 10_000, Prefixes: 100, Lag: 10 * time.Millisecond}
+	engine.Init()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(p.t, err)
+	server := grpc.NewServer()
+	runner.Register(server, engine.Handler())
+	ctx, cancel := context.WithCancel(context.Background())
+	p.t.Cleanup(cancel)
+	p.t.Cleanup(server.Stop)
+	go func() { _ = server.Serve(listener) }()
+	go func() { _ = engine.Run(ctx) }()
+	go func() {
+		<-engine.Crashed()
+		server.Stop()
+	}()
+	up := make(chan struct{}, 16)
+	client := &runner.Engine{
+		VM:      cowslipproxy.VM{Name: name, Address: netip.MustParseAddrPort(listener.Addr().String())},
+		Logger:  p.driver.Logger,
+		Metrics: p.driver.Metrics,
+		Clock:   time.Now,
+		OnUp:    func(string, time.Time) { up <- struct{}{} },
+		OnDown: func(name string, requests []string, _ time.Time) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.down[name] = true
+			p.lost = append(p.lost, requests...)
+		},
+		OnReport: func(string, cowslipproxy.Report, time.Time) {},
+		OnEvent:  func(string, cowslipproxy.CacheEvent, time.Time) {},
+	}
+	go func() { _ = client.Run(ctx) }()
+	select {
+	case <-up:
+	case <-time.After(10 * time.Second):
+		require.FailNow(p.t, "the engine was not connected")
+	}
+	p.engines[name], p.clients[name] = engine, client
+	p.order = append(p.order, name)
+	return engine
+}
+
+// Chain implements cowslipproxy.ChainChooser: the first connected engines in
+// order whose ranges fit one after another.
+func (p *pipeline) Chain(_ time.Time, need cowslipproxy.Need) ([]cowslipproxy.Stage, error) {
+	if chain, ok := p.tile(need, need.Layers.First); ok {
+		return chain, nil
+	}
+	return nil, cowslipproxy.Refuse(cowslipproxy.ReasonNoChain, "no engines tile the layers %v", need.Layers)
+}
+
+func (p *pipeline) tile(need cowslipproxy.Need, next int) ([]cowslipproxy.Stage, bool) {
+	if next == need.Layers.End {
+		return nil, true
+	}
+	for _, name := range p.order {
+		held := p.engines[name].Range
+		if held.First != next || held.End > need.Layers.End || need.Avoid[name] || p.isDown(name) {
+			continue
+		}
+		if rest, ok := p.tile(need, held.End); ok {
+			return append([]cowslipproxy.Stage{{Upstream: name, Range: held}}, rest...), true
+		}
+	}
+	return nil, false
+}
+
+func (p *pipeline) isDown(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down[name]
+}
+
+// Timeout implements cowslipproxy.StepObserver.
+func (p *pipeline) Timeout(time.Time, cowslipproxy.Stage, cowslipproxy.Step, int) time.Duration {
+	return 500 * time.Millisecond
+}
+
+// Began implements cowslipproxy.StepObserver.
+func (p *pipeline) Began(time.Time, string, cowslipproxy.Step, int) {}
+
+// Ended implements cowslipproxy.StepObserver.
+func (p *pipeline) Ended(time.Time, string, cowslipproxy.Step, cowslipproxy.StepEnd) {}
+
+// answer runs a job and returns the texts that the caller got.
+func (p *pipeline) answer(request, prompt string, count int) ([]string, driver.Usage, error) {
+	var texts []string
+	usage, err := p.driver.Run(context.Background(), driver.Job{
+		Request: request, Model: model, Prompt: prompt, Max: count, Deadline: time.Now().Add(20 * time.Second),
+	}, func(token driver.Token) error {
+		require.Equal(p.t, len(texts), token.Index)
+		texts = append(texts, token.Text)
+		return nil
+	})
+	return texts, usage, err
+}
+
+const prompt = "Please write the renewal letter for plot 17 of the Acre Road allotments."
+
+// Guards against a chain that computes something else than the whole model does.
+func TestChainAnswersLikeTheWholeModel(t *testing.T) {
+	p := newPipeline(t)
+	p.add("a", 0, 1)
+	p.add("b", 1, 4)
+	p.add("c", 4, 6)
+	texts, usage, err := p.answer("r1", prompt, 20)
+	require.NoError(t, err)
+	require.Equal(t, emulator.Answer(model, "", prompt, 20), texts)
+	require.Equal(t, driver.Usage{Prompt: 18, Tokens: 20}, usage)
+}
+
+// Guards against lost, doubled and changed tokens when a stage dies in the
+// middle of any token, at any place in the chain.
+func TestStageDiesInTheMiddleOfAToken(t *testing.T) {
+	for _, victim := range []string{"a", "b", "c"} {
+		for _, after := range []int{1, 2, 5} {
+			p := newPipeline(t)
+			p.add("a", 0, 2)
+			p.add("b", 2, 4)
+			p.add("c", 4, 6)
+			p.add("a2", 0, 2)
+			p.add("b2", 2, 4)
+			p.add("c2", 4, 6)
+			p.engines[victim].SetFaults(emulator.Faults{After: after})
+			texts, usage, err := p.answer("r1", prompt, 12)
+			require.NoError(t, err)
+			require.Equal(t, emulator.Answer(model, "", prompt, 12), texts, "%s dies at step %d", victim, after)
+			require.Equal(t, 1, usage.Replaced)
+			require.Equal(t, []string{"r1"}, p.lost)
+		}
+	}
+}
+
+// Guards against a request that fails where two stages die one after the other
+// and only engines with other ranges are left.
+func TestTwoStagesDieAndAnotherTilingTakesOver(t *testing.T) {
+	p := newPipeline(t)
+	p.add("a", 0, 3)
+	p.add("b", 3, 6)
+	p.add("c", 0, 2)
+	p.add("d", 2, 4)
+	p.add("e", 4, 6)
+	p.engines["b"].SetFaults(emulator.Faults{After: 4})
+	p.engines["d"].SetFaults(emulator.Faults{After: 3})
+	p.add("d2", 2, 4)
+	texts, usage, err := p.answer("r1", prompt, 12)
+	require.NoError(t, err)
+	require.Equal(t, emulator.Answer(model, "", prompt, 12), texts)
+	require.Equal(t, 2, usage.Replaced)
+}
+
+// Guards against replies that are late, doubled, of another request or of an
+// older attempt reaching a caller.
+func TestCrossedAndDoubledRepliesAreDropped(t *testing.T) {
+	p := newPipeline(t)
+	p.add("a", 0, 3).SetFaults(emulator.Faults{Double: true, Cross: true})
+	p.add("b", 3, 6).SetFaults(emulator.Faults{Double: true, Cross: true})
+	var group sync.WaitGroup
+	for _, request := range []string{"r1", "r2", "r3", "r4"} {
+		group.Go(func() {
+			own := prompt + request
+			texts, _, err := p.answer(request, own, 10)
+			require.NoError(t, err)
+			require.Equal(t, emulator.Answer(model, "", own, 10), texts)
+		})
+	}
+	group.Wait()
+	dropped := metrics.GetOrRegisterCounter(reporter.MetricRepliesDropped, p.driver.Metrics).Count()
+	require.GreaterOrEqual(t, dropped, int64(4*10*2*2))
+}
+
+// Guards against a stalled engine that holds up an answer though its connection is alive.
+func TestStalledStageIsReplaced(t *testing.T) {
+	p := newPipeline(t)
+	p.add("a", 0, 3)
+	p.add("b", 3, 6)
+	p.add("a2", 0, 3)
+	timer := time.AfterFunc(30*time.Millisecond, func() { p.engines["a"].SetFaults(emulator.Faults{Stall: true}) })
+	defer timer.Stop()
+	texts, _, err := p.answer("r1", prompt, 300)
+	require.NoError(t, err)
+	require.Equal(t, emulator.Answer(model, "", prompt, 300), texts)
+}
+
+// Guards against saying refused for a request that an engine may have begun,
+// and unknown for one that provably didn't run.
+func TestOutcomeOfFailure(t *testing.T) {
+	p := newPipeline(t)
+	p.add("a", 0, 3)
+	var failure *cowslipproxy.Failure
+	_, _, err := p.answer("r1", prompt, 3)
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, cowslipproxy.OutcomeRefused, failure.Outcome)
+	require.Zero(t, p.engines["a"].Account().Steps)
+
+	p.add("b", 3, 6).SetFaults(emulator.Faults{After: 1})
+	_, _, err = p.answer("r2", prompt, 3)
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, cowslipproxy.OutcomeUnknown, failure.Outcome)
+	require.Equal(t, cowslipproxy.ReasonNoChain, failure.Reason)
+}
+
+// Guards against contexts that stay on engines after their request ended.
+func TestContextsAreFreed(t *testing.T) {
+	p := newPipeline(t)
+	p.add("a", 0, 6)
+	_, _, err := p.answer("r1", prompt, 3)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return p.engines["a"].Account() == emulator.Account{Steps: 3} }, 5*time.Second, time.Millisecond)
+}
--- /dev/null
+++ b/standin/emulator/serve.go
@@ -0,0 +1,208 @@
+package emulator
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/runner"
+)
+
+// Run and the other methods of handler implement runner.Server.
+type handler struct {
+	engine *Engine
+}
+
+// Handler returns the engine's side of the protocol.
+func (e *Engine) Handler() runner.Server { return handler{engine: e} }
+
+// Run implements runner.Server.
+func (h handler) Run(stream grpc.BidiStreamingServer[runner.Command, cowslipproxy.Reply]) error {
+	e := h.engine
+	replies := make(chan cowslipproxy.Reply, 1024)
+	go e.sendReplies(stream, replies)
+	answer := func(reply cowslipproxy.Reply) {
+		select {
+		case replies <- reply:
+		case <-stream.Context().Done():
+		}
+	}
+	defer e.free(func(_ contextKey, seq *sequence) bool { return seq.owner == stream })
+	for {
+		var command *runner.Command
+		var err error
+		if command, err = stream.Recv(); err != nil {
+			return err
+		}
+		if command.Step == nil {
+			e.free(func(key contextKey, _ *sequence) bool { return key.request == command.Cancel })
+			continue
+		}
+		e.enqueue(&job{step: *command.Step, owner: stream, arrived: time.Now(), answer: answer})
+	}
+}
+
+// sendReplies sends replies after the link's round trip.
+func (e *Engine) sendReplies(stream grpc.BidiStreamingServer[runner.Command, cowslipproxy.Reply], replies <-chan cowslipproxy.Reply) {
+	type delayed struct {
+		reply cowslipproxy.Reply
+		at    time.Time
+	}
+	line := make(chan delayed, 1024)
+	go func() {
+		defer close(line)
+		for {
+			select {
+			case <-stream.Context().Done():
+				return
+			case reply := <-replies:
+				line <- delayed{reply: reply, at: time.Now().Add(2 * e.linkTime())}
+			}
+		}
+	}()
+	for next := range line {
+		time.Sleep(time.Until(next.at))
+		for _, reply := range e.misdelivered(next.reply) {
+			if err := stream.Send(&reply); err != nil {
+				return // Recv sees the same error and ends the stream
+			}
+		}
+	}
+}
+
+func (e *Engine) linkTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Link > 0 {
+		return time.Duration(float64(e.Link) * e.faults.Link)
+	}
+	return e.Link
+}
+
+// misdelivered returns what the engine's faults make of a reply.
+func (e *Engine) misdelivered(reply cowslipproxy.Reply) []cowslipproxy.Reply {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	replies := []cowslipproxy.Reply{reply}
+	if e.faults.Double {
+		replies = append(replies, reply)
+	}
+	if e.faults.Cross {
+		crossed, older := reply, reply
+		crossed.Request = "another-" + reply.Request
+		older.Attempt += 1000
+		replies = append([]cowslipproxy.Reply{crossed, older}, replies...)
+	}
+	return replies
+}
+
+// Report implements runner.Server.
+func (h handler) Report(stream grpc.ServerStreamingServer[cowslipproxy.Report]) error {
+	for {
+		report := h.engine.loadReport()
+		if err := stream.Send(&report); err != nil {
+			return err
+		}
+		if err := wait(stream.Context(), max(h.engine.Lag, 10*time.Millisecond)); err != nil {
+			return err
+		}
+	}
+}
+
+// Events implements runner.Server.
+func (h handler) Events(stream grpc.ServerStreamingServer[cowslipproxy.CacheEvent]) error {
+	e := h.engine
+	var next uint64
+	for {
+		if err := wait(stream.Context(), max(e.Lag, 10*time.Millisecond)); err != nil {
+			return err
+		}
+		e.mu.Lock()
+		events := e.prefixes.since(next)
+		e.mu.Unlock()
+		for _, event := range events {
+			if err := stream.Send(&event); err != nil {
+				return err
+			}
+			next = event.Seq + 1
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// Export implements runner.Server.
+func (h handler) Export(_ context.Context, id *cowslipproxy.StepID) (*cowslipproxy.Cache, error) {
+	e := h.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	seq, ok := e.contexts[contextKey{request: id.Request, attempt: id.Attempt}]
+	if !ok {
+		return nil, status.Errorf(codes.NotFound, "no context of request %s, attempt %d", id.Request, id.Attempt)
+	}
+	var data []byte
+	var err error
+	if data, err = seq.encode(); err != nil {
+		return nil, err
+	}
+	newest := *id
+	newest.Token, newest.Range = seq.Token, e.Range
+	return &cowslipproxy.Cache{StepID: newest, Model: e.Model.Name, Version: e.Model.Version, Tokens: seq.Positions, Data: data}, nil
+}
+
+// Import implements runner.Server.
+func (h handler) Import(_ context.Context, cache *cowslipproxy.Cache) (*runner.Empty, error) {
+	e := h.engine
+	var seq *sequence
+	var err error
+	if seq, err = decodeSequence(cache.Data); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if cache.Range != e.Range || cache.Model != e.Model.Name || cache.Version != e.Model.Version {
+		return nil, status.Errorf(codes.FailedPrecondition, "engine holds %s %s %v", e.Model.Name, e.Model.Version, e.Range)
+	}
+	e.contexts[contextKey{request: cache.Request, attempt: cache.Attempt}] = seq
+	e.used += seq.Positions
+	return &runner.Empty{}, nil
+}
+
+// Order implements runner.Server.
+func (h handler) Order(ctx context.Context, order *cowslipproxy.Order) (*runner.Empty, error) {
+	e := h.engine
+	e.mu.Lock()
+	if e.Fenced && order.Fence < e.fence {
+		e.mu.Unlock()
+		return nil, status.Errorf(codes.FailedPrecondition, "fencing number %d is older than %d", order.Fence, e.fence)
+	}
+	e.fence = max(e.fence, order.Fence)
+	same := e.Model.Name == order.Model && e.Model.Version == order.Version && e.Range == order.Range && e.role == order.Role
+	e.mu.Unlock()
+	if same {
+		return &runner.Empty{}, nil
+	}
+	if err := wait(ctx, e.Loading*time.Duration(order.Range.Len())); err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Model = cowslipproxy.Model{Name: order.Model, Version: order.Version, Adapters: order.Adapters, Layers: order.Layers}
+	e.Range, e.role = order.Range, order.Role
+	e.contexts, e.used = map[contextKey]*sequence{}, 0
+	e.prefixes = newPrefixCache(e.Prefixes)
+	return &runner.Empty{}, nil
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,123 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+
+	"github.com/cowslipproxy/cowslipproxy/decoder"
+	"github.com/cowslipproxy/cowslipproxy/runner"
+	"github.com/cowslipproxy/cowslipproxy/standin/emulator"
+)
+
+const maxMessage = 64 << 20
+
+// engineFlags are the flags of the engine subcommand.
+type engineFlags struct {
+	address string
+	control string
+	engine  emulator.Engine
+}
+
+func engineCommand() *ffcli.Command {
+	var f engineFlags
+	flags := flag.NewFlagSet("standin engine", flag.ContinueOnError)
+	flags.StringVar(&f.address, "address", "127.0.0.1:7000", "IP number and port for daemons")
+	flags.StringVar(&f.control, "control", "", "IP number and port for faults and the account; none if empty")
+	flags.StringVar(&f.engine.Model.Name, "model", "scribe", "name of the model")
+	flags.StringVar(&f.engine.Model.Version, "version", "1", "version of the model")
+	flags.IntVar(&f.engine.Model.Layers, "layers", 24, "layers of the whole model")
+	flags.IntVar(&f.engine.Range.First, "first", 0, "first layer that this engine holds")
+	flags.IntVar(&f.engine.Range.End, "end", 24, "layer behind the last one that this engine holds")
+	flags.StringVar(&f.engine.Kind, "kind", "small", "kind of accelerator")
+	flags.DurationVar(&f.engine.Pace, "pace", 200*time.Microsecond, "time of one layer for one decode step")
+	flags.DurationVar(&f.engine.Prefill, "prefill", 5*time.Microsecond, "time of one layer for one prompt token")
+	flags.Float64Var(&f.engine.Share, "share", 0.05, "part of the pace that each further step of a batch adds")
+	flags.IntVar(&f.engine.Batch, "batch", 16, "most steps in one batch")
+	flags.IntVar(&f.engine.Memory, "memory", 1_000_000, "cache memory in tokens")
+	flags.IntVar(&f.engine.Prefixes, "prefixes", 10_000, "prompt prefixes that the cache holds")
+	flags.DurationVar(&f.engine.Lag, "lag", 200*time.Millisecond, "lag of load reports and cache events")
+	flags.DurationVar(&f.engine.Link, "link", 0, "one-way time of the link to the daemons")
+	flags.DurationVar(&f.engine.Loading, "loading", 10*time.Millisecond, "time to load one layer")
+	flags.BoolVar(&f.engine.Fenced, "fenced", false, "refuse orders with an old fencing number")
+	return &ffcli.Command{
+		Name:       "engine",
+		ShortUsage: "standin engine [flags]",
+		ShortHelp:  "Runs a model engine that holds a range of layers.",
+		FlagSet:    flags,
+		Options:    []ff.Option{ff.WithEnvVarPrefix("STANDIN")},
+		Exec:       func(ctx context.Context, _ []string) error { return f.run(ctx) },
+	}
+}
+
+func (f *engineFlags) run(ctx context.Context) error {
+	f.engine.Init()
+	var listener net.Listener
+	var err error
+	if listener, err = listen(f.address); err != nil {
+		return err
+	}
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))
+	runner.Register(server, f.engine.Handler())
+	if f.control != "" {
+		go serveControl(ctx, f.control, engineControl(&f.engine))
+	}
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-f.engine.Crashed():
+		}
+		server.Stop()
+	}()
+	go func() { _ = f.engine.Run(ctx) }()
+	if err := server.Serve(listener); err != nil {
+		return errors.WithStack(err)
+	}
+	if ctx.Err() == nil {
+		return errors.New("the engine crashed by its faults")
+	}
+	return nil
+}
+
+// engineControl serves PUT /faults and GET /account.
+func engineControl(engine *emulator.Engine) http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/faults", func(w http.ResponseWriter, r *http.Request) {
+		var faults emulator.Faults
+		var data []byte
+		var err error
+		if data, err = io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<16)); err == nil {
+			err = decoder.StrictJSON(data, &faults)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		engine.SetFaults(faults)
+	}).Methods(http.MethodPut)
+	router.HandleFunc("/account", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, engine.Account())
+	}).Methods(http.MethodGet)
+	return router
+}
+
+// listen opens a TCP listener on an IP number and port.
+func listen(address string) (net.Listener, error) {
+	var parsed netip.AddrPort
+	var err error
+	if parsed, err = netip.ParseAddrPort(address); err != nil {
+		return nil, errors.Errorf("address: found %q, accepted is an IP number and port", address)
+	}
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(parsed))
+	return listener, errors.WithStack(err)
+}
--- a/steps.go
+++ b/steps.go
@@ -49,6 +49,7 @@
 	Prompt   string        `json:"prompt,omitempty"` // first stage, prefill
 	Given    []int         `json:"given,omitempty"`  // first stage: the tokens after the prompt
 	State    []byte        `json:"state,omitempty"`  // later stages: activations of the stage before
+	Tail     bool          `json:"tail,omitempty"`   // prefill: answer with the newest position's activations only
 	Left     time.Duration `json:"left,omitempty"`   // time left until the caller's deadline
 }
 
@@ -154,6 +155,7 @@
 	Model    string     `json:"model"`
 	Version  string     `json:"version"`
 	Adapters []string   `json:"adapters,omitempty"`
+	Layers   int        `json:"layers"` // layers of the whole model
 	Range    LayerRange `json:"range"`
 	Role     Role       `json:"role"`
 }
