--- /dev/null
+++ b/chooser/chain.go
@@ -0,0 +1,215 @@
+package chooser
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+const (
+	// samples is the number of candidates that are drawn for each range.
+	samples = 3
+	// scanned is the number of usable candidates that are looked for when the
+	// drawn one is not usable.
+	scanned = 3
+)
+
+// edge is the candidate for one pool of the group in the current decision.
+type edge struct {
+	best     *upstream
+	price    price
+	verified bool // by Usable
+}
+
+// query is one decision's input.
+type query struct {
+	need *Need
+	now  time.Time
+	at   time.Duration
+}
+
+// Chain chooses the engines for a request. The error is a *cowslipproxy.Failure.
+func (c *Chooser) Chain(now time.Time, need Need) (Chain, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q := query{need: &need, now: now, at: c.start(now)}
+	g := c.groups[groupKey{need.Model, need.Version, need.Adapter}]
+	if err := c.decide(g, q); err != nil {
+		return Chain{}, err
+	}
+	return c.build(g, &need), nil
+}
+
+// decide samples the edges, finds the cheapest path and repeats this until all
+// upstreams of the path are usable. Only those are asked for, since asking
+// costs more than pricing.
+func (c *Chooser) decide(g *group, q query) error {
+	if err := q.need.Range.Check(); err != nil {
+		return cowslipproxy.Refuse(cowslipproxy.ReasonMalformed, "%v", err)
+	}
+	if g == nil {
+		return c.missing(nil, q.need)
+	}
+	c.findHits(q.need.Prefixes)
+	c.sample(g, q)
+	c.addHits(g, q)
+	for c.path(g, q.need.Range) {
+		if c.verify(g, q) {
+			return nil
+		}
+	}
+	return c.missing(g, q.need)
+}
+
+// sample draws the candidates of each pool within the range.
+func (c *Chooser) sample(g *group, q query) {
+	c.edges = slices.Grow(c.edges[:0], len(g.pools))[:len(g.pools)]
+	for i, p := range g.pools {
+		c.edges[i] = edge{}
+		if p.layers.First < q.need.Range.First || p.layers.End > q.need.Range.End {
+			continue
+		}
+		c.draw(&c.edges[i], p, q)
+		if c.edges[i].best == nil {
+			c.scan(&c.edges[i], p, q)
+		}
+	}
+}
+
+func (c *Chooser) draw(e *edge, p *pool, q query) {
+	n := uint64(len(p.subset))
+	if n <= samples {
+		for _, u := range p.subset {
+			c.consider(e, u, q)
+		}
+		return
+	}
+	bits := c.random.Uint64()
+	first := bits % n
+	c.consider(e, p.subset[first], q)
+	for range samples - 1 {
+		bits >>= 16
+		c.consider(e, p.subset[(first+1+bits&0xffff%(n-1))%n], q)
+	}
+}
+
+func (c *Chooser) consider(e *edge, u *upstream, q query) {
+	if u == e.best || q.need.avoids(u) {
+		return
+	}
+	price := c.price(u, q.need, 0, q.at)
+	if e.best == nil || price.total < e.price.total {
+		*e = edge{best: u, price: price}
+	}
+}
+
+// scan looks for usable candidates by rank, so that it leaves the subset only
+// when the subset has too few.
+func (c *Chooser) scan(e *edge, p *pool, q query) {
+	*e = edge{}
+	found := 0
+	for _, u := range p.members {
+		if q.need.avoids(u) || !c.usable(u.Name, q.now) {
+			continue
+		}
+		c.consider(e, u, q)
+		if found++; found == scanned {
+			break
+		}
+	}
+	e.verified = true
+}
+
+// addHits lets the upstreams that hold a prefix compete for their edges.
+func (c *Chooser) addHits(g *group, q query) {
+	for _, u := range c.hits {
+		i, ok := g.index[u.report.Range]
+		if !ok || !u.serving() || !u.holds(g.key) {
+			continue
+		}
+		e := &c.edges[i]
+		if e.best == nil || q.need.avoids(u) || !c.bounded(u, e.best) {
+			continue
+		}
+		price := c.price(u, q.need, c.cachedTokens(u, q.need), q.at)
+		if price.total < e.price.total {
+			*e = edge{best: u, price: price}
+		}
+	}
+}
+
+// path finds the cheapest path over the group's boundaries. The pools are
+// sorted by their first layer, so one pass is enough.
+func (c *Chooser) path(g *group, layers cowslipproxy.LayerRange) bool {
+	from, starts := slices.BinarySearch(g.bounds, layers.First)
+	to, ends := slices.BinarySearch(g.bounds, layers.End)
+	if !starts || !ends {
+		return false
+	}
+	c.dist = slices.Grow(c.dist[:0], len(g.bounds))[:len(g.bounds)]
+	c.via = slices.Grow(c.via[:0], len(g.bounds))[:len(g.bounds)]
+	for i := range c.dist {
+		c.dist[i] = math.Inf(1)
+	}
+	c.dist[from] = 0
+	for i, p := range g.pools {
+		if c.edges[i].best == nil {
+			continue
+		}
+		if dist := c.dist[p.from] + c.edges[i].price.total; dist < c.dist[p.to] {
+			c.dist[p.to] = dist
+			c.via[p.to] = i
+		}
+	}
+	return !math.IsInf(c.dist[to], 1)
+}
+
+// verify asks whether the path's upstreams are usable and replaces those that
+// are not. It reports whether the path stands.
+func (c *Chooser) verify(g *group, q query) bool {
+	stands := true
+	to, _ := slices.BinarySearch(g.bounds, q.need.Range.End)
+	for g.bounds[to] != q.need.Range.First {
+		i := c.via[to]
+		to = g.pools[i].from
+		e := &c.edges[i]
+		if e.verified {
+			continue
+		}
+		e.verified = true
+		if !c.usable(e.best.Name, q.now) {
+			c.scan(e, g.pools[i], q)
+			stands = false
+		}
+	}
+	return stands
+}
+
+// build returns the path of the last decision.
+func (c *Chooser) build(g *group, need *Need) Chain {
+	end, _ := slices.BinarySearch(g.bounds, need.Range.End)
+	count := 0
+	for to := end; g.bounds[to] != need.Range.First; to = g.pools[c.via[to]].from {
+		count++
+	}
+	chain := Chain{Stages: make([]Stage, count), Cost: time.Duration(c.dist[end])}
+	for to := end; count > 0; {
+		i := c.via[to]
+		to = g.pools[i].from
+		count--
+		chain.Stages[count] = c.edges[i].stage(g.pools[i].layers)
+	}
+	return chain
+}
+
+func (e *edge) stage(layers cowslipproxy.LayerRange) Stage {
+	around := e.price.link + e.price.wait
+	return Stage{
+		Name:    e.best.Name,
+		Range:   layers,
+		Prefill: time.Duration(e.price.prefill + around),
+		Decode:  time.Duration(e.price.decode + around),
+	}
+}
