--- /dev/null
+++ b/gossiper/members.go
@@ -0,0 +1,290 @@
+package gossiper
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/decoder"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+)
+
+// Encode returns a value as an item's data.
+func Encode(value any) ([]byte, error) {
+	var data []byte
+	var err error
+	if data, err = cbor.Marshal(value); err != nil {
+		return nil, errors.Wrap(err, "encode item")
+	}
+	return data, nil
+}
+
+// Publish makes an own item known. Items that are not urgent wait for the next
+// round, and longer in a large fleet, so that the traffic stays in bounds.
+func (g *Gossiper) Publish(item Item) error {
+	g.setup()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	item.Owner, item.Version = g.Self, 1
+	if item.Reach == "" {
+		item.Reach = ReachAll
+	}
+	if err := item.Check(); err != nil {
+		return err
+	}
+	if !item.Urgent {
+		g.pacer.add(item)
+		return nil
+	}
+	delete(g.pacer.pending, itemID{item.Kind, item.Key})
+	if _, err := g.store.Put(item, time.Now()); err != nil {
+		return err
+	}
+	g.signal()
+	return nil
+}
+
+// Withdraw makes known that an own item no longer holds.
+func (g *Gossiper) Withdraw(kind Kind, key string, reach Reach) error {
+	return g.Publish(Item{Kind: kind, Key: key, Reach: reach, Urgent: true, Gone: true})
+}
+
+// Say tells the other daemons about this one, at once.
+func (g *Gossiper) Say(hello cowslipproxy.Hello) error {
+	g.setup()
+	if err := hello.Check(); err != nil {
+		return errors.Wrap(err, "hello")
+	}
+	var data []byte
+	var err error
+	if data, err = Encode(hello); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	g.Hello = hello
+	g.mu.Unlock()
+	return g.Publish(Item{Kind: KindHello, Data: data, Urgent: true})
+}
+
+// Stop tells the other daemons that this one stops.
+func (g *Gossiper) Stop() error {
+	g.setup()
+	g.mu.Lock()
+	hello := g.Hello
+	g.mu.Unlock()
+	hello.Stopping = true
+	return g.Say(hello)
+}
+
+// SayOffset tells the data centre through which offset the configuration is folded here.
+func (g *Gossiper) SayOffset(offset uint64) error {
+	var data []byte
+	var err error
+	if data, err = Encode(offset); err != nil {
+		return err
+	}
+	return g.Publish(Item{Kind: KindOffset, Reach: ReachCentre, Data: data})
+}
+
+// SaySuspect tells all daemons of a request that may be poison, at once.
+func (g *Gossiper) SaySuspect(fingerprint string, data []byte) error {
+	return g.Publish(Item{Kind: KindPoison, Key: fingerprint, Data: data, Urgent: true})
+}
+
+// SayDemand tells the others of customers' demand here.
+func (g *Gossiper) SayDemand(customer string, reach Reach, data []byte) error {
+	return g.Publish(Item{Kind: KindDemand, Key: customer, Reach: reach, Data: data})
+}
+
+// Items returns the items of a kind that are known, own ones included.
+func (g *Gossiper) Items(kind Kind) []Item {
+	g.setup()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.store.Items(kind)
+}
+
+// Offsets returns the configuration offsets of the data centre's daemons by name.
+func (g *Gossiper) Offsets() map[string]uint64 {
+	offsets := map[string]uint64{}
+	for _, item := range g.Items(KindOffset) {
+		var offset uint64
+		if err := decoder.CBOR(item.Data, &offset); err == nil {
+			offsets[item.Owner.Name] = offset
+		}
+	}
+	return offsets
+}
+
+// Members returns the entry daemons that said hello, this one included, by name.
+func (g *Gossiper) Members() []cowslipproxy.Member {
+	g.setup()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members()
+}
+
+func (g *Gossiper) members() []cowslipproxy.Member {
+	var members []cowslipproxy.Member
+	centres := map[cowslipproxy.Owner]string{}
+	for _, item := range g.store.Items(KindHello) {
+		hello, ok := g.hello(item)
+		if !ok {
+			continue
+		}
+		member := cowslipproxy.Member{Owner: item.Owner, Hello: hello}
+		centres[member.Owner] = member.Centre
+		members = append(members, member)
+	}
+	reports := g.reports(centres)
+	for i, member := range members {
+		members[i].Down = g.isDown(member, centres, reports)
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+	return members
+}
+
+// knownHello is a decoded hello, kept since every round needs all of them.
+type knownHello struct {
+	version uint64
+	hello   cowslipproxy.Hello
+	ok      bool
+}
+
+func (g *Gossiper) hello(item Item) (cowslipproxy.Hello, bool) {
+	known := g.hellos[item.Owner]
+	if known.version == item.Version {
+		return known.hello, known.ok
+	}
+	known = knownHello{version: item.Version}
+	if err := decoder.CBOR(item.Data, &known.hello); err != nil {
+		reporter.EventBadItem.Log(context.Background(), g.Logger, slog.String("from", item.Owner.Name), slog.Any("error", err))
+	} else {
+		known.ok = true
+	}
+	g.hellos[item.Owner] = known
+	return known.hello, known.ok
+}
+
+// prune drops what is only of use to incarnations that are gone.
+func (g *Gossiper) prune(now time.Time) {
+	g.store.Prune(now)
+	current := map[string]bool{}
+	for owner := range g.hellos {
+		if g.store.Newest(owner.Name) != owner.Incarnation {
+			delete(g.hellos, owner)
+			continue
+		}
+		current[owner.Key()] = true
+	}
+	for _, item := range g.store.Items(KindDown) {
+		if item.Owner == g.Self && !current[item.Key] {
+			g.put(Item{Kind: KindDown, Key: item.Key, Reach: ReachAll, Gone: true}, now)
+		}
+	}
+}
+
+// reports returns who reported a daemon as missing, by the daemon's key.
+func (g *Gossiper) reports(centres map[cowslipproxy.Owner]string) map[string][]cowslipproxy.Owner {
+	reports := map[string][]cowslipproxy.Owner{}
+	for _, item := range g.store.Items(KindDown) {
+		if centres[item.Owner] != "" {
+			reports[item.Key] = append(reports[item.Key], item.Owner)
+		}
+	}
+	return reports
+}
+
+// isDown decides by the own observation if there is one. Otherwise it goes by
+// reports from this data centre and from the member's. Those from a third one
+// don't count, since it may have lost only its own link to the member. Nor do
+// reports of daemons that are reported themselves.
+func (g *Gossiper) isDown(member cowslipproxy.Member, centres map[cowslipproxy.Owner]string, reports map[string][]cowslipproxy.Owner) bool {
+	if member.Owner == g.Self {
+		return false
+	}
+	if missing, watched := g.detector.Missing(member.Owner); watched {
+		return missing
+	}
+	for _, observer := range reports[member.Owner.Key()] {
+		if g.counts(observer, member.Centre, centres) && !g.accused(observer, centres, reports) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gossiper) counts(observer cowslipproxy.Owner, centre string, centres map[cowslipproxy.Owner]string) bool {
+	return centres[observer] == g.Hello.Centre || centres[observer] == centre
+}
+
+func (g *Gossiper) accused(observer cowslipproxy.Owner, centres map[cowslipproxy.Owner]string, reports map[string][]cowslipproxy.Owner) bool {
+	return slices.ContainsFunc(reports[observer.Key()], func(other cowslipproxy.Owner) bool {
+		return g.counts(other, centres[observer], centres)
+	})
+}
+
+// SetListed sets the entry VMs of the platform's list. They are called until
+// they say hello.
+func (g *Gossiper) SetListed(vms []cowslipproxy.VM) {
+	g.setup()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listed = map[string]Contact{}
+	for _, vm := range vms {
+		if vm.Role == cowslipproxy.VMEntry && vm.Name != g.Self.Name {
+			g.listed[vm.Name] = Contact{Owner: cowslipproxy.Owner{Name: vm.Name}, Address: vm.Address.String(), Centre: vm.Centre}
+		}
+	}
+}
+
+// Forget drops a daemon that is gone for good: down and not in a fresh list.
+func (g *Gossiper) Forget(owner cowslipproxy.Owner) {
+	g.setup()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.detector.Forget(owner)
+	g.store.Forget(owner, time.Now())
+	delete(g.peers, owner.Name)
+	if _, reported := g.store.Get(g.Self, ReachAll, KindDown, owner.Key()); reported {
+		g.put(Item{Kind: KindDown, Key: owner.Key(), Reach: ReachAll, Gone: true}, time.Now())
+	}
+}
+
+// contacts returns the other daemons that can be called, and those that are
+// down or listed without having said hello.
+func (g *Gossiper) contacts() (live, silent []Contact) {
+	known := map[string]bool{g.Self.Name: true}
+	for _, member := range g.members() {
+		known[member.Name] = true
+		contact := Contact{Owner: member.Owner, Address: member.Peer.String(), Centre: member.Centre}
+		switch {
+		case member.Owner == g.Self:
+		case member.Down:
+			silent = append(silent, contact)
+		default:
+			live = append(live, contact)
+		}
+	}
+	for name, contact := range g.listed {
+		if !known[name] {
+			silent = append(silent, contact)
+		}
+	}
+	if len(live) == 0 {
+		return silent, nil // at the start, and when this daemon lost all others
+	}
+	return live, silent
+}
+
+func (g *Gossiper) publishDue(now time.Time) {
+	for _, item := range g.pacer.take(len(g.store.newest), now) {
+		g.put(item, now)
+	}
+}
--- /dev/null
+++ b/members.go
@@ -0,0 +1,68 @@
+package cowslipproxy
+
+import (
+	"net/netip"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// Owner is one run of an entry daemon. A later run of the same daemon has a
+// larger incarnation.
+type Owner struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Key returns the incarnation as idempotency keys and address answers carry it.
+func (o Owner) Key() string { return o.Name + "-" + strconv.FormatUint(o.Incarnation, 36) }
+
+// Check reports the first field that is out of range.
+func (o Owner) Check() error {
+	if o.Name == "" || len(o.Name) > 64 {
+		return errors.Errorf("name: found %d bytes, accepted are 1 to 64", len(o.Name))
+	}
+	if o.Incarnation == 0 {
+		return errors.New("incarnation: found 0, accepted are numbers from 1")
+	}
+	return nil
+}
+
+// Hello is what an entry daemon tells the others about itself.
+type Hello struct {
+	Caller   netip.AddrPort `json:"caller"` // address for callers
+	Peer     netip.AddrPort `json:"peer"`   // address for other entry daemons
+	Centre   string         `json:"centre"`
+	Stopping bool           `json:"stopping,omitempty"`
+}
+
+// Check reports the first field that is out of range.
+func (h Hello) Check() error {
+	if !h.Caller.IsValid() || !h.Peer.IsValid() {
+		return errors.Errorf("address: found caller %v, peer %v, accepted are IP numbers and ports", h.Caller, h.Peer)
+	}
+	if h.Centre == "" || len(h.Centre) > 64 {
+		return errors.Errorf("centre: found %d bytes, accepted are 1 to 64", len(h.Centre))
+	}
+	return nil
+}
+
+// Member is an entry daemon as another one sees it.
+type Member struct {
+	Owner
+	Hello
+	Down bool `json:"down"` // gives no heartbeats
+}
+
+// Address tells callers where an entry daemon serves them.
+type Address struct {
+	Address     netip.AddrPort `json:"address"`
+	Centre      string         `json:"centre"`
+	Incarnation string         `json:"incarnation"`
+}
+
+// Addresses is the answer to a caller that asks which entry VM to use.
+type Addresses struct {
+	Addresses []Address `json:"addresses"`
+	Lifetime  Duration  `json:"lifetime"` // how long the caller may use the answer
+}
