committer: append claims in groups and follow their streams

The log takes several hundred appends a second, so the claims of many requests share an entry and a daemon paces its appends. A lost answer is resolved by the reader; each wait is bounded. Not measured yet.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -22,7 +22,8 @@
 const (
 	VerdictAppend   Verdict = "append"   // append Record, then ask Resolve
 	VerdictDispatch Verdict = "dispatch" // dispatch now, then call Finish
-	VerdictWait     Verdict = "wait"     // ask Resolve again after the next fold
+	VerdictPending  Verdict = "pending"  // the send's own claim isn't folded: ask Resolve again after the next fold
+	VerdictWait     Verdict = "wait"     // another send's claim counts: ask Resolve again after the next fold
 	VerdictAnswer   Verdict = "answer"   // replay Answer
 	VerdictFailed   Verdict = "failed"   // return Failure
 	VerdictForward  Verdict = "forward"  // send to the incarnation Owner
@@ -32,6 +33,7 @@
 type Decision struct {
 	Verdict Verdict
 	Owner   string // incarnation whose claim counts
+	Claim   string // the claim that counts
 	Record  *Record
 	Answer  *Answer
 	Failure *cowslipproxy.Failure
@@ -48,7 +50,7 @@
 
 // Defaults of a Claimer.
 const (
-	DefaultPartitions = 8
+	DefaultPartitions = 4
 	DefaultRetention  = 24 * time.Hour
 	DefaultKeys       = 500_000  // about 150 MB, see docs/effects.md
 	DefaultBytes      = 32 << 20 // recorded bodies
@@ -69,7 +71,7 @@
 	counts Counts
 }
 
-// own is a claim of this daemon.
+// own is a claim of this daemon. A claim that has none is never dispatched.
 type own struct {
 	send  Send
 	table *table
@@ -84,7 +86,6 @@
 	stagePending    stage = "pending"
 	stageDispatched stage = "dispatched"
 	stageFinished   stage = "finished" // its outcome isn't folded yet
-	stageGivenUp    stage = "given_up" // never dispatched, its close isn't folded yet
 )
 
 func (c *Claimer) init() {
@@ -131,8 +132,8 @@
 	return counts
 }
 
-// Begin decides on a new send. After VerdictAppend and VerdictWait the send is
-// registered until Resolve settles it or GiveUp or Forget ends it.
+// Begin decides on a new send. After VerdictAppend the send is registered until
+// Resolve settles it or GiveUp ends it.
 func (c *Claimer) Begin(now time.Time, send Send) Decision {
 	defer c.lock()()
 	if send.Key.Incarnation != "" {
@@ -203,7 +204,7 @@
 		return c.fail(cowslipproxy.Refuse(cowslipproxy.ReasonKeyReused, "the key was used for a request with another method, path or body"))
 	}
 	if s.answer == nil {
-		return Decision{Verdict: VerdictWait, Owner: s.owner}
+		return Decision{Verdict: VerdictWait, Owner: s.owner, Claim: s.claim}
 	}
 	if failure := s.answer.Failure(); failure != nil {
 		return c.fail(failure)
@@ -227,12 +228,12 @@
 	s := mine.table.find(send, now)
 	switch {
 	case s == nil, s.free() && !mine.seen:
-		return Decision{Verdict: VerdictWait, Owner: c.Incarnation}
+		return Decision{Verdict: VerdictPending, Owner: c.Incarnation}
 	case s.claim != send.Claim:
 		delete(c.own, send.Claim)
 		return c.settled(send, s)
 	case now.Sub(mine.since) > c.Retention/20:
-		mine.stage = stageGivenUp
+		delete(c.own, send.Claim)
 		late := c.fail(cowslipproxy.Refuse(cowslipproxy.ReasonLogUnavailable, "the claim was confirmed too late").After(time.Second))
 		late.Record = c.closing(now, send, cowslipproxy.ReasonLogUnavailable)
 		return late
@@ -258,22 +259,24 @@
 	return c.tables[Partition(send.Customer, send.Key.Text, c.Partitions)]
 }
 
-// GiveUp ends a registered send that was not dispatched. From then on this
-// daemon never dispatches it. The returned close is to be appended; nil means
-// that there is nothing to close. It reports false if the send was dispatched.
-func (c *Claimer) GiveUp(now time.Time, send Send, reason cowslipproxy.Reason) (*Record, bool) {
+// GiveUp ends a send that was not dispatched; from then on this daemon never
+// dispatches it. After VerdictAppend its claim may be in the log: append Record,
+// then ask Closed. Otherwise another send's claim counts.
+func (c *Claimer) GiveUp(now time.Time, send Send, reason cowslipproxy.Reason) Decision {
 	defer c.lock()()
 	mine := c.own[send.Claim]
 	if mine == nil {
-		return nil, true
+		if d := c.watch(now, send); d.Verdict != VerdictWait {
+			return d
+		}
+		return c.fail(cowslipproxy.Unknown(cowslipproxy.ReasonDeadline, "an earlier send of the key still runs").After(time.Second))
 	}
-	if mine.stage == stageDispatched || mine.stage == stageFinished {
+	if mine.stage != stagePending {
 		c.counts.Violations++
-		return nil, false
+		return c.fail(cowslipproxy.Unknown(cowslipproxy.ReasonAnswerLost, "claim %s was dispatched", send.Claim))
 	}
-	mine.stage = stageGivenUp
-	c.counts.Refused++
-	return c.closing(now, send, reason), true
+	delete(c.own, send.Claim)
+	return Decision{Verdict: VerdictAppend, Owner: c.Incarnation, Record: c.closing(now, send, reason)}
 }
 
 func (c *Claimer) closing(now time.Time, send Send, reason cowslipproxy.Reason) *Record {
@@ -304,8 +307,8 @@
 func (c *Claimer) Closed(now time.Time, send Send) Decision {
 	defer c.lock()()
 	s := c.table(send).find(send, now)
-	if s == nil || s.free() {
-		return Decision{Verdict: VerdictWait}
+	if s == nil || s.free() && s.claim != send.Claim {
+		return Decision{Verdict: VerdictPending}
 	}
 	return c.settled(send, s)
 }
--- a/claimer/fold.go
+++ b/claimer/fold.go
@@ -15,13 +15,11 @@
 	t := c.tables[partition]
 	var closes []Record
 	for _, record := range records {
-		if record.Owner == c.Incarnation && record.Kind == KindClaim {
-			if mine := c.own[record.Claim]; mine != nil {
-				mine.seen = true
-			}
+		counts := t.fold(at, record)
+		if record.Owner != c.Incarnation {
+			continue
 		}
-		t.fold(at, record)
-		if closing := c.after(now, t, record); closing != nil {
+		if closing := c.foldOwn(now, record, counts); closing != nil {
 			closes = append(closes, *closing)
 		}
 	}
@@ -29,27 +27,25 @@
 	return closes
 }
 
-// after settles this daemon's own claim after its record was folded.
-func (c *Claimer) after(now time.Time, t *table, record Record) *Record {
-	if record.Owner != c.Incarnation {
-		return nil
-	}
+// foldOwn settles this daemon's own claim after its record was folded. A claim
+// that counts but isn't registered was given up: it is withdrawn.
+func (c *Claimer) foldOwn(now time.Time, record Record, counts bool) *Record {
 	mine := c.own[record.Claim]
 	if record.Kind != KindClaim {
-		if mine != nil && mine.stage != stagePending && mine.stage != stageDispatched {
+		if mine != nil && mine.stage == stageFinished {
 			delete(c.own, record.Claim)
 		}
 		return nil
 	}
-	send := Send{Claim: record.Claim, Customer: record.Customer, Key: Key{Text: record.Key}}
-	s := t.find(send, now)
-	if s == nil || s.claim != record.Claim || s.answer != nil {
+	if mine != nil {
+		mine.seen = true
 		return nil
 	}
-	if mine == nil || mine.stage == stageGivenUp {
-		return c.closing(now, send, cowslipproxy.ReasonLogUnavailable)
+	if !counts {
+		return nil
 	}
-	return nil
+	send := Send{Claim: record.Claim, Customer: record.Customer, Key: Key{Text: record.Key}}
+	return c.closing(now, send, cowslipproxy.ReasonLogUnavailable)
 }
 
 // Expire frees the memory of keys that are past the retention.
--- a/claimer/record.go
+++ b/claimer/record.go
@@ -1,6 +1,7 @@
 package claimer
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -126,12 +127,18 @@
 	Records []Record `json:"records"`
 }
 
-// Encode returns the log entry that carries the records.
-func Encode(records []Record) ([]byte, error) {
-	data, err := json.Marshal(batch{Records: records})
+// Encode returns the JSON form of a record.
+func Encode(record Record) ([]byte, error) {
+	data, err := json.Marshal(record)
 	return data, errors.WithStack(err)
 }
 
+// Join returns the log entry that carries encoded records.
+func Join(records [][]byte) []byte {
+	entry := append([]byte(`{"records":[`), bytes.Join(records, []byte(","))...)
+	return append(entry, "]}"...)
+}
+
 // Decode returns the well-formed records of a log entry. Each reader drops the
 // same malformed ones, so all folds agree. Unknown fields are accepted: a daemon
 // that dropped a newer daemon's claims for them would dispatch a second time.
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -66,8 +66,9 @@
 	return s
 }
 
-// fold folds one record that the log dates at.
-func (t *table) fold(at time.Time, record Record) {
+// fold folds one record that the log dates at. It reports whether the record is
+// the claim that now counts.
+func (t *table) fold(at time.Time, record Record) bool {
 	if at.Before(t.latest) {
 		at = t.latest // the log's order counts, not its clock
 	}
@@ -81,11 +82,12 @@
 	case KindClaim:
 		if s == nil || s.free() && s.claim != record.Claim {
 			t.put(key, &state{claim: record.Claim, owner: record.Owner, digest: rawDigest(record.Digest), at: at})
+			return true
 		}
 	case KindClose:
 		if s == nil || s.free() && s.claim != record.Claim {
 			t.put(key, &state{claim: record.Claim, owner: record.Owner, at: at, answer: record.Answer})
-			return
+			return false
 		}
 		t.answer(s, record)
 	case KindOutcome:
@@ -93,6 +95,7 @@
 			t.answer(s, record)
 		}
 	}
+	return false
 }
 
 func (t *table) put(key scoped, s *state) {
