--- /dev/null
+++ b/standin/server/server.go
@@ -0,0 +1,216 @@
+// Package server is a stand-in for a plain service: it posts renewal fees, sends
+// confirmations and answers lookups, and fails on request.
+package server
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/cowslipproxy/cowslipproxy/decoder"
+)
+
+const maxBody = 64 << 20
+
+// Server is one server of the service. Its fields are set before the first use.
+type Server struct {
+	Account *Account // its own when nil
+	Name    string
+
+	once    sync.Once
+	router  *mux.Router
+	mu      sync.Mutex
+	faults  []Fault
+	honour  bool
+	stopped bool
+	seen    int
+}
+
+// echo tells what the server received.
+type echo struct {
+	Server string      `json:"server"`
+	Method string      `json:"method"`
+	Path   string      `json:"path"`
+	Query  string      `json:"query"`
+	Header http.Header `json:"header"`
+	Body   string      `json:"body"`
+}
+
+func (s *Server) init() {
+	s.once.Do(func() {
+		if s.Account == nil {
+			s.Account = &Account{}
+		}
+		s.router = mux.NewRouter()
+		s.router.HandleFunc("/control", s.control).Methods(http.MethodPut)
+		s.router.HandleFunc("/account", s.account).Methods(http.MethodGet)
+		s.router.HandleFunc("/fees", s.faulty(s.effect)).Methods(http.MethodPost)
+		s.router.HandleFunc("/confirmations", s.faulty(s.effect)).Methods(http.MethodPost)
+		s.router.HandleFunc("/tenancies/{id}", s.faulty(s.lookup)).Methods(http.MethodGet)
+		s.router.HandleFunc("/stock/{id}", s.faulty(s.lookup)).Methods(http.MethodGet)
+		s.router.HandleFunc("/stream", s.faulty(s.stream))
+		s.router.PathPrefix("/echo").HandlerFunc(s.faulty(s.echo))
+	})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.init()
+	s.router.ServeHTTP(w, r)
+}
+
+// Set replaces the faults and says whether keys are honoured.
+func (s *Server) Set(control Control) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults, s.honour = append([]Fault(nil), control.Faults...), control.Honour
+}
+
+// Seen returns the number of requests that reached the server, without control
+// and account.
+func (s *Server) Seen() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen
+}
+
+// begin counts a request and returns the fault that it meets.
+func (s *Server) begin(path string) (fault Fault, honour, stopped bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen++
+	for i := range s.faults {
+		if !strings.HasPrefix(path, s.faults[i].Path) {
+			continue
+		}
+		fault = s.faults[i]
+		if fault.Count > 0 {
+			if s.faults[i].Count--; s.faults[i].Count == 0 {
+				s.faults = append(s.faults[:i], s.faults[i+1:]...)
+			}
+		}
+		break
+	}
+	return fault, s.honour, s.stopped
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, body string, fault Fault, honour bool)
+
+// faulty applies the faults that come before the request is run.
+func (s *Server) faulty(next handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		fault, honour, stopped := s.begin(r.URL.Path)
+		if stopped || fault.Kind == FaultCut {
+			panic(http.ErrAbortHandler)
+		}
+		if fault.Kind == FaultRefuse {
+			http.Error(w, "not started", http.StatusTooEarly)
+			return
+		}
+		if fault.Kind == FaultDelay && !sleep(r, fault.Wait) {
+			return
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if fault.Kind == FaultCrash && strings.Contains(string(body), fault.Text) {
+			s.stop()
+			panic(http.ErrAbortHandler)
+		}
+		next(w, r, string(body), fault, honour)
+	}
+}
+
+func (s *Server) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+}
+
+func sleep(r *http.Request, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (s *Server) effect(w http.ResponseWriter, r *http.Request, body string, fault Fault, honour bool) {
+	request := r.Header.Get("Cowslip-Request")
+	effect := Effect{Path: r.URL.Path, Request: request, Key: r.Header.Get("Idempotency-Key"), Body: body}
+	result := s.Account.apply(effect, honour, answer{status: http.StatusCreated, body: fmt.Sprintf("{\"request\":%q}\n", request)})
+	if fault.Kind == FaultLost {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if fault.Kind == FaultHalf {
+		w.Header().Set("Content-Length", fmt.Sprint(len(result.body)))
+		w.WriteHeader(result.status)
+		_, _ = io.WriteString(w, result.body[:len(result.body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(result.status)
+	_, _ = io.WriteString(w, result.body) // a caller that left needs no answer
+}
+
+func (s *Server) lookup(w http.ResponseWriter, r *http.Request, _ string, fault Fault, _ bool) {
+	if fault.Kind == FaultLost {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, map[string]string{"id": mux.Vars(r)["id"], "state": "current"})
+}
+
+// stream answers with one event for each line of the body and ends with [DONE].
+func (s *Server) stream(w http.ResponseWriter, _ *http.Request, body string, fault Fault, _ bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	controller := http.NewResponseController(w)
+	for line := range strings.Lines(body) {
+		_, _ = fmt.Fprintf(w, "data: %s\n\n", strings.TrimSpace(line))
+		_ = controller.Flush()
+		if fault.Kind == FaultHalf {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+func (s *Server) echo(w http.ResponseWriter, r *http.Request, body string, _ Fault, _ bool) {
+	w.Header().Set("Connection", "X-Hop")
+	w.Header().Set("X-Hop", "1")
+	w.Header().Set("X-End", "1")
+	writeJSON(w, echo{Server: s.Name, Method: r.Method, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery, Header: r.Header, Body: body})
+}
+
+func (s *Server) account(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Account.Effects()) }
+
+func (s *Server) control(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var control Control
+	if err := decoder.StrictJSON(body, &control); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.Set(control)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value) // a caller that left needs no answer
+}
