--- a/standin/main.go
+++ b/standin/main.go
@@ -20,6 +20,8 @@
 		engineCommand(),
 	}
 	return []*ffcli.Command{listCommand()}
+		serviceCommand(),
+	}
 }
 
 func main() {
