--- /dev/null
+++ b/limiter/gate.go
@@ -0,0 +1,117 @@
+package limiter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+// expireInterval bounds how late a waiting request learns that it can't meet
+// its deadline.
+const expireInterval = 20 * time.Millisecond
+
+// Gate lets goroutines wait for a Limiter's decision.
+type Gate struct {
+	Limiter *Limiter
+	Now     func() time.Time // time.Now when nil
+
+	mutex   sync.Mutex
+	waiting map[*Ticket]chan *cowslipproxy.Failure
+}
+
+// Wait returns when the request is granted, refused or cancelled.
+func (g *Gate) Wait(ctx context.Context, request Request) (*Ticket, *cowslipproxy.Failure) {
+	ticket, decision, failure := g.enter(request)
+	if failure != nil || decision == nil {
+		return ticket, failure
+	}
+	select {
+	case failure = <-decision:
+	case <-ctx.Done():
+		failure = g.abandon(ticket, decision)
+	}
+	if failure != nil {
+		return nil, failure
+	}
+	return ticket, nil
+}
+
+func (g *Gate) enter(request Request) (*Ticket, chan *cowslipproxy.Failure, *cowslipproxy.Failure) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	ticket, running, failure := g.Limiter.Enter(g.now(), request)
+	if failure != nil || running {
+		return ticket, nil, failure
+	}
+	if g.waiting == nil {
+		g.waiting = map[*Ticket]chan *cowslipproxy.Failure{}
+	}
+	decision := make(chan *cowslipproxy.Failure, 1)
+	g.waiting[ticket] = decision
+	return ticket, decision, nil
+}
+
+// abandon ends the request of a caller that gave up, unless it was refused already.
+func (g *Gate) abandon(ticket *Ticket, decision chan *cowslipproxy.Failure) *cowslipproxy.Failure {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	delete(g.waiting, ticket)
+	select {
+	case failure := <-decision:
+		if failure != nil {
+			return failure
+		}
+	default:
+	}
+	g.deliver(g.Limiter.Leave(g.now(), ticket, 0))
+	return cowslipproxy.Refuse(cowslipproxy.ReasonCancelled, "the caller gave up while the request waited")
+}
+
+// Token observes tokens that the deployment computed.
+func (g *Gate) Token(tokens int) { g.Limiter.Token(g.now(), tokens) }
+
+// Leave ends a request that Wait returned.
+func (g *Gate) Leave(ticket *Ticket, used int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.deliver(g.Limiter.Leave(g.now(), ticket, used))
+}
+
+// Run refuses waiting requests that can't meet their deadline, until ctx ends.
+func (g *Gate) Run(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.Expire()
+		}
+	}
+}
+
+// Expire refuses waiting requests that can't meet their deadline.
+func (g *Gate) Expire() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.deliver(g.Limiter.Expire(g.now()))
+}
+
+func (g *Gate) deliver(changes []Change) {
+	for _, change := range changes {
+		if decision := g.waiting[change.Ticket]; decision != nil {
+			decision <- change.Failure
+			delete(g.waiting, change.Ticket)
+		}
+	}
+}
+
+func (g *Gate) now() time.Time {
+	if g.Now != nil {
+		return g.Now()
+	}
+	return time.Now()
+}
--- /dev/null
+++ b/limiter/line.go
@@ -0,0 +1,126 @@
+package limiter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+const levels = 3 // classes of customers
+
+// line is the queue of one class.
+type line struct {
+	tickets []*Ticket // by deadline
+	work    float64   // tokens that the waiting requests are expected to use
+	owed    float64   // tokens that this class owes to those below it
+	rate    float64   // tokens per second granted, averaged
+	granted float64   // tokens granted in this period of the meter
+
+	bookings map[key]booking
+	order    []key   // of the bookings, the first due first
+	booked   float64 // tokens of all bookings
+	missed   float64 // part of bookings whose request does not come, averaged
+}
+
+// position returns where a request with this deadline goes, and the work before it.
+func (l *line) position(deadline time.Time, m *meter) (index int, ahead float64) {
+	for index < len(l.tickets) && !l.tickets[index].Deadline.After(deadline) {
+		ahead += m.work(l.tickets[index])
+		index++
+	}
+	return index, ahead
+}
+
+func (l *line) insert(index int, t *Ticket, m *meter) {
+	l.tickets = slices.Insert(l.tickets, index, t)
+	l.work += m.work(t)
+}
+
+func (l *line) remove(t *Ticket, m *meter) {
+	index := slices.Index(l.tickets, t)
+	if index < 0 {
+		return
+	}
+	l.tickets = slices.Delete(l.tickets, index, index+1)
+	l.work = max(l.work-m.work(t), 0)
+	if len(l.tickets) == 0 {
+		l.work = 0
+	}
+}
+
+func (l *line) measure() {
+	l.rate += weight(meterPeriod, meterSpan) * (l.granted/meterPeriod.Seconds() - l.rate)
+	l.granted = 0
+}
+
+// late refuses a request that misses its deadline even if it starts now. While
+// nothing is in flight one request may try, since no measurement would correct
+// an estimate that refuses all requests.
+func (q *Queue) late(now time.Time, t *Ticket) *cowslipproxy.Failure {
+	run := q.meter.run(t)
+	if q.meter.flight == 0 {
+		run = 0
+	}
+	if left := t.Deadline.Sub(now); left <= 0 || left < run {
+		return cowslipproxy.Refuse(cowslipproxy.ReasonDeadline, "the deadline is in %v, the answer takes %v", left, run)
+	}
+	return nil
+}
+
+func (q *Queue) misses(now time.Time, t *Ticket, wait time.Duration) bool {
+	return now.Add(wait + q.meter.run(t)).After(t.Deadline)
+}
+
+// wait returns the expected wait of a request of a class behind that much work
+// of its own class. Either all waiting work of higher classes and what they are
+// granted meanwhile goes first, or the floor below one of them holds.
+func (q *Queue) wait(level int, work float64) time.Duration {
+	if q.meter.rate == 0 {
+		return 0 // not measured yet
+	}
+	best := 0.0
+	capacity, higher := q.share(level), 0.0
+	for k := level; k >= 0; k-- {
+		if k < level {
+			higher += q.lines[k].rate
+			work += q.lines[k].work
+			capacity = q.share(k)
+		}
+		if wait := work / (capacity - higher); capacity > higher && (best == 0 || wait < best) {
+			best = wait
+		}
+	}
+	return seconds(best)
+}
+
+// share returns the tokens per second that are certain for a class and those
+// below it. The class itself leaves their floor to those below.
+func (q *Queue) share(level int) float64 {
+	share := q.meter.rate
+	for range level {
+		share *= q.floor()
+	}
+	if level < levels-1 {
+		share *= 1 - q.floor()
+	}
+	return share
+}
+
+// overloaded refuses a request and says when one like it can meet its deadline.
+// Half of the time that the request can wait is left for errors of the estimate.
+func (q *Queue) overloaded(now time.Time, t *Ticket) *cowslipproxy.Failure {
+	line, work, run := &q.lines[t.level], q.meter.work(t), q.meter.run(t)
+	left := t.Deadline.Sub(now)
+	if b, ok := line.bookings[t.key()]; ok && b.due.After(now) {
+		return cowslipproxy.Refuse(cowslipproxy.ReasonOverloaded, "the request came before the time that it was told").After(b.due.Sub(now))
+	}
+	wait := q.wait(t.level, line.work+line.expected()+work) + run
+	failure := cowslipproxy.Refuse(cowslipproxy.ReasonOverloaded, "the answer takes %v with the wait, the deadline is in %v", wait, left)
+	spare := max(left-run, 0) / 2
+	after := max(wait-run-spare, q.wait(t.level, line.expected()+work), time.Millisecond)
+	if after >= LongestRetry || !line.book(t.key(), booking{now.Add(after), work}) {
+		return failure.After(LongestRetry)
+	}
+	return failure.After(after)
+}
--- /dev/null
+++ b/limiter/meter.go
@@ -0,0 +1,106 @@
+package limiter
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	meterPeriod = 250 * time.Millisecond // shorter than the time in which a queue should react, long enough for tens of tokens
+	meterSpan   = 2 * time.Second
+	growth      = 1.05 // of units in a period at most
+	cut         = 0.9  // of units in a period that is too slow
+	busy        = 0.9  // part of units above which throughput shows capacity rather than demand
+	usedPart    = 0.05 // of one request in the average of used tokens
+)
+
+// meter measures how fast the deployment serves this daemon. It isn't safe for
+// concurrent use by itself.
+type meter struct {
+	units  float64 // units of work that may be in flight
+	flight float64 // units in flight
+	tokens float64 // tokens in this period
+	held   float64 // unit-seconds in flight in this period
+	rate   float64 // tokens per second at full use
+	pace   float64 // seconds in flight for one token
+	used   float64 // used tokens for each estimated one
+	start  time.Time
+	at     time.Time
+	filled bool // units were in full use for the whole period
+}
+
+func (m *meter) advance(now time.Time, q *Queue) (closed bool) {
+	if m.start.IsZero() {
+		m.units, m.rate, m.used = or(q.Units, DefaultUnits), q.Rate, 1
+		m.start, m.at = now, now
+	}
+	if elapsed := now.Sub(m.at); elapsed > 0 {
+		m.held += m.flight * elapsed.Seconds()
+		m.at = now
+	}
+	elapsed := now.Sub(m.start)
+	if elapsed < meterPeriod {
+		return false
+	}
+	m.close(elapsed, q)
+	m.start, m.tokens, m.filled = now, 0, m.full()
+	return true
+}
+
+func (m *meter) full() bool { return m.flight >= busy*m.units }
+
+// close ends a period. Throughput while units are unused shows demand, so it
+// can only raise the rate.
+func (m *meter) close(elapsed time.Duration, q *Queue) {
+	rate := m.tokens / elapsed.Seconds()
+	part := weight(elapsed, meterSpan)
+	switch {
+	case m.rate == 0 && m.filled:
+		m.rate = rate
+	case m.filled || rate > m.rate && m.rate > 0:
+		m.rate += part * (rate - m.rate)
+	}
+	if m.tokens == 0 {
+		return
+	}
+	pace := m.held / m.tokens
+	m.held = 0
+	if m.pace == 0 {
+		m.pace = pace
+	}
+	m.pace += part * (pace - m.pace)
+	if q.Pace == 0 {
+		return
+	}
+	if m.pace > q.Pace.Seconds() {
+		m.units = math.Max(m.units*cut, or(q.Least, 1))
+		return
+	}
+	if m.filled {
+		m.units = math.Min(m.units*growth, or(q.Most, math.Inf(1)))
+	}
+}
+
+// run returns the expected time in flight of a request.
+func (m *meter) run(t *Ticket) time.Duration {
+	return seconds(m.pace * m.work(t) / t.units())
+}
+
+// work returns the tokens that a request is expected to use.
+func (m *meter) work(t *Ticket) float64 { return float64(t.Tokens) * m.used }
+
+// fits reports whether a request can start. One that is larger than all units
+// can start alone.
+func (m *meter) fits(t *Ticket) bool {
+	return m.flight == 0 || m.flight+t.units() <= m.units
+}
+
+func (m *meter) begin(t *Ticket) { m.flight += t.units() }
+
+func (m *meter) end(t *Ticket, used int) {
+	m.flight = math.Max(m.flight-t.units(), 0)
+	m.filled = m.filled && m.full()
+	if used > 0 && t.Tokens > 0 {
+		m.used += usedPart * (float64(used)/float64(t.Tokens) - m.used)
+	}
+}
