chooser, ejector, retrier: add property tests and benchmarks

A failed probe on a connection that stands again counted the connection as down, so that more than half of the peers could be ejected.

--- /dev/null
+++ b/chooser/bench_test.go
@@ -0,0 +1,176 @@
+package chooser_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/chooser"
+	"github.com/cowslipproxy/cowslipproxy/ejector"
+)
+
+// pause is the time between decisions of one daemon at 80,000 requests a second over 1,900 daemons.
+const pause = 24 * time.Millisecond
+
+// The mixed layout needs 27 engines, so it has no fleet of 10.
+var layouts = []struct {
+	name  string
+	parts []int
+	sizes []int
+}{
+	{"10ranges", []int{10}, []int{10, 100, 1000, 7000}},
+	{"27ranges", []int{4, 5, 8, 10}, []int{100, 1000, 7000}},
+}
+
+func eachFleet(b *testing.B, run func(b *testing.B, engines []engine)) {
+	for _, layout := range layouts {
+		for _, size := range layout.sizes {
+			b.Run(fmt.Sprintf("%s/%d", layout.name, size), func(b *testing.B) {
+				engines := fleet(size, layout.parts...)
+				random := rand.New(rand.NewPCG(1, 2))
+				for i := range engines {
+					engines[i].Queue = random.IntN(20)
+				}
+				b.ReportAllocs()
+				run(b, engines)
+			})
+		}
+	}
+}
+
+func BenchmarkChain(b *testing.B) {
+	eachFleet(b, func(b *testing.B, engines []engine) {
+		e := &ejector.Ejector{}
+		c := &chooser.Chooser{Name: "entry-1", Centre: "centre-1", Peers: 15, Usable: e.Usable}
+		fill(c, engines)
+		n := need()
+		n.Prefixes = cowslipproxy.PrefixHashes("scribe", strings.Repeat("renewal ", 512))
+		for i, engine := range engines {
+			e.Add(engine.Name, engine.Range.String())
+			if i%10 == 0 {
+				c.Cache(engine.Name, cowslipproxy.CacheEvent{Seq: 1, Stored: n.Prefixes[:1+i%len(n.Prefixes)]})
+			}
+		}
+		now := start
+		for b.Loop() {
+			now = now.Add(pause)
+			if _, err := c.Chain(now, n); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// Asks for candidates beyond the subset: every second upstream is unusable.
+func BenchmarkChainHalfEjected(b *testing.B) {
+	eachFleet(b, func(b *testing.B, engines []engine) {
+		if len(engines) < 100 {
+			b.Skip("too few engines for two holders of each range")
+		}
+		out := map[string]bool{}
+		for i, engine := range engines {
+			out[engine.Name] = i/len(kinds)%2 == 0
+		}
+		c := &chooser.Chooser{Name: "entry-1", Usable: func(name string, _ time.Time) bool { return !out[name] }}
+		fill(c, engines)
+		now := start
+		for b.Loop() {
+			now = now.Add(pause)
+			if _, err := c.Chain(now, need()); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// Takes the holders of the first layout's parts in turn, with no costs and no checks.
+func BenchmarkRoundRobin(b *testing.B) {
+	eachFleet(b, func(b *testing.B, engines []engine) {
+		pools, next := tiling(engines), 0
+		for b.Loop() {
+			next++
+			stages := make([]chooser.Stage, len(pools))
+			for i, pool := range pools {
+				e := pool[next%len(pool)]
+				stages[i] = chooser.Stage{Name: e.Name, Range: e.Range}
+			}
+		}
+	})
+}
+
+// Takes the holder with the shortest reported queue for each of the first layout's parts.
+func BenchmarkLeastLoaded(b *testing.B) {
+	eachFleet(b, func(b *testing.B, engines []engine) {
+		pools := tiling(engines)
+		for b.Loop() {
+			stages := make([]chooser.Stage, len(pools))
+			for i, pool := range pools {
+				e := leastLoaded(pool)
+				stages[i] = chooser.Stage{Name: e.Name, Range: e.Range}
+			}
+		}
+	})
+}
+
+// tiling returns the holders of each part of the first kind's tiling.
+func tiling(engines []engine) [][]*engine {
+	var pools [][]*engine
+	for first := 0; first < layers; {
+		var pool []*engine
+		for i, e := range engines {
+			if e.Kind == kinds[0] && e.Range.First == first {
+				pool = append(pool, &engines[i])
+			}
+		}
+		if pool == nil {
+			return pools
+		}
+		pools = append(pools, pool)
+		first = pool[0].Range.End
+	}
+	return pools
+}
+
+func leastLoaded(pool []*engine) *engine {
+	best := pool[0]
+	for _, e := range pool[1:] {
+		if e.Queue < best.Queue {
+			best = e
+		}
+	}
+	return best
+}
+
+func BenchmarkService(b *testing.B) {
+	for _, size := range []int{3, 7000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			e := &ejector.Ejector{}
+			c := &chooser.Chooser{Name: "entry-1", Usable: e.Usable}
+			for i := range size {
+				name := fmt.Sprintf("vm-%d", i)
+				e.Add(name, "ledger")
+				c.Add(start, chooser.Upstream{Name: name, VM: name, Service: "ledger"})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := c.Service(start, "ledger", nil); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkObserve(b *testing.B) {
+	c := &chooser.Chooser{Name: "entry-1"}
+	engines := fleet(7000, 10)
+	fill(c, engines)
+	b.ReportAllocs()
+	sample := chooser.Sample{Kind: cowslipproxy.StepDecode, Layers: 8, Spent: time.Millisecond, Elapsed: 2 * time.Millisecond}
+	for i := 0; b.Loop(); i++ {
+		c.Observe(start.Add(time.Duration(i)*time.Microsecond), engines[i%len(engines)].Name, sample)
+	}
+}
--- a/chooser/chain.go
+++ b/chooser/chain.go
@@ -34,25 +34,26 @@
 func (c *Chooser) Chain(now time.Time, need Need) (Chain, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	q := query{need: &need, now: now, at: c.start(now)}
+	c.need = need // a copy that is kept takes no allocation
+	q := query{need: &c.need, now: now, at: c.start(now)}
 	g := c.groups[groupKey{need.Model, need.Version, need.Adapter}]
 	if err := c.decide(g, q); err != nil {
 		return Chain{}, err
 	}
-	return c.build(g, &need), nil
+	return c.build(g, q.need), nil
 }
 
 // decide samples the edges, finds the cheapest path and repeats this until all
 // upstreams of the path are usable. Only those are asked for, since asking
 // costs more than pricing.
 func (c *Chooser) decide(g *group, q query) error {
+	c.findHits(q.need.Prefixes)
 	if err := q.need.Range.Check(); err != nil {
 		return cowslipproxy.Refuse(cowslipproxy.ReasonMalformed, "%v", err)
 	}
 	if g == nil {
 		return c.missing(nil, q.need)
 	}
-	c.findHits(q.need.Prefixes)
 	c.sample(g, q)
 	c.addHits(g, q)
 	for c.path(g, q.need.Range) {
--- /dev/null
+++ b/chooser/traffic_test.go
@@ -0,0 +1,98 @@
+package chooser_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/chooser"
+)
+
+// Guards against many daemons with one stale report all choosing the same
+// engines. The busiest engine's work is compared with that of an ideal spread by speed.
+func TestNoHerding(t *testing.T) {
+	const daemons, requests = 15, 20
+	random := rand.New(rand.NewPCG(7, 7))
+	engines := fleet(40, 4)
+	byName := map[string]*engine{}
+	for i := range engines {
+		e := &engines[i]
+		e.Pace = paces[random.IntN(len(paces))]
+		e.Queue = random.IntN(4)
+		byName[e.Name] = e
+	}
+	chosen, least := map[string]int{}, map[string]int{}
+	for d := range daemons {
+		c := &chooser.Chooser{Name: fmt.Sprint("entry-", d), Peers: daemons}
+		fill(c, engines)
+		for range requests {
+			chain, err := c.Chain(start, need())
+			require.NoError(t, err)
+			for _, stage := range chain.Stages {
+				c.Begin(stage.Name)
+				chosen[stage.Name]++
+			}
+			for _, pool := range tiling(engines) {
+				least[leastLoaded(pool).Name]++
+			}
+		}
+	}
+	busiest := func(count map[string]int) float64 {
+		var most float64
+		for name, n := range count {
+			most = max(most, float64(n)*float64(byName[name].Pace))
+		}
+		return most
+	}
+	var ideal float64
+	for _, pool := range tiling(engines) {
+		var speed float64
+		for _, e := range pool {
+			speed += 1 / float64(e.Pace)
+		}
+		ideal = max(ideal, daemons*requests/speed)
+	}
+	t.Logf("busiest engine against the ideal spread: chooser %.2f, least loaded %.2f", busiest(chosen)/ideal, busiest(least)/ideal)
+	require.Less(t, busiest(chosen), 2*ideal)
+	require.Less(t, busiest(chosen), busiest(least)/2)
+}
+
+// Guards against a link that gets slower without a break keeping its traffic.
+func TestSlowLinkLosesTraffic(t *testing.T) {
+	const rate, calm = 40, 5 * time.Second
+	for _, slower := range []time.Duration{10, 100} {
+		c := &chooser.Chooser{Name: "entry-1"}
+		engines := fleet(8, 1)
+		fill(c, engines)
+		slow, now := engines[3].Name, start
+		counts := map[int]int{} // requests to the slow link by second
+		for i := range 20 * rate {
+			now = start.Add(time.Duration(i) * time.Second / rate)
+			chain, err := c.Chain(now, need())
+			require.NoError(t, err)
+			name := chain.Stages[0].Name
+			link := 2 * time.Millisecond
+			if name == slow {
+				counts[int(now.Sub(start)/time.Second)]++
+				if now.Sub(start) >= calm {
+					link *= slower
+				}
+			}
+			spent := layers * paces[0]
+			c.Observe(now, name, chooser.Sample{Kind: cowslipproxy.StepDecode, Layers: layers, Spent: spent, Elapsed: spent + link})
+		}
+		sum := func(from, to int) (sum int) {
+			for second := from; second < to; second++ {
+				sum += counts[second]
+			}
+			return sum
+		}
+		t.Logf("%d times slower: %d of %d requests in the 5 s before, %d in the 3 s after, %d in the 5 s from then on", slower, sum(0, 5), 5*rate, sum(5, 8), sum(8, 13))
+		require.Positive(t, sum(0, 5))
+		require.LessOrEqual(t, sum(8, 13), sum(0, 5)/10)
+	}
+}
--- a/ejector/peer.go
+++ b/ejector/peer.go
@@ -15,8 +15,10 @@
 	ejected  bool
 	down     bool // the connection broke and doesn't stand again
 	cause    Cause
-	since    time.Time // when it was ejected
-	until    time.Time // when it may be probed
+	since    time.Time     // when it left service
+	length   time.Duration // of the ejection from service
+	judged   time.Time     // when it left service, or its last probe failed
+	until    time.Time     // when it may be probed
 	probing  bool
 	probedAt time.Time
 	tries    int       // failed probes while down
@@ -34,7 +36,7 @@
 	if !now.Before(p.until) {
 		return true
 	}
-	return now.Sub(p.since) >= e.base() && !p.group.serves()
+	return now.Sub(p.judged) >= e.base() && !p.group.serves()
 }
 
 // settle takes back a doubling for each calm period in service, so that an
@@ -66,14 +68,16 @@
 	p.settle(now, e.calm())
 	length := e.doubled(p.level)
 	if p.down {
-		length = max(e.doubled(p.tries), e.doubled(p.level-1))
+		length = e.doubled(p.tries)
 		p.tries = min(p.tries+1, maxTries)
-	} else if length < e.limit() {
-		p.level++
+	} else {
+		p.since, p.length = now, length
+		if length < e.limit() {
+			p.level++
+		}
 	}
-	p.ejected, p.cause, p.since, p.until = true, cause, now, now.Add(length)
+	p.ejected, p.cause, p.judged, p.until = true, cause, now, now.Add(length)
 	p.probing, p.failed = false, 0
-	p.down = p.down || cause == CauseBroken
 	return p.change()
 }
 
--- a/ejector/result.go
+++ b/ejector/result.go
@@ -73,7 +73,11 @@
 		if !p.probing {
 			return nil
 		}
-		return []Change{e.eject(p, now, p.cause)}
+		cause := p.cause
+		if cause == CauseBroken && !p.down {
+			cause = CauseFailures // the connection stands again
+		}
+		return []Change{e.eject(p, now, cause)}
 	}
 	if p.failed++; p.failed < e.failures() || !p.group.allows() {
 		return nil
@@ -91,6 +95,7 @@
 		return nil
 	}
 	changes := []Change{e.eject(p, now, CauseBroken)}
+	p.down = true
 	return append(changes, p.group.relieve(now)...)
 }
 
@@ -104,9 +109,10 @@
 	if p == nil || !p.down {
 		return nil
 	}
-	p.down, p.tries = false, 0
-	if p.until = now; p.level > 1 {
-		p.until = p.since.Add(e.doubled(p.level - 1))
+	// A probe that was under way went to the old connection.
+	p.down, p.tries, p.probing = false, 0, false
+	if p.until = now; p.length > e.base() {
+		p.until = p.since.Add(p.length)
 	}
 	return p.group.relieve(now)
 }
--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,103 @@
+package retrier_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/retrier"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// Guards against retry storms: retries and hedges beyond a tenth of the
+// requests and the minimum per second.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &retrier.Retrier{}
+		now, requests, retries := start, 0, 0
+		for range rapid.IntRange(1, 300).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 20).Draw(t, "requests") {
+				r.Request(now)
+				requests++
+			}
+			for range rapid.IntRange(0, 20).Draw(t, "failures") {
+				attempt := retrier.Attempt{Effect: cowslipproxy.EffectRepeat, Tries: 1, Left: time.Minute}
+				if r.Retry(now, attempt).Again {
+					retries++
+				}
+				if r.Hedge(now, attempt) {
+					retries++
+				}
+			}
+			require.LessOrEqual(t, float64(retries), 0.1*float64(requests)+2*now.Sub(start).Seconds()+2+1e-6)
+		}
+	})
+}
+
+// Guards against a non-idempotent request running twice, against tries without
+// end and against retries and hedges that can't end before the deadline.
+func TestRetryRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &retrier.Retrier{Minimum: 1e6, Seed: rapid.Uint64().Draw(t, "seed")}
+		attempt := retrier.Attempt{
+			Effect:     rapid.SampledFrom([]cowslipproxy.Effect{cowslipproxy.EffectRepeat, cowslipproxy.EffectOnce}).Draw(t, "effect"),
+			NotStarted: rapid.Bool().Draw(t, "not started"),
+			Tries:      rapid.IntRange(1, 4).Draw(t, "tries"),
+			Left:       time.Duration(rapid.IntRange(-10, 400).Draw(t, "left")) * time.Millisecond,
+			Expected:   time.Duration(rapid.IntRange(0, 200).Draw(t, "expected")) * time.Millisecond,
+		}
+		safe := attempt.Effect == cowslipproxy.EffectRepeat || attempt.NotStarted
+		decision := r.Retry(start, attempt)
+		require.True(t, !decision.Again || safe && attempt.Tries < 3 && decision.Wait+attempt.Expected <= attempt.Left)
+		require.True(t, decision.Again || decision.Reason != "")
+		if safe && attempt.Tries < 3 && attempt.Left >= 50*time.Millisecond+attempt.Expected {
+			require.True(t, decision.Again)
+		}
+		delay, ok := r.HedgeDelay(attempt, 50*time.Millisecond)
+		require.True(t, !ok || attempt.Effect == cowslipproxy.EffectRepeat && delay+attempt.Expected <= attempt.Left)
+		require.True(t, !r.Hedge(start, attempt) || attempt.Effect == cowslipproxy.EffectRepeat)
+	})
+}
+
+// Guards against low traffic that can't retry at all, and against unused
+// retries that pile up over quiet hours.
+func TestLowTraffic(t *testing.T) {
+	r := &retrier.Retrier{}
+	attempt := retrier.Attempt{Effect: cowslipproxy.EffectRepeat, Tries: 1, Left: time.Minute}
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * time.Minute)
+		r.Request(now)
+		require.True(t, r.Retry(now, attempt).Again)
+	}
+	later := start.Add(10 * time.Hour)
+	count := 0
+	for r.Retry(later, attempt).Again {
+		count++
+	}
+	require.LessOrEqual(t, count, 2)
+}
+
+// Guards against requests that failed together coming back together.
+func TestBackoffJitter(t *testing.T) {
+	r := &retrier.Retrier{Minimum: 1e6}
+	waits := map[time.Duration]bool{}
+	for range 100 {
+		wait := r.Retry(start, retrier.Attempt{Effect: cowslipproxy.EffectRepeat, Tries: 2, Left: time.Minute}).Wait
+		require.GreaterOrEqual(t, wait, 25*time.Millisecond)
+		require.LessOrEqual(t, wait, 50*time.Millisecond)
+		waits[wait] = true
+	}
+	require.Greater(t, len(waits), 90)
+}
