chooser: shrink the work per candidate

A decision copied its query and a full price for each candidate. It now keeps one query and computes the stages' times only for the chosen candidates. Reported load now loses weight as the report ages.

--- a/chooser/average.go
+++ b/chooser/average.go
@@ -7,7 +7,8 @@
 
 const (
 	// halfLife lets an upstream that is no longer measured drift back to its
-	// prior, so that it is tried again after a fault of its link.
+	// prior, so that it is tried again after a fault of its link. A reported
+	// load loses its weight likewise when no newer report comes.
 	halfLife = 10 * time.Second
 	// maxWeight lets 16 new samples outweigh all older ones.
 	maxWeight = 16
@@ -60,14 +61,16 @@
 	refresh = time.Second
 )
 
-// estimates are the current times of an upstream, in nanoseconds.
+// estimates are what a decision needs of an upstream, with times in nanoseconds.
 type estimates struct {
-	prefill float64 // per token and layer
-	decode  float64 // per layer
-	link    float64 // round trip
-	call    float64 // whole call to a plain service
-	at      time.Duration
-	known   bool
+	prefill  float64 // per token, for all of the upstream's layers
+	decode   float64 // per step, for all of the upstream's layers
+	link     float64 // round trip
+	call     float64 // whole call to a plain service
+	reported float64 // steps by the newest report, which count less as it ages
+	free     int     // cache memory by the newest report, in tokens
+	at       time.Duration
+	known    bool
 }
 
 // estimate returns the upstream's current times.
@@ -91,12 +94,16 @@
 	if u.Centre == c.Centre {
 		link = priorNear
 	}
+	layers := float64(u.report.Range.Len())
+	age := math.Exp2(-float64(max(at-u.reportAt, 0)) / float64(halfLife))
 	u.now = estimates{
-		prefill: u.prefill.estimate(at, prefill),
-		decode:  u.decode.estimate(at, decode),
-		link:    u.link.estimate(at, link),
-		call:    u.call.estimate(at, link),
-		at:      at,
-		known:   true,
+		prefill:  u.prefill.estimate(at, prefill) * layers,
+		decode:   u.decode.estimate(at, decode) * layers,
+		link:     u.link.estimate(at, link),
+		call:     u.call.estimate(at, link),
+		reported: float64(u.report.Queue+u.report.Running) * age,
+		free:     u.report.Free,
+		at:       at,
+		known:    true,
 	}
 }
--- a/chooser/bench_test.go
+++ b/chooser/bench_test.go
@@ -15,7 +15,8 @@
 // pause is the time between decisions of one daemon at 80,000 requests a second over 1,900 daemons.
 const pause = 24 * time.Millisecond
 
-// The mixed layout needs 27 engines, so it has no fleet of 10.
+// A decision's time follows the number of distinct ranges. The larger layouts
+// need more than 10 engines.
 var layouts = []struct {
 	name  string
 	parts []int
@@ -23,6 +24,7 @@
 }{
 	{"10ranges", []int{10}, []int{10, 100, 1000, 7000}},
 	{"27ranges", []int{4, 5, 8, 10}, []int{100, 1000, 7000}},
+	{"103ranges", []int{4, 5, 8, 10, 16, 20, 40}, []int{1000, 7000}},
 }
 
 func eachFleet(b *testing.B, run func(b *testing.B, engines []engine)) {
@@ -70,9 +72,11 @@
 		if len(engines) < 100 {
 			b.Skip("too few engines for two holders of each range")
 		}
-		out := map[string]bool{}
-		for i, engine := range engines {
-			out[engine.Name] = i/len(kinds)%2 == 0
+		out, random := map[string]bool{}, rand.New(rand.NewPCG(3, 4))
+		seen := map[cowslipproxy.LayerRange]int{}
+		for _, engine := range engines {
+			seen[engine.Range]++
+			out[engine.Name] = seen[engine.Range] > 1 && random.IntN(2) == 0
 		}
 		c := &chooser.Chooser{Name: "entry-1", Usable: func(name string, _ time.Time) bool { return !out[name] }}
 		fill(c, engines)
@@ -115,13 +119,13 @@
 	})
 }
 
-// tiling returns the holders of each part of the first kind's tiling.
+// tiling returns the holders of each part of the first tiling.
 func tiling(engines []engine) [][]*engine {
 	var pools [][]*engine
 	for first := 0; first < layers; {
 		var pool []*engine
 		for i, e := range engines {
-			if e.Kind == kinds[0] && e.Range.First == first {
+			if e.Range.First == first && e.Range.Len() == engines[0].Range.Len() {
 				pool = append(pool, &engines[i])
 			}
 		}
--- a/chooser/chain.go
+++ b/chooser/chain.go
@@ -19,40 +19,51 @@
 // edge is the candidate for one pool of the group in the current decision.
 type edge struct {
 	best     *upstream
-	price    price
+	cost     float64
+	cached   int  // tokens of the prompt that count as cached
 	verified bool // by Usable
 }
 
-// query is one decision's input.
+// query is one decision's input. The chooser keeps one, so that a decision
+// allocates nothing but its result.
 type query struct {
-	need *Need
-	now  time.Time
-	at   time.Duration
+	need   Need
+	now    time.Time
+	at     time.Duration
+	output float64 // expected decode steps
+}
+
+// ask starts a decision.
+func (c *Chooser) ask(now time.Time, need Need) *query {
+	c.query = query{need: need, now: now, at: c.start(now), output: float64(need.Output)}
+	if need.Output <= 0 {
+		c.query.output = defaultOutput
+	}
+	c.findHits(need.Prefixes)
+	return &c.query
 }
 
 // Chain chooses the engines for a request. The error is a *cowslipproxy.Failure.
 func (c *Chooser) Chain(now time.Time, need Need) (Chain, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.need = need // a copy that is kept takes no allocation
-	q := query{need: &c.need, now: now, at: c.start(now)}
+	q := c.ask(now, need)
 	g := c.groups[groupKey{need.Model, need.Version, need.Adapter}]
 	if err := c.decide(g, q); err != nil {
 		return Chain{}, err
 	}
-	return c.build(g, q.need), nil
+	return c.build(g, q), nil
 }
 
 // decide samples the edges, finds the cheapest path and repeats this until all
 // upstreams of the path are usable. Only those are asked for, since asking
 // costs more than pricing.
-func (c *Chooser) decide(g *group, q query) error {
-	c.findHits(q.need.Prefixes)
+func (c *Chooser) decide(g *group, q *query) error {
 	if err := q.need.Range.Check(); err != nil {
 		return cowslipproxy.Refuse(cowslipproxy.ReasonMalformed, "%v", err)
 	}
 	if g == nil {
-		return c.missing(nil, q.need)
+		return c.missing(nil, &q.need)
 	}
 	c.sample(g, q)
 	c.addHits(g, q)
@@ -61,11 +72,11 @@
 			return nil
 		}
 	}
-	return c.missing(g, q.need)
+	return c.missing(g, &q.need)
 }
 
 // sample draws the candidates of each pool within the range.
-func (c *Chooser) sample(g *group, q query) {
+func (c *Chooser) sample(g *group, q *query) {
 	c.edges = slices.Grow(c.edges[:0], len(g.pools))[:len(g.pools)]
 	for i, p := range g.pools {
 		c.edges[i] = edge{}
@@ -79,7 +90,7 @@
 	}
 }
 
-func (c *Chooser) draw(e *edge, p *pool, q query) {
+func (c *Chooser) draw(e *edge, p *pool, q *query) {
 	n := uint64(len(p.subset))
 	if n <= samples {
 		for _, u := range p.subset {
@@ -96,19 +107,18 @@
 	}
 }
 
-func (c *Chooser) consider(e *edge, u *upstream, q query) {
+func (c *Chooser) consider(e *edge, u *upstream, q *query) {
 	if u == e.best || q.need.avoids(u) {
 		return
 	}
-	price := c.price(u, q.need, 0, q.at)
-	if e.best == nil || price.total < e.price.total {
-		*e = edge{best: u, price: price}
+	if cost := c.cost(u, q, 0); e.best == nil || cost < e.cost {
+		*e = edge{best: u, cost: cost}
 	}
 }
 
 // scan looks for usable candidates by rank, so that it leaves the subset only
 // when the subset has too few.
-func (c *Chooser) scan(e *edge, p *pool, q query) {
+func (c *Chooser) scan(e *edge, p *pool, q *query) {
 	*e = edge{}
 	found := 0
 	for _, u := range p.members {
@@ -124,19 +134,19 @@
 }
 
 // addHits lets the upstreams that hold a prefix compete for their edges.
-func (c *Chooser) addHits(g *group, q query) {
+func (c *Chooser) addHits(g *group, q *query) {
 	for _, u := range c.hits {
 		i, ok := g.index[u.report.Range]
 		if !ok || !u.serving() || !u.holds(g.key) {
 			continue
 		}
 		e := &c.edges[i]
-		if e.best == nil || q.need.avoids(u) || !c.bounded(u, e.best) {
+		if e.best == nil || q.need.avoids(u) || !c.bounded(u, e.best, q.at) {
 			continue
 		}
-		price := c.price(u, q.need, c.cachedTokens(u, q.need), q.at)
-		if price.total < e.price.total {
-			*e = edge{best: u, price: price}
+		cached := c.cachedTokens(u, &q.need)
+		if cost := c.cost(u, q, cached); cost < e.cost {
+			*e = edge{best: u, cost: cost, cached: cached}
 		}
 	}
 }
@@ -159,7 +169,7 @@
 		if c.edges[i].best == nil {
 			continue
 		}
-		if dist := c.dist[p.from] + c.edges[i].price.total; dist < c.dist[p.to] {
+		if dist := c.dist[p.from] + c.edges[i].cost; dist < c.dist[p.to] {
 			c.dist[p.to] = dist
 			c.via[p.to] = i
 		}
@@ -169,7 +179,7 @@
 
 // verify asks whether the path's upstreams are usable and replaces those that
 // are not. It reports whether the path stands.
-func (c *Chooser) verify(g *group, q query) bool {
+func (c *Chooser) verify(g *group, q *query) bool {
 	stands := true
 	to, _ := slices.BinarySearch(g.bounds, q.need.Range.End)
 	for g.bounds[to] != q.need.Range.First {
@@ -189,10 +199,10 @@
 }
 
 // build returns the path of the last decision.
-func (c *Chooser) build(g *group, need *Need) Chain {
-	end, _ := slices.BinarySearch(g.bounds, need.Range.End)
+func (c *Chooser) build(g *group, q *query) Chain {
+	end, _ := slices.BinarySearch(g.bounds, q.need.Range.End)
 	count := 0
-	for to := end; g.bounds[to] != need.Range.First; to = g.pools[c.via[to]].from {
+	for to := end; g.bounds[to] != q.need.Range.First; to = g.pools[c.via[to]].from {
 		count++
 	}
 	chain := Chain{Stages: make([]Stage, count), Cost: time.Duration(c.dist[end])}
@@ -200,17 +210,17 @@
 		i := c.via[to]
 		to = g.pools[i].from
 		count--
-		chain.Stages[count] = c.edges[i].stage(g.pools[i].layers)
+		chain.Stages[count] = c.stage(&c.edges[i], q)
 	}
 	return chain
 }
 
-func (e *edge) stage(layers cowslipproxy.LayerRange) Stage {
-	around := e.price.link + e.price.wait
+func (c *Chooser) stage(e *edge, q *query) Stage {
+	p := c.price(e.best, q, e.cached)
 	return Stage{
 		Name:    e.best.Name,
-		Range:   layers,
-		Prefill: time.Duration(e.price.prefill + around),
-		Decode:  time.Duration(e.price.decode + around),
+		Range:   e.best.report.Range,
+		Prefill: time.Duration(p.prefill + p.link + p.wait),
+		Decode:  time.Duration(p.decode + p.link + p.wait),
 	}
 }
--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -33,7 +33,7 @@
 	services  map[string]*pool
 	kinds     map[string]*kind
 	holders   map[uint64][]*upstream // by hash of a cached prefix
-	need      Need                   // of the current decision
+	query     query                  // of the current decision
 	decision  uint64                 // number of the current decision
 	hits      []*upstream            // upstreams that hold a prefix of the current prompt
 	edges     []edge                 // one for each pool of the current group
--- a/chooser/cost.go
+++ b/chooser/cost.go
@@ -18,9 +18,8 @@
 	loadSlack = batch / 2
 )
 
-// price is what a candidate costs, in nanoseconds.
+// price is what the steps of a candidate take, in nanoseconds.
 type price struct {
-	total   float64 // whole answer
 	prefill float64 // prefill computation
 	decode  float64 // one decode step's computation
 	link    float64 // one round trip
@@ -30,43 +29,40 @@
 // load returns the steps that the engine is taken to have. The reported ones
 // are corrected by the change of this daemon's work since the report. Added
 // work counts times the daemons, since the others act on the same report.
-func (c *Chooser) load(u *upstream) float64 {
+func (c *Chooser) load(u *upstream, at time.Duration) float64 {
 	change := float64(u.own - u.then)
 	if change > 0 {
 		change *= c.peers()
 	}
-	return max(float64(u.report.Queue+u.report.Running)+change, 0)
+	return max(c.estimate(u, at).reported+change, 0)
 }
 
-func (c *Chooser) wait(u *upstream, step float64) float64 {
-	return step * c.load(u) / batch
-}
-
-// price returns the cost of an engine for the need when the given number of
+// price returns an engine's times for the query when the given number of
 // prompt tokens is cached there.
-func (c *Chooser) price(u *upstream, need *Need, cached int, at time.Duration) price {
-	known := c.estimate(u, at)
-	layers := float64(u.report.Range.Len())
-	output := need.Output
-	if output <= 0 {
-		output = defaultOutput
-	}
+func (c *Chooser) price(u *upstream, q *query, cached int) price {
+	known := c.estimate(u, q.at)
 	p := price{
-		prefill: known.prefill * layers * float64(max(need.Tokens-cached, 1)),
-		decode:  known.decode * layers,
+		prefill: known.prefill * float64(max(q.need.Tokens-cached, 1)),
+		decode:  known.decode,
 		link:    known.link,
+		wait:    known.decode * c.load(u, q.at) / batch,
 	}
-	if need.Centre != "" && u.Centre != need.Centre {
+	if q.need.Centre != "" && u.Centre != q.need.Centre {
 		p.link += crossing
 	}
-	p.wait = c.wait(u, p.decode)
-	p.total = p.prefill + p.decode*float64(output) + (p.link+p.wait)*float64(output+1)
-	if u.report.Free < need.Tokens-cached+output {
-		p.total += fullPenalty
-	}
 	return p
 }
 
+// cost returns an engine's part of the whole answer's time, in nanoseconds.
+func (c *Chooser) cost(u *upstream, q *query, cached int) float64 {
+	p := c.price(u, q, cached)
+	cost := p.prefill + p.decode*q.output + (p.link+p.wait)*(q.output+1)
+	if float64(u.now.free) < float64(q.need.Tokens-cached)+q.output {
+		cost += fullPenalty
+	}
+	return cost
+}
+
 // cachedTokens returns the tokens of the prompt that the engine holds, by the
 // share of the prompt's blocks that are known to be cached.
 func (c *Chooser) cachedTokens(u *upstream, need *Need) int {
@@ -77,8 +73,8 @@
 }
 
 // bounded reports whether the engine's load lets its cache count against another's.
-func (c *Chooser) bounded(cached, other *upstream) bool {
-	return c.load(cached) <= loadBound*c.load(other)+loadSlack
+func (c *Chooser) bounded(cached, other *upstream, at time.Duration) bool {
+	return c.load(cached, at) <= loadBound*c.load(other, at)+loadSlack
 }
 
 func (n *Need) avoids(u *upstream) bool {
--- a/chooser/explain.go
+++ b/chooser/explain.go
@@ -38,6 +38,7 @@
 	Wait    time.Duration           `json:"wait"`   // queueing of one step
 	Load    float64                 `json:"load"`   // steps that it is taken to have
 	Own     int                     `json:"own"`    // this daemon's requests in flight there
+	Age     time.Duration           `json:"age"`    // of its newest report
 	Cached  int                     `json:"cached"` // tokens of the prompt in its cache
 }
 
@@ -54,14 +55,14 @@
 func (c *Chooser) Explain(now time.Time, need Need) Explanation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	q := query{need: &need, now: now, at: c.start(now)}
+	q := c.ask(now, need)
 	key := groupKey{need.Model, need.Version, need.Adapter}
 	g := c.groups[key]
 	explanation := Explanation{Need: need, Candidates: []Candidate{}}
 	if err := c.decide(g, q); err != nil {
 		explanation.Failure = failureText(err)
 	} else {
-		chain := c.build(g, &need)
+		chain := c.build(g, q)
 		explanation.Chain = &chain
 	}
 	for _, u := range c.upstreams {
@@ -85,23 +86,24 @@
 	return err.Error()
 }
 
-func (c *Chooser) candidate(u *upstream, q query) Candidate {
-	cached := c.cachedTokens(u, q.need)
-	p := c.price(u, q.need, cached, q.at)
+func (c *Chooser) candidate(u *upstream, q *query) Candidate {
+	cached := c.cachedTokens(u, &q.need)
+	p := c.price(u, q, cached)
 	return Candidate{
 		Name: u.Name, VM: u.VM, Centre: u.Centre, Range: u.report.Range,
-		Cost:    time.Duration(p.total),
+		Cost:    time.Duration(c.cost(u, q, cached)),
 		Prefill: time.Duration(p.prefill),
 		Decode:  time.Duration(p.decode),
 		Link:    time.Duration(p.link),
 		Wait:    time.Duration(p.wait),
-		Load:    c.load(u),
+		Load:    c.load(u, q.at),
 		Own:     u.own,
+		Age:     q.at - u.reportAt,
 		Cached:  cached,
 	}
 }
 
-func (c *Chooser) verdict(g *group, u *upstream, q query, chain *Chain) Verdict {
+func (c *Chooser) verdict(g *group, u *upstream, q *query, chain *Chain) Verdict {
 	if chain != nil && chain.has(u.Name) {
 		return VerdictChosen
 	}
--- a/chooser/fleet_test.go
+++ b/chooser/fleet_test.go
@@ -30,7 +30,7 @@
 	cowslipproxy.Report
 }
 
-// fleet returns engines that hold the model in equal parts, one number of parts for each kind in turn.
+// fleet returns engines that hold the model in equal parts of each of the given numbers in turn.
 func fleet(size int, parts ...int) []engine {
 	var engines []engine
 	for next := 0; len(engines) < size; next++ {
@@ -40,7 +40,7 @@
 			engines = append(engines, engine{
 				chooser.Upstream{Name: name, VM: name, Centre: fmt.Sprintf("centre-%d", len(engines)%3)},
 				cowslipproxy.Report{
-					Model: "scribe", Version: "1", Kind: kinds[kind], Role: cowslipproxy.RoleServe, Pace: paces[kind], Free: 1 << 20,
+					Model: "scribe", Version: "1", Kind: kinds[kind%len(kinds)], Role: cowslipproxy.RoleServe, Pace: paces[kind%len(paces)], Free: 1 << 20,
 					Range: cowslipproxy.LayerRange{First: first * each, End: (first + 1) * each},
 				},
 			})
--- a/chooser/traffic_test.go
+++ b/chooser/traffic_test.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/chooser"
+	"github.com/cowslipproxy/cowslipproxy/ejector"
 )
 
 // Guards against many daemons with one stale report all choosing the same
@@ -61,6 +63,43 @@
 	require.Less(t, busiest(chosen), busiest(least)/2)
 }
 
+// Guards against data races between requests, reports and membership, with the
+// ejector as the hook.
+func TestConcurrentUse(t *testing.T) {
+	e := &ejector.Ejector{}
+	c := &chooser.Chooser{Name: "entry-1", Usable: e.Usable}
+	engines := fleet(40, 4)
+	fill(c, engines)
+	var group errgroup.Group
+	for worker := range 8 {
+		group.Go(func() error {
+			for i := range 200 {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				moved := engines[4+(worker*200+i)%36]
+				c.Remove(moved.Name)
+				e.Add(moved.Name, moved.Range.String())
+				c.Add(now, moved.Upstream)
+				c.Report(now, moved.Name, moved.Report)
+				c.Cache(moved.Name, cowslipproxy.CacheEvent{Seq: uint64(i), Stored: []uint64{uint64(i)}})
+				chain, err := c.Chain(now, need())
+				if err != nil {
+					return err
+				}
+				for _, stage := range chain.Stages {
+					c.Begin(stage.Name)
+					e.Begin(stage.Name, now)
+					c.Observe(now, stage.Name, chooser.Sample{Kind: cowslipproxy.StepDecode, Layers: stage.Range.Len(), Spent: time.Millisecond, Elapsed: 2 * time.Millisecond})
+					e.Success(stage.Name, now, cowslipproxy.StepDecode, time.Millisecond)
+					c.End(stage.Name)
+				}
+				c.Explain(now, need())
+			}
+			return nil
+		})
+	}
+	require.NoError(t, group.Wait())
+}
+
 // Guards against a link that gets slower without a break keeping its traffic.
 func TestSlowLinkLosesTraffic(t *testing.T) {
 	const rate, calm = 40, 5 * time.Second
--- a/chooser/upstream.go
+++ b/chooser/upstream.go
@@ -10,21 +10,24 @@
 )
 
 type upstream struct {
+	// A decision reads the first fields only; they share cache lines.
+	now   estimates
+	own   int    // this daemon's requests in flight
+	then  int    // own, when the report came in
+	hit   uint64 // decision in which the upstream was found to hold a prefix
+	depth int    // number of blocks of that prefix
+
 	Upstream
 	rank     uint64 // rendezvous hash of the daemon's and the upstream's name
 	leaving  bool
 	report   cowslipproxy.Report
+	reportAt time.Duration
 	reported bool
-	own      int // this daemon's requests in flight
-	then     int // own, when the report came in
 	prefill  average
 	decode   average
 	link     average
 	call     average
-	now      estimates
 	cache    prefixSet
-	hit      uint64 // decision in which the upstream was found to hold a prefix
-	depth    int    // number of blocks of that prefix
 }
 
 // Add adds an upstream, or updates it and keeps what was measured.
@@ -82,7 +85,7 @@
 	if !same {
 		c.leave(u)
 	}
-	u.report, u.reported, u.then = report, true, u.own
+	u.report, u.reported, u.reportAt, u.then = report, true, at, u.own
 	c.refresh(u, at)
 	if !same {
 		c.join(u)
@@ -148,7 +151,7 @@
 		return
 	}
 	known := c.estimate(u, at)
-	wait := known.decode * float64(sample.Layers) * float64(u.report.Queue) / batch
+	wait := known.decode * float64(u.report.Queue) / batch
 	spent := float64(sample.Spent)
 	if sample.Spent > 0 {
 		u.link.add(at, max(float64(sample.Elapsed)-spent-wait, 0))
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -40,29 +40,8 @@
 		for range rapid.IntRange(1, 200).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
 			name := rapid.SampledFrom(names).Draw(t, "name")
-			switch rapid.SampledFrom([]string{"failure", "failure", "slow", "fast", "broken", "connected", "begin"}).Draw(t, "event") {
-			case "failure":
-				e.Failure(name, now)
-			case "slow":
-				for range 10 {
-					if changes := e.Success(name, now, cowslipproxy.StepDecode, time.Second); len(changes) > 0 && !changes[0].Ejected {
-						delete(down, name)
-					}
-				}
-			case "fast":
-				// An answer to a probe proves that the connection stands.
-				if changes := e.Success(name, now, cowslipproxy.StepDecode, 10*time.Millisecond); len(changes) > 0 && !changes[0].Ejected {
-					delete(down, name)
-				}
-			case "broken":
-				e.Broken(name, now)
-				down[name] = true
-			case "connected":
-				e.Connected(name, now)
-				delete(down, name)
-			case "begin":
-				e.Begin(name, now)
-			}
+			event := rapid.SampledFrom([]string{"failure", "failure", "slow", "fast", "broken", "connected", "begin"}).Draw(t, "event")
+			happen(e, event, name, now, down)
 			serving, out := 0, 0
 			for _, state := range e.Dump() {
 				if !state.Ejected {
@@ -79,6 +58,34 @@
 	})
 }
 
+// happen applies an event and keeps which connections are down.
+func happen(e *ejector.Ejector, event, name string, now time.Time, down map[string]bool) {
+	answer := func(took time.Duration) {
+		// An answer to a probe proves that the connection stands.
+		if changes := e.Success(name, now, cowslipproxy.StepDecode, took); len(changes) > 0 && !changes[0].Ejected {
+			delete(down, name)
+		}
+	}
+	switch event {
+	case "failure":
+		e.Failure(name, now)
+	case "slow":
+		for range 10 {
+			answer(time.Second)
+		}
+	case "fast":
+		answer(10 * time.Millisecond)
+	case "broken":
+		e.Broken(name, now)
+		down[name] = true
+	case "connected":
+		e.Connected(name, now)
+		delete(down, name)
+	case "begin":
+		e.Begin(name, now)
+	}
+}
+
 // Guards against a flapping upstream that comes back at once each time, and
 // against one that stays out for long after it was healthy again.
 func TestFlapping(t *testing.T) {
