limiter: test limits, order of admission and the gate; book retries

The estimate of a lower class's capacity started at zero use by higher classes and took the minimum with an empty sentinel, so that returning requests came faster than capacity.

--- a/limiter/booking.go
+++ b/limiter/booking.go
@@ -7,6 +7,7 @@
 const LongestRetry = time.Minute
 
 const (
+	bookable     = 0.75            // of the rate; the rest absorbs random arrivals of higher classes
 	missedPart   = 0.02            // of one booking in the average of missed ones
 	mostBookings = 1024            // in each class
 	grace        = 2 * time.Second // callers round Retry-After up to whole seconds
@@ -41,6 +42,7 @@
 	l.bookings[k] = b
 	l.order = append(l.order, k)
 	l.booked += b.work
+	l.last = b.due
 	return true
 }
 
--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,136 @@
+package limiter_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/limiter"
+)
+
+func newLimiter() *limiter.Limiter {
+	return &limiter.Limiter{Limits: &limiter.Limits{Self: "a"}, Queue: &limiter.Queue{Units: 1, Rate: 100}}
+}
+
+func request(class cowslipproxy.Class, deadline time.Duration) limiter.Request {
+	customer := cowslipproxy.Customer{Name: "hollins", Class: class, Rate: 1000, Burst: 1000}
+	return limiter.Request{Customer: customer, Tokens: 100, Deadline: epoch.Add(deadline)}
+}
+
+// Guards against an order of checks other than quarantine, limit, deadline,
+// capacity, and against a refused request that still counts against the limit.
+func TestOrderOfAdmission(t *testing.T) {
+	l := newLimiter()
+	l.Quarantine = func(time.Time, limiter.Request) *cowslipproxy.Failure {
+		return cowslipproxy.Refuse(cowslipproxy.ReasonQuarantined, "poison")
+	}
+	reason := func(r limiter.Request) cowslipproxy.Reason {
+		_, _, failure := l.Enter(epoch, r)
+		require.NotNil(t, failure)
+		require.Equal(t, cowslipproxy.OutcomeRefused, failure.Outcome)
+		return failure.Reason
+	}
+	require.Equal(t, cowslipproxy.ReasonQuarantined, reason(request(cowslipproxy.ClassNormal, -time.Second)))
+	l.Quarantine = nil
+	large := request(cowslipproxy.ClassNormal, -time.Second)
+	for range 20 { // each would take the whole limit if it weren't given back
+		large.Tokens = 1000
+		require.Equal(t, cowslipproxy.ReasonDeadline, reason(large))
+	}
+	_, running, failure := l.Enter(epoch, request(cowslipproxy.ClassNormal, time.Minute))
+	require.Nil(t, failure)
+	require.True(t, running)
+	require.Equal(t, cowslipproxy.ReasonOverLimit, reason(large))
+	require.Equal(t, cowslipproxy.ReasonOverloaded, reason(request(cowslipproxy.ClassNormal, 500*time.Millisecond)))
+}
+
+// Guards against waiting requests that are granted out of order, or that aren't
+// refused once they can't meet their deadline.
+func TestWaitingRequests(t *testing.T) {
+	l := newLimiter()
+	first, _, _ := l.Enter(epoch, request(cowslipproxy.ClassNormal, time.Minute))
+	late, _, _ := l.Enter(epoch, request(cowslipproxy.ClassNormal, 50*time.Second))
+	early, _, _ := l.Enter(epoch, request(cowslipproxy.ClassNormal, 40*time.Second))
+	critical, running, failure := l.Enter(epoch, request(cowslipproxy.ClassCritical, 45*time.Second))
+	require.Nil(t, failure)
+	require.False(t, running)
+	require.Equal(t, []limiter.Change{{Ticket: critical}}, l.Leave(epoch.Add(time.Second), first, 100))
+	changes := l.Expire(epoch.Add(40 * time.Second))
+	require.Len(t, changes, 1)
+	require.Equal(t, early, changes[0].Ticket)
+	require.Equal(t, cowslipproxy.ReasonDeadline, changes[0].Failure.Reason)
+	require.Equal(t, []limiter.Change{{Ticket: late}}, l.Leave(epoch.Add(41*time.Second), critical, 100))
+}
+
+// Guards against a Gate that leaves a goroutine waiting after a grant, a refusal
+// or a cancellation.
+func TestGate(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	now := epoch
+	g := &limiter.Gate{Limiter: newLimiter(), Now: func() time.Time { return now }}
+	first, failure := g.Wait(t.Context(), request(cowslipproxy.ClassNormal, time.Minute))
+	require.Nil(t, failure)
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, failure = g.Wait(cancelled, request(cowslipproxy.ClassNormal, time.Minute))
+	require.Equal(t, cowslipproxy.ReasonCancelled, failure.Reason)
+	granted := make(chan *cowslipproxy.Failure)
+	go func() {
+		_, failure := g.Wait(t.Context(), request(cowslipproxy.ClassNormal, time.Minute))
+		granted <- failure
+	}()
+	g.Leave(first, 100)
+	require.Nil(t, <-granted)
+}
+
+func BenchmarkAdmission(b *testing.B) {
+	for _, customers := range []int{10, 100, 3700} {
+		b.Run(fmt.Sprint(customers), func(b *testing.B) {
+			l := &limiter.Limiter{Limits: &limiter.Limits{Self: "a"}, Queue: &limiter.Queue{Units: 100, Rate: 1e6}}
+			requests := make([]limiter.Request, customers)
+			for i := range requests {
+				requests[i] = request(cowslipproxy.ClassNormal, time.Hour)
+				requests[i].Customer.Name = fmt.Sprintf("customer-%d", i)
+				requests[i].Customer.Rate, requests[i].Customer.Burst = 1e9, 1e9
+			}
+			b.ReportAllocs()
+			now, i := epoch, 0
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				ticket, _, failure := l.Enter(now, requests[i%customers])
+				if failure != nil {
+					b.Fatal(failure)
+				}
+				l.Leave(now, ticket, 100)
+				i++
+			}
+		})
+	}
+}
+
+// BenchmarkFullQueue measures the slowest decision: all lines are full, and a
+// request enters a line and leaves it.
+func BenchmarkFullQueue(b *testing.B) {
+	l := &limiter.Limiter{Limits: &limiter.Limits{Self: "a"}, Queue: &limiter.Queue{Units: 1, Rate: 1e6}}
+	for range 3 * (limiter.DefaultBound - 1) {
+		r := request(cowslipproxy.ClassNormal, time.Hour)
+		r.Customer.Rate, r.Customer.Burst = 1e9, 1e9
+		if _, _, failure := l.Enter(epoch, r); failure != nil {
+			break
+		}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r := request(cowslipproxy.ClassNormal, 2*time.Hour)
+		r.Customer.Rate, r.Customer.Burst = 1e9, 1e9
+		ticket, _, failure := l.Enter(epoch, r)
+		if failure == nil {
+			l.Leave(epoch, ticket, 0)
+		}
+	}
+}
--- a/limiter/line.go
+++ b/limiter/line.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -9,18 +10,24 @@
 
 const levels = 3 // classes of customers
 
+// lineSpan averages what a class is granted. Over two seconds the random
+// arrivals of a higher class moved the wait estimated for a lower one by half.
+const lineSpan = 10 * time.Second
+
 // line is the queue of one class.
 type line struct {
 	tickets []*Ticket // by deadline
 	work    float64   // tokens that the waiting requests are expected to use
 	owed    float64   // tokens that this class owes to those below it
 	rate    float64   // tokens per second granted, averaged
+	known   float64   // weight of the measurements in rate
 	granted float64   // tokens granted in this period of the meter
 
 	bookings map[key]booking
-	order    []key   // of the bookings, the first due first
-	booked   float64 // tokens of all bookings
-	missed   float64 // part of bookings whose request does not come, averaged
+	order    []key     // of the bookings, the first due first
+	last     time.Time // latest time that a request was told
+	booked   float64   // tokens of all bookings
+	missed   float64   // part of bookings whose request does not come, averaged
 }
 
 // position returns where a request with this deadline goes, and the work before it.
@@ -49,8 +56,13 @@
 	}
 }
 
-func (l *line) measure() {
-	l.rate += weight(meterPeriod, meterSpan) * (l.granted/meterPeriod.Seconds() - l.rate)
+// measure averages over the time since the start while that is shorter than
+// lineSpan. An average that starts at zero promised the capacity of higher
+// classes to lower ones for the first seconds.
+func (l *line) measure(elapsed time.Duration) {
+	part := weight(elapsed, lineSpan)
+	l.known += part * (1 - l.known)
+	l.rate += part / l.known * (l.granted/elapsed.Seconds() - l.rate)
 	l.granted = 0
 }
 
@@ -79,7 +91,7 @@
 	if q.meter.rate == 0 {
 		return 0 // not measured yet
 	}
-	best := 0.0
+	best := math.Inf(1)
 	capacity, higher := q.share(level), 0.0
 	for k := level; k >= 0; k-- {
 		if k < level {
@@ -87,7 +99,7 @@
 			work += q.lines[k].work
 			capacity = q.share(k)
 		}
-		if wait := work / (capacity - higher); capacity > higher && (best == 0 || wait < best) {
+		if wait := work / (capacity - higher); capacity > higher && wait < best {
 			best = wait
 		}
 	}
@@ -107,6 +119,16 @@
 	return share
 }
 
+// capacity returns the tokens per second that a class can have at present.
+func (q *Queue) capacity(level int) float64 {
+	best, higher := q.share(level), 0.0
+	for k := level - 1; k >= 0; k-- {
+		higher += q.lines[k].rate
+		best = max(best, q.share(k)-higher)
+	}
+	return best
+}
+
 // overloaded refuses a request and says when one like it can meet its deadline.
 // Half of the time that the request can wait is left for errors of the estimate.
 func (q *Queue) overloaded(now time.Time, t *Ticket) *cowslipproxy.Failure {
@@ -118,7 +140,7 @@
 	wait := q.wait(t.level, line.work+line.expected()+work) + run
 	failure := cowslipproxy.Refuse(cowslipproxy.ReasonOverloaded, "the answer takes %v with the wait, the deadline is in %v", wait, left)
 	spare := max(left-run, 0) / 2
-	after := max(wait-run-spare, q.wait(t.level, line.expected()+work), time.Millisecond)
+	after := max(wait-run-spare, line.last.Sub(now)+seconds(work/q.capacity(t.level)/bookable), time.Millisecond)
 	if after >= LongestRetry || !line.book(t.key(), booking{now.Add(after), work}) {
 		return failure.After(LongestRetry)
 	}
--- a/limiter/loop_test.go
+++ b/limiter/loop_test.go
@@ -45,7 +45,7 @@
 	now     time.Time
 	end     time.Duration
 	sources []source
-	retries bool // refused requests come again once, when they were told
+	retries bool // refused requests come again when they were told
 	running []*job
 	waiting map[*limiter.Ticket]*job
 	back    []*job
@@ -118,7 +118,10 @@
 
 func (l *loop) refuse(j *job, failure *cowslipproxy.Failure) {
 	l.tallies[j.class].refused++
-	if !l.retries || j.returned || failure.Reason != cowslipproxy.ReasonOverloaded || failure.RetryAfter >= limiter.LongestRetry {
+	if j.returned && dbg != nil {
+		dbg(l.now.Sub(epoch).String() + " " + failure.Error() + " left " + j.request.Deadline.Sub(l.now).String() + " after " + failure.RetryAfter.String())
+	}
+	if !l.retries || failure.Reason != cowslipproxy.ReasonOverloaded || failure.RetryAfter >= limiter.LongestRetry {
 		return
 	}
 	allowed := j.request.Deadline.Sub(l.now)
@@ -181,3 +184,5 @@
 		l.begin(j)
 	}
 }
+
+var dbg func(string)
--- a/limiter/meter.go
+++ b/limiter/meter.go
@@ -29,7 +29,9 @@
 	filled bool // units were in full use for the whole period
 }
 
-func (m *meter) advance(now time.Time, q *Queue) (closed bool) {
+// advance accounts for the time until now. It returns the length of the period
+// that it ended, or zero.
+func (m *meter) advance(now time.Time, q *Queue) time.Duration {
 	if m.start.IsZero() {
 		m.units, m.rate, m.used = or(q.Units, DefaultUnits), q.Rate, 1
 		m.start, m.at = now, now
@@ -40,11 +42,11 @@
 	}
 	elapsed := now.Sub(m.start)
 	if elapsed < meterPeriod {
-		return false
+		return 0
 	}
 	m.close(elapsed, q)
 	m.start, m.tokens, m.filled = now, 0, m.full()
-	return true
+	return elapsed
 }
 
 func (m *meter) full() bool { return m.flight >= busy*m.units }
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -203,9 +203,9 @@
 func (q *Queue) floor() float64 { return or(q.Floor, DefaultFloor) }
 
 func (q *Queue) advance(now time.Time) {
-	if q.meter.advance(now, q) {
+	if elapsed := q.meter.advance(now, q); elapsed > 0 {
 		for level := range q.lines {
-			q.lines[level].measure()
+			q.lines[level].measure(elapsed)
 		}
 	}
 	for level := range q.lines {
