--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -214,7 +214,7 @@
 
 // Resolve decides again on a send, after a fold. It is asked right before the
 // dispatch: VerdictDispatch is given once for a claim. A failed decision may
-// come with a close to append.
+// come with a record to append.
 func (c *Claimer) Resolve(now time.Time, send Send) Decision {
 	defer c.lock()()
 	mine := c.own[send.Claim]
@@ -229,13 +229,13 @@
 	switch {
 	case s == nil, s.free() && !mine.seen:
 		return Decision{Verdict: VerdictPending, Owner: c.Incarnation}
-	case s.claim != send.Claim:
+	case s.claim != send.Claim, s.answer != nil:
 		delete(c.own, send.Claim)
 		return c.settled(send, s)
 	case now.Sub(mine.since) > c.Retention/20:
 		delete(c.own, send.Claim)
 		late := c.fail(cowslipproxy.Refuse(cowslipproxy.ReasonLogUnavailable, "the claim was confirmed too late").After(time.Second))
-		late.Record = c.closing(now, send, cowslipproxy.ReasonLogUnavailable)
+		late.Record = c.withdrawal(now, send)
 		return late
 	}
 	mine.stage = stageDispatched
--- a/claimer/fold.go
+++ b/claimer/fold.go
@@ -8,23 +8,23 @@
 
 // Fold folds the records of one log entry into a partition. The log's time of the
 // entry is at; entries are folded in log order from the oldest retained one on.
-// It returns the closes of this daemon's claims that count though it gave them
+// It returns the outcomes of this daemon's claims that count though it gave them
 // up; they are to be appended, so that resends learn the outcome.
 func (c *Claimer) Fold(now time.Time, partition int, at time.Time, records []Record) []Record {
 	defer c.lock()()
 	t := c.tables[partition]
-	var closes []Record
+	var outcomes []Record
 	for _, record := range records {
 		counts := t.fold(at, record)
 		if record.Owner != c.Incarnation {
 			continue
 		}
-		if closing := c.foldOwn(now, record, counts); closing != nil {
-			closes = append(closes, *closing)
+		if withdrawal := c.foldOwn(now, record, counts); withdrawal != nil {
+			outcomes = append(outcomes, *withdrawal)
 		}
 	}
 	t.expire(now)
-	return closes
+	return outcomes
 }
 
 // foldOwn settles this daemon's own claim after its record was folded. A claim
@@ -45,7 +45,14 @@
 		return nil
 	}
 	send := Send{Claim: record.Claim, Customer: record.Customer, Key: Key{Text: record.Key}}
-	return c.closing(now, send, cowslipproxy.ReasonLogUnavailable)
+	return c.withdrawal(now, send)
+}
+
+// withdrawal returns the outcome of a claim that counts and is never dispatched.
+func (c *Claimer) withdrawal(now time.Time, send Send) *Record {
+	record := c.record(KindOutcome, send, now)
+	record.Answer = &Answer{Outcome: cowslipproxy.OutcomeRefused, Reason: cowslipproxy.ReasonLogUnavailable, Message: "the claim was confirmed too late"}
+	return record
 }
 
 // Expire frees the memory of keys that are past the retention.
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -9,11 +9,12 @@
 
 // state is what the fold of a stream says about a key.
 type state struct {
-	claim  string // id of the claim that counts; of a close that won, the claim that it names
-	owner  string
-	digest string // raw; empty when the key was closed without a claim
-	at     time.Time
-	answer *Answer
+	claim   string // id of the claim that counts; of a close that won, the claim that it names
+	owner   string
+	digest  string    // raw; empty when the key is closed
+	at      time.Time // of the last claim or close of the key
+	answer  *Answer
+	closing *Answer // of a close that came while the claim was open
 }
 
 // free reports whether the claim that counted provably did not run, so that the
@@ -22,6 +23,9 @@
 	return s.digest != "" && s.answer != nil && s.answer.Outcome == cowslipproxy.OutcomeRefused
 }
 
+// close closes the key for good.
+func (s *state) close(answer *Answer) { s.digest, s.answer = "", answer }
+
 // digestOf returns the digest in the form that states keep, half as long as hex.
 func digestOf(send Send) string { return rawDigest(send.Digest) }
 
@@ -80,16 +84,9 @@
 	}
 	switch record.Kind {
 	case KindClaim:
-		if s == nil || s.free() && s.claim != record.Claim {
-			t.put(key, &state{claim: record.Claim, owner: record.Owner, digest: rawDigest(record.Digest), at: at})
-			return true
-		}
+		return t.foldClaim(key, s, at, record)
 	case KindClose:
-		if s == nil || s.free() && s.claim != record.Claim {
-			t.put(key, &state{claim: record.Claim, owner: record.Owner, at: at, answer: record.Answer})
-			return false
-		}
-		t.answer(s, record)
+		t.foldClose(key, s, at, record)
 	case KindOutcome:
 		if s != nil {
 			t.answer(s, record)
@@ -98,9 +95,35 @@
 	return false
 }
 
+func (t *table) foldClaim(key scoped, s *state, at time.Time, record Record) bool {
+	if s == nil || s.free() && s.claim != record.Claim {
+		t.put(key, &state{claim: record.Claim, owner: record.Owner, digest: rawDigest(record.Digest), at: at})
+		return true
+	}
+	s.at = at
+	return false
+}
+
+func (t *table) foldClose(key scoped, s *state, at time.Time, record Record) {
+	if s == nil {
+		t.put(key, &state{claim: record.Claim, owner: record.Owner, at: at, answer: record.Answer})
+		return
+	}
+	s.at = at
+	switch {
+	case s.free(), s.answer == nil && s.claim == record.Claim && s.owner == record.Owner:
+		s.close(record.Answer)
+	case s.answer == nil:
+		s.closing = record.Answer
+	}
+}
+
 func (t *table) put(key scoped, s *state) {
+	_, queued := t.keys[key]
 	t.keys[key] = s
-	t.queue = append(t.queue, dated{key: key, at: s.at})
+	if !queued {
+		t.queue = append(t.queue, dated{key: key, at: s.at})
+	}
 }
 
 // answer records the first answer that the claim's own owner gives.
@@ -109,6 +132,9 @@
 		return
 	}
 	s.answer = record.Answer
+	if s.closing != nil && s.free() {
+		s.close(s.closing)
+	}
 	if len(s.answer.Body) == 0 {
 		return
 	}
@@ -134,8 +160,12 @@
 	for len(t.queue) > 0 && now.Sub(t.queue[0].at) > t.retention {
 		first := t.queue[0]
 		t.queue = t.queue[1:]
-		if s := t.keys[first.key]; s != nil && now.Sub(s.at) > t.retention {
+		switch s := t.keys[first.key]; {
+		case s == nil:
+		case now.Sub(s.at) > t.retention:
 			delete(t.keys, first.key)
+		default:
+			t.queue = append(t.queue, dated{key: first.key, at: s.at})
 		}
 	}
 	for len(t.bodies) > 0 && now.Sub(t.bodies[0].at) > t.retention {
--- a/committer/doc.go
+++ b/committer/doc.go
@@ -13,13 +13,14 @@
 //
 // The claim is read before the close: it counts, but its owner has removed it
 // from its table, and a daemon dispatches only what is in the table. Nothing can
-// put it back, since each send makes a claim with a new id. The close that names
-// it is its owner's word that it did not run, so it frees the key.
+// put it back, since each send makes a claim with a new id. The close by the
+// claim's own owner is its word that it did not run, and closes the key.
 //
 // The close can't be confirmed: the refusal is true by the owner's table alone,
 // which needs no log. A resend that later meets the unfinished claim finds no
 // outcome and waits. If the owner lives, it reads its own claim, sees that the
-// table lacks it, and appends the close: the resend gets refused. If the owner
+// table lacks it, and appends the outcome refused: the resend gets refused, and
+// the key is free for a later send. If the owner
 // is gone, the resend gets unknown. That is weaker than the first answer but
 // doesn't contradict it: the request did not run, and nobody can prove it any
 // longer. If the claim was lost, the resend finds nothing and is a new request.
