--- a/caller/complete.go
+++ b/caller/complete.go
@@ -250,7 +250,7 @@
 		failure := asFailure(err)
 		o.w.Header().Set(HeaderOutcome, string(failure.Outcome))
 		o.w.Header().Set(HeaderReason, string(failure.Reason))
-		_ = o.event(o.errorBody(failure)) // a caller that is gone can't be told
+		_ = o.event(errorBody(o.request, failure)) // a caller that is gone can't be told
 		return
 	}
 	last := Choice{FinishReason: o.finish(usage)}
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -41,7 +41,7 @@
 	e := &exchange{server: s, request: s.newID(), w: w, r: r}
 	w.Header().Set(HeaderRequest, e.request)
 	var ready bool
-	if e.settled, ready = s.Settled(); !ready {
+	if e.settled, ready = s.Settled(); !ready || len(e.settled.Customers) == 0 {
 		return e, cowslipproxy.Refuse(cowslipproxy.ReasonNotReady, "this daemon has no configuration yet").After(time.Second)
 	}
 	w.Header().Set(HeaderVersion, strconv.FormatUint(e.settled.Offset, 10))
@@ -89,16 +89,18 @@
 }
 
 // fail answers with a failure. It must be called before anything was written.
-func (e *exchange) fail(err error) {
-	failure := asFailure(err)
-	header := e.w.Header()
-	header.Set(HeaderRequest, e.request)
+func (e *exchange) fail(err error) { WriteFailure(e.w, e.request, asFailure(err)) }
+
+// WriteFailure answers with a failure. It must be called before anything was written.
+func WriteFailure(w http.ResponseWriter, request string, failure *cowslipproxy.Failure) {
+	header := w.Header()
+	header.Set(HeaderRequest, request)
 	header.Set(HeaderOutcome, string(failure.Outcome))
 	header.Set(HeaderReason, string(failure.Reason))
 	if failure.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(failure.RetryAfter.Seconds()))))
 	}
-	writeJSON(e.w, failure.Status(), e.errorBody(failure))
+	writeJSON(w, failure.Status(), errorBody(request, failure))
 }
 
 func asFailure(err error) *cowslipproxy.Failure {
@@ -114,14 +116,14 @@
 	cowslipproxy.OutcomeUnknown: "unknown_outcome_error",
 }
 
-func (e *exchange) errorBody(failure *cowslipproxy.Failure) ErrorBody {
+func errorBody(request string, failure *cowslipproxy.Failure) ErrorBody {
 	return ErrorBody{Error: ErrorDetail{
 		Message: failure.Message,
 		Type:    errorTypes[failure.Outcome],
 		Code:    string(failure.Reason),
 		Outcome: string(failure.Outcome),
 		Reason:  string(failure.Reason),
-		Request: e.request,
+		Request: request,
 	}}
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -26,19 +26,6 @@
 	HeaderKey      = "Idempotency-Key"
 )
 
-// Addresses is the answer to the question which entry VM to use.
-type Addresses struct {
-	Addresses []Address             `json:"addresses"`
-	Lifetime  cowslipproxy.Duration `json:"lifetime"` // how long the answer may be kept
-}
-
-// Address is one entry VM that a caller may use.
-type Address struct {
-	Address     netip.AddrPort `json:"address"`
-	Centre      string         `json:"centre"`
-	Incarnation string         `json:"incarnation"` // for keys of the form cow1.<incarnation>.<random>
-}
-
 // Admission is what admission control knows of a request.
 type Admission struct {
 	Request     string
@@ -89,7 +76,7 @@
 	Models      ModelRunner
 	Services    ServiceRunner
 	Guard       Guard
-	Addresses   func(now time.Time, from netip.Addr) Addresses
+	Addresses   func(now time.Time, from netip.Addr) cowslipproxy.Addresses
 	Incarnation string
 	BodyLimit   int64         // bytes of a request's body
 	Wait        time.Duration // deadline of requests that name none
--- a/chains.go
+++ b/chains.go
@@ -10,6 +10,7 @@
 	Layers   LayerRange
 	Prefixes []uint64        // see PrefixHashes
 	Tokens   int             // estimated length of the prompt and the tokens given
+	Output   int             // most tokens that are still to come
 	Avoid    map[string]bool // upstreams that failed this request
 }
 
@@ -17,13 +18,18 @@
 type Stage struct {
 	Upstream string
 	Range    LayerRange
-	Expect   time.Duration // expected time of one decode step
+	Prefill  time.Duration // expected time of the prefill step
+	Decode   time.Duration // expected time of one decode step
 }
 
 // ChainChooser chooses the engines that run a request.
 type ChainChooser interface {
 	// Chain returns stages that tile the needed layers exactly.
 	Chain(now time.Time, need Need) ([]Stage, error)
+	// Begin counts a request that uses an upstream.
+	Begin(upstream string)
+	// End counts a request that no longer uses an upstream.
+	End(upstream string)
 }
 
 // StepObserver learns from the steps of all requests.
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -21,6 +21,7 @@
 	InvariantLayers  Invariant = "layers"  // each layer ran once and in order for a token
 	InvariantTokens  Invariant = "tokens"  // tokens reach the caller once and in order
 	InvariantAnswer  Invariant = "answer"  // a reply belongs to the step that waits for it
+	InvariantLeaving Invariant = "leaving" // a leaving upstream gets no new work
 	InvariantRefused Invariant = "refused" // a refused request was not dispatched
 )
 
--- a/cowslipd/main.go
+++ b/cowslipd/main.go
@@ -1,4 +1,56 @@
 // Command cowslipd is the entry daemon of cowslipproxy.
 package main
 
-func main() {}
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cowslipproxy/cowslipproxy/cowslipd/router"
+	"github.com/cowslipproxy/cowslipproxy/loader"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() {
+	settings, err := loader.Load(os.Args[1:])
+	if errors.Is(err, flag.ErrHelp) {
+		os.Exit(exitUsage)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cowslipd: settings:", err)
+		os.Exit(exitUsage)
+	}
+	// A first signal begins a planned stop; a second one ends the process.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop)
+	daemon := &router.Router{
+		Settings: settings,
+		Clock:    time.Now,
+		Logger:   slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level(settings.Level)})),
+		Metrics:  metrics.NewRegistry(),
+	}
+	if err := daemon.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "cowslipd:", err)
+		os.Exit(exitFailed)
+	}
+}
+
+func level(name string) slog.Level {
+	var parsed slog.Level
+	if err := parsed.UnmarshalText([]byte(name)); err != nil {
+		return slog.LevelInfo // the settings' own check accepts known names only
+	}
+	return parsed
+}
--- /dev/null
+++ b/cowslipd/router/admit.go
@@ -0,0 +1,136 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/caller"
+	"github.com/cowslipproxy/cowslipproxy/driver"
+	"github.com/cowslipproxy/cowslipproxy/limiter"
+)
+
+const (
+	firstUnits = 64   // requests in flight at the start, before the pace is known
+	leastUnits = 8    // keeps a slow deployment measurable
+	mostUnits  = 4096 // bounds the memory of requests in flight
+	pace       = 42 * time.Millisecond
+)
+
+// admission admits requests. It implements caller.Admitter.
+type admission struct {
+	limits     *limiter.Limits
+	quarantine func(now time.Time, request limiter.Request) *cowslipproxy.Failure
+	track      *tracker
+	floor      float64
+	bound      int
+	clock      func() time.Time
+
+	ctx   context.Context
+	group sync.WaitGroup
+	mu    sync.Mutex
+	gates map[string]*limiter.Gate // by model
+}
+
+// Admit implements caller.Admitter.
+func (a *admission) Admit(ctx context.Context, admission caller.Admission) (func(int), error) {
+	request := limiter.Request{
+		Customer: admission.Customer,
+		Content:  admission.Fingerprint,
+		Tokens:   admission.Tokens,
+		Deadline: admission.Deadline,
+	}
+	if admission.Tokens == 0 {
+		return a.admitCall(request, admission.Request)
+	}
+	gate := a.gate(admission.Kind)
+	ticket, failure := gate.Wait(ctx, request)
+	if failure != nil {
+		return nil, failure
+	}
+	a.track.add(admission.Request, request, gate)
+	return func(used int) {
+		a.track.remove(admission.Request)
+		gate.Leave(ticket, used)
+	}, nil
+}
+
+// admitCall admits a call to a plain service, which has no tokens to count.
+func (a *admission) admitCall(request limiter.Request, id string) (func(int), error) {
+	if a.quarantine != nil {
+		if failure := a.quarantine(a.clock(), request); failure != nil {
+			return nil, failure
+		}
+	}
+	a.track.add(id, request, nil)
+	return func(int) { a.track.remove(id) }, nil
+}
+
+func (a *admission) gate(kind string) *limiter.Gate {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if gate := a.gates[kind]; gate != nil {
+		return gate
+	}
+	gate := &limiter.Gate{Now: a.clock, Limiter: &limiter.Limiter{
+		Quarantine: a.quarantine,
+		Limits:     a.limits,
+		Queue:      &limiter.Queue{Units: firstUnits, Least: leastUnits, Most: mostUnits, Pace: pace, Floor: a.floor, Bound: a.bound},
+	}}
+	a.gates[kind] = gate
+	a.group.Go(func() { gate.Run(a.ctx) })
+	return gate
+}
+
+// tracker knows the requests in flight.
+type tracker struct {
+	mu       sync.Mutex
+	requests map[string]tracked // by request id
+}
+
+type tracked struct {
+	limiter.Request
+	gate *limiter.Gate // nil for calls to plain services
+}
+
+func (t *tracker) add(id string, request limiter.Request, gate *limiter.Gate) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.requests[id] = tracked{Request: request, gate: gate}
+}
+
+func (t *tracker) remove(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.requests, id)
+}
+
+func (t *tracker) get(id string) (tracked, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	request, ok := t.requests[id]
+	return request, ok
+}
+
+// meteredDriver runs jobs and tells the gates of the tokens that were computed.
+type meteredDriver struct {
+	driver *driver.Driver
+	track  *tracker
+}
+
+// Run implements caller.ModelRunner.
+func (m *meteredDriver) Run(ctx context.Context, job driver.Job, emit func(driver.Token) error) (driver.Usage, error) {
+	request, ok := m.track.get(job.Request)
+	counted := func(token driver.Token) error {
+		if ok {
+			request.gate.Token(1)
+		}
+		return emit(token)
+	}
+	usage, err := m.driver.Run(ctx, job, counted)
+	if ok {
+		request.gate.Token(usage.Prompt)
+	}
+	return usage, err
+}
--- /dev/null
+++ b/cowslipd/router/deployment_test.go
@@ -0,0 +1,262 @@
+package router_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/cowslipd/router"
+	"github.com/cowslipproxy/cowslipproxy/follower"
+	"github.com/cowslipproxy/cowslipproxy/loader"
+	"github.com/cowslipproxy/cowslipproxy/runner"
+	"github.com/cowslipproxy/cowslipproxy/standin/appender"
+	"github.com/cowslipproxy/cowslipproxy/standin/emulator"
+	"github.com/cowslipproxy/cowslipproxy/standin/registrar"
+	"github.com/cowslipproxy/cowslipproxy/standin/server"
+)
+
+const (
+	officerKey = "officer-key"
+	clerkKey   = "clerk-key"
+	waitLimit  = 20 * time.Second
+)
+
+var scribe = cowslipproxy.Model{Name: "scribe", Version: "1", Layers: 6, Window: 10_000, Adapters: []string{"letters"}, Effect: cowslipproxy.EffectRepeat, Replicas: 2}
+
+func hashed(key string) []string {
+	sum := sha256.Sum256([]byte(key))
+	return []string{hex.EncodeToString(sum[:])}
+}
+
+func configuration() cowslipproxy.Configuration {
+	return cowslipproxy.Configuration{
+		Customers: []cowslipproxy.Customer{
+			{Name: "officers", Keys: hashed(officerKey), Class: cowslipproxy.ClassCritical, Rate: 1e6, Burst: 1e6},
+			{Name: "clerks", Keys: hashed(clerkKey), Class: cowslipproxy.ClassNormal, Rate: 1e6, Burst: 1e6},
+		},
+		Models: []cowslipproxy.Model{scribe},
+		Services: []cowslipproxy.Service{{
+			Name: "ledger", Effect: cowslipproxy.EffectRepeat, Timeout: cowslipproxy.Duration(5 * time.Second),
+			Rules: []cowslipproxy.Rule{{Method: "POST", Path: "/fees", Effect: cowslipproxy.EffectOnce}},
+		}},
+	}
+}
+
+// deployment is a log, a list, upstreams and entry daemons on loopback.
+type deployment struct {
+	t       *testing.T
+	log     *appender.Server
+	list    *registrar.Registrar
+	logAt   netip.AddrPort
+	listAt  netip.AddrPort
+	engines map[string]*emulator.Engine
+	ledgers []*server.Server
+	account *server.Account
+	daemons []*daemon
+}
+
+type daemon struct {
+	name    string
+	router  *router.Router
+	at      loader.Settings
+	stop    context.CancelFunc
+	ended   chan error
+	metrics metrics.Registry
+}
+
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{t: t, log: &appender.Server{}, list: &registrar.Registrar{}, engines: map[string]*emulator.Engine{}, account: &server.Account{}}
+	d.logAt = d.serve(d.log)
+	d.listAt = d.serve(d.list.Handler())
+	return d
+}
+
+func (d *deployment) serve(handler http.Handler) netip.AddrPort {
+	s := httptest.NewServer(handler)
+	d.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
+func (d *deployment) engine(name string, first, end int) *emulator.Engine {
+	engine := &emulator.Engine{Model: scribe, Range: cowslipproxy.LayerRange{First: first, End: end}, Kind: "small",
+		Pace: 100 * time.Microsecond, Share: 0.05, Batch: 16, Memory: 100_000, Prefixes: 100, Lag: 50 * time.Millisecond}
+	engine.Init()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(d.t, err)
+	serving := grpc.NewServer()
+	runner.Register(serving, engine.Handler())
+	ctx, cancel := context.WithCancel(context.Background())
+	d.t.Cleanup(func() { cancel(); serving.Stop() })
+	go func() { _ = serving.Serve(listener) }()
+	go func() { _ = engine.Run(ctx) }()
+	go func() { <-engine.Crashed(); serving.Stop() }()
+	d.engines[name] = engine
+	d.list.Put(cowslipproxy.VM{Name: name, Role: cowslipproxy.VMEngine, Address: netip.MustParseAddrPort(listener.Addr().String()), Centre: "oyo-a", State: cowslipproxy.VMLive})
+	return engine
+}
+
+// chains starts two engines for each half of the model.
+func (d *deployment) chains() {
+	for _, name := range []string{"a1", "a2"} {
+		d.engine(name, 0, 3)
+	}
+	for _, name := range []string{"b1", "b2"} {
+		d.engine(name, 3, 6)
+	}
+}
+
+func (d *deployment) ledger(name string) *server.Server {
+	s := &server.Server{Name: name, Account: d.account}
+	d.ledgers = append(d.ledgers, s)
+	d.list.Put(cowslipproxy.VM{Name: name, Role: cowslipproxy.VMService, Service: "ledger", Address: d.serve(s), Centre: "oyo-a", State: cowslipproxy.VMLive})
+	return s
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func (d *deployment) daemon(name string) *daemon {
+	settings := loader.Usual()
+	settings.Name, settings.Centre = name, "oyo-a"
+	settings.Callers, settings.Peers, settings.Operator = freeAddress(d.t), freeAddress(d.t), freeAddress(d.t)
+	settings.Log, settings.List = d.logAt, d.listAt
+	settings.Lifetime = cowslipproxy.Duration(time.Second)
+	one := &daemon{name: name, at: settings, ended: make(chan error, 1), metrics: metrics.NewRegistry()}
+	one.router = &router.Router{Settings: settings, Clock: time.Now, Logger: slog.New(slog.DiscardHandler), Metrics: one.metrics}
+	d.list.Put(cowslipproxy.VM{Name: name, Role: cowslipproxy.VMEntry, Address: settings.Peers, Centre: "oyo-a", State: cowslipproxy.VMLive})
+	var ctx context.Context
+	ctx, one.stop = context.WithCancel(context.Background())
+	go func() { one.ended <- one.router.Run(ctx) }()
+	d.t.Cleanup(one.stop)
+	d.daemons = append(d.daemons, one)
+	return one
+}
+
+func (d *deployment) publish() {
+	publisher := &follower.Publisher{Log: d.log}
+	_, err := publisher.Publish(context.Background(), configuration())
+	require.NoError(d.t, err)
+}
+
+// ready waits until a daemon has the configuration and can serve the model.
+func (d *deployment) ready(daemons ...*daemon) {
+	for _, one := range daemons {
+		require.Eventually(d.t, func() bool {
+			response, _ := d.complete(one, officerKey, "ready?", 1)
+			if response == nil || response.StatusCode != http.StatusOK {
+				return false
+			}
+			if len(d.ledgers) == 0 {
+				return true
+			}
+			response, err := d.call(one, http.MethodGet, "/v1/services/ledger/tenancies/1", officerKey, nil, "")
+			return err == nil && response.StatusCode == http.StatusOK
+		}, waitLimit, 20*time.Millisecond, "%s is not ready", one.name)
+	}
+}
+
+// reply is an answer that was read whole.
+type reply struct {
+	*http.Response
+	body []byte
+}
+
+func (r *reply) outcome() string { return r.Header.Get("Cowslip-Outcome") }
+func (r *reply) reason() string  { return r.Header.Get("Cowslip-Reason") }
+
+func (d *deployment) call(one *daemon, method, path, key string, header map[string]string, body string) (*reply, error) {
+	request, err := http.NewRequest(method, "http://"+one.at.Callers.String()+path, bytes.NewBufferString(body))
+	require.NoError(d.t, err)
+	request.Header.Set("Authorization", "Bearer "+key)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return &reply{Response: response, body: data}, err
+}
+
+// complete asks for a whole completion and returns its text.
+func (d *deployment) complete(one *daemon, key, prompt string, count int) (*reply, string) {
+	body := fmt.Sprintf(`{"model":"scribe","prompt":%q,"max_tokens":%d}`, prompt, count)
+	response, err := d.call(one, http.MethodPost, "/v1/completions", key, nil, body)
+	if err != nil {
+		return nil, ""
+	}
+	var answer struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal(response.body, &answer) != nil || len(answer.Choices) == 0 {
+		return response, ""
+	}
+	return response, answer.Choices[0].Text
+}
+
+func expected(prompt string, count int) string {
+	text := ""
+	for _, part := range emulator.Answer(scribe, "", prompt, count) {
+		text += part
+	}
+	return text
+}
+
+// each runs a function for the numbers below count, some at a time.
+func each(count, atOnce int, run func(i int)) {
+	var group sync.WaitGroup
+	numbers := make(chan int)
+	for range atOnce {
+		group.Go(func() {
+			for i := range numbers {
+				run(i)
+			}
+		})
+	}
+	for i := range count {
+		numbers <- i
+	}
+	close(numbers)
+	group.Wait()
+}
+
+// address returns where the list says that a VM is.
+func (d *deployment) address(name string) netip.AddrPort {
+	response, err := http.Get("http://" + d.listAt.String() + "/v1/vms")
+	require.NoError(d.t, err)
+	defer response.Body.Close()
+	var answer struct{ VMs []cowslipproxy.VM }
+	require.NoError(d.t, json.NewDecoder(response.Body).Decode(&answer))
+	for _, vm := range answer.VMs {
+		if vm.Name == name {
+			return vm.Address
+		}
+	}
+	require.Fail(d.t, "the list doesn't show "+name)
+	return netip.AddrPort{}
+}
--- /dev/null
+++ b/cowslipd/router/router.go
@@ -0,0 +1,222 @@
+// Package router joins the parts of the entry daemon.
+package router
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/net/netutil"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/advertiser"
+	"github.com/cowslipproxy/cowslipproxy/caller"
+	"github.com/cowslipproxy/cowslipproxy/checker"
+	"github.com/cowslipproxy/cowslipproxy/claimer"
+	"github.com/cowslipproxy/cowslipproxy/committer"
+	"github.com/cowslipproxy/cowslipproxy/driver"
+	"github.com/cowslipproxy/cowslipproxy/follower"
+	"github.com/cowslipproxy/cowslipproxy/forwarder"
+	"github.com/cowslipproxy/cowslipproxy/gossiper"
+	"github.com/cowslipproxy/cowslipproxy/limiter"
+	"github.com/cowslipproxy/cowslipproxy/lister"
+	"github.com/cowslipproxy/cowslipproxy/loader"
+	"github.com/cowslipproxy/cowslipproxy/pooler"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/retrier"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10
+	stopPoll      = 50 * time.Millisecond
+)
+
+// Router is an entry daemon. Its exported fields are set before Run.
+type Router struct {
+	Settings loader.Settings
+	Clock    func() time.Time
+	Logger   *slog.Logger
+	Metrics  metrics.Registry
+
+	owner     cowslipproxy.Owner
+	checker   *checker.Checker
+	pool      *pooler.Pool
+	follower  *follower.Follower
+	lister    *lister.Lister
+	gossiper  *gossiper.Gossiper
+	claimer   *claimer.Claimer
+	committer *committer.Committer
+	limits    *limiter.Limits
+	admission *admission
+	caller    *caller.Server
+	driver    *driver.Driver
+	retrier   *retrier.Retrier
+	started   time.Time
+
+	stopMu     sync.Mutex
+	stopper    advertiser.Stopper
+	advertiser advertiser.Advertiser
+}
+
+// listeners are the daemon's open sockets.
+type listeners struct {
+	callers, peers, operator net.Listener
+}
+
+// Run serves until a planned stop that the end of ctx begins is complete, or a
+// part of the daemon fails.
+func (r *Router) Run(ctx context.Context) error {
+	r.started = r.Clock()
+	var sockets listeners
+	var err error
+	if sockets, err = r.listen(); err != nil {
+		return err
+	}
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	group, work := errgroup.WithContext(work)
+	r.build(work, sockets.peers)
+	server := r.httpServer(r.caller.Handler())
+	operators := r.httpServer(r.operatorHandler())
+	group.Go(func() error { return r.pool.Run(work) })
+	group.Go(func() error { return ignoreEnd(work, r.follower.Run(work)) })
+	group.Go(func() error { return r.lister.Run(work) })
+	group.Go(func() error { return r.gossiper.Run(work) })
+	group.Go(func() error { return ignoreEnd(work, r.committer.Run(work)) })
+	group.Go(func() error { return r.exchange(work) })
+	group.Go(func() error { return serve(server, netutil.LimitListener(sockets.callers, r.Settings.Sockets)) })
+	group.Go(func() error { return serve(operators, sockets.operator) })
+	reporter.EventStarted.Log(ctx, r.Logger, slog.String("name", r.owner.Key()), slog.String("callers", sockets.callers.Addr().String()))
+	group.Go(func() error {
+		r.awaitStop(ctx, work)
+		_ = server.Shutdown(work)    // only the end of work ends it early, which the group reports
+		_ = operators.Shutdown(work) // as above
+		cancel()
+		return nil
+	})
+	err = group.Wait()
+	r.admission.group.Wait()
+	reporter.EventStopped.Log(ctx, r.Logger, slog.String("name", r.owner.Key()))
+	return err
+}
+
+func (r *Router) listen() (listeners, error) {
+	var open listeners
+	for _, socket := range []struct {
+		listener *net.Listener
+		address  netip.AddrPort
+	}{{&open.callers, r.Settings.Callers}, {&open.peers, r.Settings.Peers}, {&open.operator, r.Settings.Operator}} {
+		var err error
+		if *socket.listener, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(socket.address)); err != nil {
+			return open, errors.WithStack(err)
+		}
+	}
+	return open, nil
+}
+
+// ignoreEnd drops the error of a part that ended because the daemon ends.
+func ignoreEnd(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (r *Router) httpServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          slog.NewLogLogger(r.Logger.Handler(), slog.LevelDebug),
+	}
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.WithStack(err)
+	}
+	return nil
+}
+
+// build sets up the parts, those first that others use.
+func (r *Router) build(ctx context.Context, peers net.Listener) {
+	s := r.Settings
+	r.owner = cowslipproxy.Owner{Name: s.Name, Incarnation: uint64(r.started.UnixNano())}
+	r.checker = &checker.Checker{Metrics: r.Metrics, Logger: r.Logger}
+	log := &follower.Client{Address: s.Log}
+	r.pool = &pooler.Pool{
+		Name: s.Name, Centre: s.Centre, Checker: r.checker,
+		Clock: r.Clock, Logger: r.Logger, Metrics: r.Metrics,
+	}
+	r.pool.Prepare()
+	r.follower = &follower.Follower{Log: log, Name: s.Name, Retention: time.Duration(s.Retain), Peers: r.peerSnapshots, OnChange: r.configured, Logger: r.Logger}
+	r.lister = &lister.Lister{URL: "http://" + s.List.String(), Changed: r.listed, Logger: r.Logger}
+	r.claimer = &claimer.Claimer{Incarnation: r.owner.Key(), Partitions: s.Streams, Retention: time.Duration(s.Retain)}
+	r.committer = &committer.Committer{Log: log, Claimer: r.claimer, Logger: r.Logger}
+	r.limits = &limiter.Limits{Self: r.owner.Key()}
+	r.retrier = &retrier.Retrier{}
+	track := &tracker{requests: map[string]tracked{}}
+	r.admission = &admission{limits: r.limits, track: track, floor: s.Floor, bound: s.Queue, clock: r.Clock, ctx: ctx, gates: map[string]*limiter.Gate{}}
+	r.driver = &driver.Driver{
+		Chooser: r.pool, Observer: r.pool, Engine: r.pool.Engine,
+		Checker: r.checker, Clock: r.Clock, Logger: r.Logger, Metrics: r.Metrics,
+	}
+	r.buildCallers(track)
+	r.gossiper = &gossiper.Gossiper{
+		Self:     r.owner,
+		Hello:    cowslipproxy.Hello{Caller: s.Callers, Peer: s.Peers, Centre: s.Centre},
+		Listener: peers,
+		MaxBytes: s.Body,
+		Snapshot: r.snapshot,
+		Handler:  r.caller.Handler(),
+		Changed:  r.received,
+		Logger:   r.Logger,
+	}
+	g := &guard{committer: r.committer, gossiper: r.gossiper, incarnation: r.owner.Key()}
+	r.caller.Guard, r.committer.Gone = g, g.gone
+	r.stopper = advertiser.Stopper{Lifetime: time.Duration(s.Lifetime), Limit: time.Duration(s.Grace)}
+	r.advertiser = advertiser.Advertiser{Centre: s.Centre, Lifetime: time.Duration(s.Lifetime), Random: rand.New(rand.NewPCG(r.owner.Incarnation, 1))}
+}
+
+func (r *Router) buildCallers(track *tracker) {
+	r.caller = &caller.Server{
+		Settled:  r.follower.Current,
+		Admitter: r.admission,
+		Models:   &meteredDriver{driver: r.driver, track: track},
+		Services: &serviceRunner{
+			forwarder: forwarder.Forwarder{Picker: r.pool, MaxBody: r.Settings.Body, Observe: r.pool.ObserveCall, Retry: r.mayRetry},
+			clock:     r.Clock, retrier: r.retrier,
+		},
+		Addresses:   r.addresses,
+		Incarnation: r.owner.Key(),
+		BodyLimit:   r.Settings.Body,
+		Wait:        time.Duration(r.Settings.Wait),
+		Clock:       r.Clock,
+		Logger:      r.Logger,
+		Metrics:     r.Metrics,
+	}
+}
+
+// configured takes in a configuration that came into force.
+func (r *Router) configured(settled cowslipproxy.Settled) {
+	if err := r.gossiper.SayOffset(settled.Offset); err != nil {
+		reporter.EventExchangeFailed.Log(context.Background(), r.Logger, slog.Any("error", err))
+	}
+}
+
+// listed takes in a new list of VMs.
+func (r *Router) listed(list lister.List) {
+	r.pool.List(list)
+	r.gossiper.SetListed(list.VMs)
+}
--- /dev/null
+++ b/cowslipd/router/router_test.go
@@ -0,0 +1,227 @@
+package router_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/standin/emulator"
+)
+
+// Guards against a break anywhere on the path from a published configuration
+// and a caller's request to the whole answer.
+func TestWholePath(t *testing.T) {
+	d := newDeployment(t)
+	d.chains()
+	d.ledger("ledger-1")
+	one := d.daemon("entry-1")
+	d.publish()
+	d.ready(one)
+
+	response, text := d.complete(one, officerKey, "draft a renewal letter", 30)
+	require.Equal(t, "done", response.outcome())
+	require.NotEmpty(t, response.Header.Get("Cowslip-Version"))
+	require.Equal(t, expected("draft a renewal letter", 30), text)
+
+	response, err := d.call(one, http.MethodPost, "/v1/services/ledger/echo/x?y=1&z=%20", clerkKey, map[string]string{"X-Own": "kept"}, "whole body")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode, string(response.body))
+	var echoed struct {
+		Method, Path, Query, Body string
+		Header                    http.Header
+	}
+	require.NoError(t, json.Unmarshal(response.body, &echoed))
+	require.Equal(t, []string{"POST", "/echo/x", "y=1&z=%20", "whole body"}, []string{echoed.Method, echoed.Path, echoed.Query, echoed.Body})
+	require.Equal(t, "kept", echoed.Header.Get("X-Own"))
+	require.Empty(t, echoed.Header.Get("Authorization"))
+}
+
+// Guards against refusals without a true outcome, a reason or the field's path.
+func TestRefusals(t *testing.T) {
+	d := newDeployment(t)
+	d.chains()
+	one := d.daemon("entry-1")
+	var response *reply
+	require.Eventually(t, func() bool {
+		var err error
+		response, err = d.call(one, http.MethodPost, "/v1/completions", officerKey, nil, `{}`)
+		return err == nil
+	}, waitLimit, 20*time.Millisecond)
+	require.Equal(t, "not_ready", response.reason())
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	d.publish()
+	d.ready(one)
+	for _, c := range []struct{ path, key, body, reason, text string }{
+		{"/v1/completions", "nobody", `{}`, "unauthorized", "bearer key"},
+		{"/v1/completions", officerKey, `{"model":"scribe"`, "malformed", "json"},
+		{"/v1/completions", officerKey, `{"model":"scribe","prompt":"x","max_tokens":-1}`, "malformed", "max_tokens: found -1, accepted is at least 0"},
+		{"/v1/completions", officerKey, `{"model":"scribe","prompt":7}`, "malformed", "prompt: found number, accepted is string"},
+		{"/v1/completions", officerKey, `{"model":"nought","prompt":"x"}`, "model_unknown", "nought"},
+		{"/v1/completions", officerKey, `{"model":"scribe:none","prompt":"x"}`, "model_unknown", "adapter"},
+		{"/v1/completions", officerKey, `{"model":"scribe","prompt":"x","max_tokens":20000}`, "too_large", "10000"},
+		{"/v1/services/nought/x", officerKey, ``, "service_unknown", "nought"},
+		{"/v1/services/ledger/x", officerKey, ``, "no_upstream", "no upstream"},
+		{"/v2", officerKey, ``, "malformed", "/v2"},
+	} {
+		response, err := d.call(one, http.MethodPost, c.path, c.key, nil, c.body)
+		require.NoError(t, err)
+		require.Equal(t, []string{"refused", c.reason}, []string{response.outcome(), response.reason()}, "%s %s", c.path, response.body)
+		require.Contains(t, string(response.body), c.text)
+		require.Contains(t, string(response.body), `"outcome":"refused"`)
+	}
+}
+
+// Guards against lost, doubled and changed tokens in a streamed answer while a
+// stage dies, and against a stream without its end mark and outcome.
+func TestStreamSurvivesTheDeathOfAStage(t *testing.T) {
+	d := newDeployment(t)
+	d.chains()
+	one := d.daemon("entry-1")
+	d.publish()
+	d.ready(one)
+	const count = 60
+	for _, pair := range [][2]string{{"a1", "a2"}, {"b1", "b2"}} {
+		d.engines[pair[0]].SetFaults(emulator.Faults{After: 20})
+		d.engines[pair[1]].SetFaults(emulator.Faults{After: 200})
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+one.at.Callers.String()+"/v1/chat/completions",
+		strings.NewReader(fmt.Sprintf(`{"model":"scribe:letters","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"write"}]}`, count)))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+officerKey)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	var texts []string
+	lines := bufio.NewScanner(response.Body)
+	last := ""
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		last = data
+		var event struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if data != "[DONE]" {
+			require.NoError(t, json.Unmarshal([]byte(data), &event), data)
+			require.Len(t, event.Choices, 1, data)
+			texts = append(texts, event.Choices[0].Delta.Content)
+		}
+	}
+	require.NoError(t, lines.Err())
+	require.Equal(t, "[DONE]", last)
+	require.Equal(t, "done", response.Trailer.Get("Cowslip-Outcome"))
+	model := scribe
+	require.Equal(t, emulator.Answer(model, "letters", "<|user|>\nwrite\n<|assistant|>\n", count), texts[:count])
+}
+
+// Guards against a fee that is posted twice when its send is repeated through
+// other daemons, with a key of either form, and against lost answers of the
+// ledger being retried or reported as refused.
+func TestFeeIsPostedAtMostOnce(t *testing.T) {
+	d := newDeployment(t)
+	d.chains()
+	d.ledger("ledger-1")
+	first, second := d.daemon("entry-1"), d.daemon("entry-2")
+	d.publish()
+	d.ready(first, second)
+	incarnation := ""
+	require.Eventually(t, func() bool {
+		response, err := d.call(second, http.MethodGet, "/v1/addresses", "", nil, "")
+		require.NoError(t, err)
+		var answer cowslipproxy.Addresses
+		require.NoError(t, json.Unmarshal(response.body, &answer))
+		for _, address := range answer.Addresses {
+			if address.Address == first.at.Callers {
+				incarnation = address.Incarnation
+			}
+		}
+		return len(answer.Addresses) == 2
+	}, waitLimit, 50*time.Millisecond)
+	for i, key := range []string{"plot-17", "cow1." + incarnation + ".plot-17-0123456789"} {
+		header := map[string]string{"Idempotency-Key": key}
+		body := fmt.Sprintf(`{"plot":%d}`, i)
+		var bodies []string
+		for _, one := range []*daemon{first, second, first, second} {
+			response, err := d.call(one, http.MethodPost, "/v1/services/ledger/fees", officerKey, header, body)
+			require.NoError(t, err)
+			require.Equal(t, "done", response.outcome(), "%s: %s", key, response.body)
+			bodies = append(bodies, string(response.body))
+		}
+		require.Len(t, d.account.Effects(), i+1)
+		require.Equal(t, []string{bodies[0], bodies[0], bodies[0]}, bodies[1:])
+		response, err := d.call(second, http.MethodPost, "/v1/services/ledger/fees", officerKey, header, `{"plot":99}`)
+		require.NoError(t, err)
+		require.Equal(t, "key_reused", response.reason())
+	}
+}
+
+// Guards against requests that a planned stop cuts off, and against addresses
+// that still name the stopping daemon after its peers were told.
+func TestPlannedStopCutsNothingOff(t *testing.T) {
+	d := newDeployment(t)
+	d.chains()
+	first, second := d.daemon("entry-1"), d.daemon("entry-2")
+	d.publish()
+	d.ready(first, second)
+	type end struct {
+		response *reply
+		text     string
+	}
+	ends := make(chan end, 8)
+	for i := range 8 {
+		go func() {
+			response, text := d.complete(first, officerKey, fmt.Sprint("long ", i), 1000)
+			ends <- end{response, strings.TrimPrefix(text, expected(fmt.Sprint("long ", i), 1000))}
+		}()
+	}
+	require.Eventually(t, func() bool { return d.engines["a1"].Account().Contexts+d.engines["a2"].Account().Contexts == 8 }, waitLimit, time.Millisecond)
+	first.stop()
+	require.Eventually(t, func() bool {
+		response, err := d.call(second, http.MethodGet, "/v1/addresses", "", nil, "")
+		return err == nil && !strings.Contains(string(response.body), first.at.Callers.String())
+	}, 3*time.Second, 20*time.Millisecond)
+	response, text := d.complete(first, officerKey, "a caller that still holds the address", 3)
+	require.NotNil(t, response, "a stopping daemon must serve until the address answers have expired")
+	require.Equal(t, expected("a caller that still holds the address", 3), text)
+	for range 8 {
+		got := <-ends
+		require.NotNil(t, got.response)
+		require.Equal(t, "done", got.response.outcome())
+		require.Empty(t, got.text)
+	}
+	select {
+	case err := <-first.ended:
+		require.NoError(t, err)
+	case <-time.After(waitLimit):
+		require.Fail(t, "the daemon did not end")
+	}
+}
+
+// Guards against new work on an upstream more than 3 s after it was marked as
+// leaving, and against cutting off the work that it has.
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
+	d := newDeployment(t)
+	d.chains()
+	one := d.daemon("entry-1")
+	d.publish()
+	d.ready(one)
+	leaving := d.engines["a1"]
+	d.list.Put(cowslipproxy.VM{Name: "a1", Role: cowslipproxy.VMEngine, Address: d.address("a1"), Centre: "oyo-a", State: cowslipproxy.VMLeaving})
+	time.Sleep(3 * time.Second)
+	before := leaving.Account().Steps
+	each(40, 8, func(i int) {
+		prompt := fmt.Sprint("question ", i)
+		_, text := d.complete(one, clerkKey, prompt, 5)
+		require.Equal(t, expected(prompt, 5), text)
+	})
+	require.Equal(t, before, leaving.Account().Steps)
+}
--- a/driver/replace.go
+++ b/driver/replace.go
@@ -39,7 +39,7 @@
 		return err
 	}
 	substitute := stages[min(failed.index, len(stages)-1)]
-	r.stages = stages
+	r.adopt(stages)
 	r.usage.Replaced++
 	metrics.GetOrRegisterCounter(reporter.MetricStagesReplaced, d.Metrics).Inc(1)
 	reporter.EventStageReplaced.Log(ctx, d.Logger,
@@ -91,6 +91,7 @@
 		Layers:   layers,
 		Prefixes: r.job.Prefixes,
 		Tokens:   r.length(),
+		Output:   r.job.Max - len(r.given),
 		Avoid:    avoid,
 	}
 }
--- a/driver/run.go
+++ b/driver/run.go
@@ -55,10 +55,21 @@
 	if chosen, err = r.driver.Chooser.Chain(r.driver.Clock(), r.need(whole, nil)); err != nil {
 		return err
 	}
-	r.stages = fresh(chosen)
+	r.adopt(fresh(chosen))
 	return nil
 }
 
+// adopt makes a chain the current one and counts the request on its engines.
+func (r *run) adopt(stages []stage) {
+	for _, s := range stages {
+		r.driver.Chooser.Begin(s.Upstream)
+	}
+	for _, s := range r.stages {
+		r.driver.Chooser.End(s.Upstream)
+	}
+	r.stages = stages
+}
+
 // token produces one token, and replaces stages that fail on the way.
 func (r *run) token(ctx context.Context, index int) (cowslipproxy.Reply, error) {
 	for {
@@ -208,6 +219,7 @@
 
 // release frees the contexts on all engines that may hold some.
 func (r *run) release() {
+	r.adopt(nil)
 	for name := range r.used {
 		if engine, ok := r.driver.Engine(name); ok {
 			engine.Cancel(r.job.Request)
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -23,8 +23,8 @@
 	Callers  netip.AddrPort        `json:"callers" validate:"required"`
 	Peers    netip.AddrPort        `json:"peers" validate:"required"`
 	Operator netip.AddrPort        `json:"operator" validate:"required"`
-	Log      string                `json:"log" validate:"required,url"`
-	List     string                `json:"list" validate:"required,url"`
+	Log      netip.AddrPort        `json:"log" validate:"required"`
+	List     netip.AddrPort        `json:"list" validate:"required"`
 	Seeds    []netip.AddrPort      `json:"seeds" validate:"max=100"`
 	Body     int64                 `json:"body" validate:"gte=1024,lte=1073741824"`
 	Wait     cowslipproxy.Duration `json:"wait" validate:"gt=0,lte=3600000000000"`
--- /dev/null
+++ b/pooler/choose.go
@@ -0,0 +1,109 @@
+package pooler
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/chooser"
+	"github.com/cowslipproxy/cowslipproxy/runner"
+)
+
+// maxChoices bounds how often a choice is repeated because another request
+// took the probe of an ejected upstream first.
+const maxChoices = 4
+
+// Chain implements cowslipproxy.ChainChooser.
+func (p *Pool) Chain(now time.Time, need cowslipproxy.Need) ([]cowslipproxy.Stage, error) {
+	wanted := chooserNeed(need)
+	var chain chooser.Chain
+	var err error
+	for range maxChoices {
+		if chain, err = p.chooser.Chain(now, wanted); err != nil {
+			return nil, err
+		}
+		taken := p.claim(chain, now)
+		if taken == "" {
+			return p.stages(chain, now), nil
+		}
+		wanted.Avoid = append(wanted.Avoid, taken)
+	}
+	return nil, cowslipproxy.Refuse(cowslipproxy.ReasonNoChain, "all engines for the layers %v are being probed", need.Layers).After(time.Second)
+}
+
+// Explain says how a chain would be chosen now.
+func (p *Pool) Explain(now time.Time, need cowslipproxy.Need) chooser.Explanation {
+	return p.chooser.Explain(now, chooserNeed(need))
+}
+
+func chooserNeed(need cowslipproxy.Need) chooser.Need {
+	wanted := chooser.Need{
+		Model: need.Model, Version: need.Version, Adapter: need.Adapter, Range: need.Layers,
+		Prefixes: need.Prefixes, Tokens: need.Tokens, Output: need.Output,
+	}
+	for name := range need.Avoid {
+		wanted.Avoid = append(wanted.Avoid, name)
+	}
+	sort.Strings(wanted.Avoid)
+	return wanted
+}
+
+// claim takes the stages' upstreams for a request and returns the first one
+// that is ejected and not to be probed by it.
+func (p *Pool) claim(chain chooser.Chain, now time.Time) string {
+	for _, stage := range chain.Stages {
+		if !p.ejector.Begin(stage.Name, now) {
+			return stage.Name
+		}
+	}
+	return ""
+}
+
+func (p *Pool) stages(chain chooser.Chain, now time.Time) []cowslipproxy.Stage {
+	stages := make([]cowslipproxy.Stage, len(chain.Stages))
+	p.joinMu.Lock()
+	defer p.joinMu.Unlock()
+	for i, s := range chain.Stages {
+		stages[i] = cowslipproxy.Stage{Upstream: s.Name, Range: s.Range, Prefill: s.Prefill, Decode: s.Decode}
+		p.joiner.Sent(s.Name, now)
+	}
+	return stages
+}
+
+// Begin implements cowslipproxy.ChainChooser.
+func (p *Pool) Begin(upstream string) { p.chooser.Begin(upstream) }
+
+// End implements cowslipproxy.ChainChooser.
+func (p *Pool) End(upstream string) { p.chooser.End(upstream) }
+
+// Timeout implements cowslipproxy.StepObserver.
+func (p *Pool) Timeout(_ time.Time, stage cowslipproxy.Stage, step cowslipproxy.Step, _ int) time.Duration {
+	expected := stage.Decode
+	if step.Kind == cowslipproxy.StepPrefill {
+		expected = stage.Prefill
+	}
+	return p.ejector.Timeout(stage.Upstream, step.Kind, expected)
+}
+
+// Began implements cowslipproxy.StepObserver.
+func (p *Pool) Began(time.Time, string, cowslipproxy.Step, int) {}
+
+// Ended implements cowslipproxy.StepObserver.
+func (p *Pool) Ended(now time.Time, upstream string, step cowslipproxy.Step, end cowslipproxy.StepEnd) {
+	ctx := context.Background()
+	switch {
+	case end.Err == nil:
+		p.chooser.Observe(now, upstream, chooser.Sample{
+			Kind: step.Kind, Layers: step.Range.Len(), Tokens: end.Tokens,
+			Cached: end.Reply.Cached, Spent: end.Reply.Spent, Elapsed: end.Took,
+		})
+		p.changes(ctx, p.ejector.Success(upstream, now, step.Kind, end.Took))
+	case errors.Is(end.Err, context.Canceled), errors.Is(end.Err, cowslipproxy.ErrNotStarted), errors.Is(end.Err, runner.ErrDown):
+		// The caller went away, nothing was run, or the broken connection was counted already.
+	default:
+		p.changes(ctx, p.ejector.Failure(upstream, now))
+	}
+}
--- /dev/null
+++ b/pooler/engines.go
@@ -0,0 +1,56 @@
+package pooler
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+// Engine returns a connected engine.
+func (p *Pool) Engine(name string) (cowslipproxy.Engine, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.engines[name]
+	if !ok {
+		return nil, false
+	}
+	return e.Engine, true
+}
+
+func (p *Pool) up(name string, now time.Time) {
+	p.mu.Lock()
+	e := p.engines[name]
+	p.mu.Unlock()
+	if e == nil {
+		return
+	}
+	p.joinMu.Lock()
+	p.joiner.Probe(name, true, now)
+	p.joinMu.Unlock()
+	p.changes(context.Background(), p.ejector.Connected(name, now))
+}
+
+func (p *Pool) down(name string, requests []string, now time.Time) {
+	p.joinMu.Lock()
+	p.joiner.Probe(name, false, now)
+	p.joinMu.Unlock()
+	p.changes(context.Background(), p.ejector.Broken(name, now))
+	if p.OnCrash != nil && len(requests) > 0 {
+		p.OnCrash(name, requests, now)
+	}
+}
+
+func (p *Pool) report(name string, report cowslipproxy.Report, now time.Time) {
+	p.joinMu.Lock()
+	p.joiner.Probe(name, true, now)
+	p.joiner.Report(name, report.Leaving, now)
+	p.joinMu.Unlock()
+	p.ejector.Add(name, fmt.Sprintf("%s/%s%v", report.Model, report.Version, report.Range))
+	p.chooser.Report(now, name, report)
+}
+
+func (p *Pool) event(name string, event cowslipproxy.CacheEvent, _ time.Time) {
+	p.chooser.Cache(name, event)
+}
--- /dev/null
+++ b/pooler/pool.go
@@ -0,0 +1,200 @@
+// Package pooler keeps the connections to upstreams and joins what they tell,
+// what the list says and what steps show into the choice of upstreams.
+package pooler
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/checker"
+	"github.com/cowslipproxy/cowslipproxy/chooser"
+	"github.com/cowslipproxy/cowslipproxy/ejector"
+	"github.com/cowslipproxy/cowslipproxy/forwarder"
+	"github.com/cowslipproxy/cowslipproxy/joiner"
+	"github.com/cowslipproxy/cowslipproxy/lister"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/runner"
+)
+
+const (
+	refreshPeriod = 200 * time.Millisecond // well below the 3 s within which a leaving upstream must get no new work
+	probePeriod   = time.Second
+	probeTimeout  = 500 * time.Millisecond
+	forgetAfter   = 5 * time.Minute // requests on an upstream that vanished may still run
+)
+
+// Pool holds the upstreams of a daemon. Its exported fields are set before Run.
+type Pool struct {
+	Name    string // of this daemon
+	Centre  string // data centre of this daemon
+	OnCrash func(upstream string, requests []string, now time.Time)
+	Checker *checker.Checker
+	Clock   func() time.Time
+	Logger  *slog.Logger
+	Metrics metrics.Registry
+
+	chooser chooser.Chooser
+	ejector ejector.Ejector
+
+	joinMu sync.Mutex // never held while the chooser is called
+	joiner joiner.Joiner
+
+	mu       sync.Mutex
+	engines  map[string]*engine
+	services map[string]*service
+	ctx      context.Context // of Run, for the connections
+	group    sync.WaitGroup
+}
+
+type engine struct {
+	*runner.Engine
+	cancel context.CancelFunc
+}
+
+type service struct {
+	forwarder.Server
+	vm      cowslipproxy.VM
+	probing bool
+}
+
+// Prepare makes the pool usable. It is called before any other method.
+func (p *Pool) Prepare() {
+	p.chooser.Name, p.chooser.Centre = p.Name, p.Centre
+	p.chooser.Usable = p.ejector.Usable
+	p.engines = map[string]*engine{}
+	p.services = map[string]*service{}
+}
+
+// Run keeps the pool up to date until the context ends.
+func (p *Pool) Run(ctx context.Context) error {
+	p.mu.Lock()
+	p.ctx = ctx
+	p.mu.Unlock()
+	defer p.group.Wait()
+	ticker := time.NewTicker(refreshPeriod)
+	defer ticker.Stop()
+	var probed time.Time
+	for {
+		now := p.Clock()
+		p.refresh(ctx, now)
+		if now.Sub(probed) >= probePeriod {
+			probed = now
+			p.probe(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// List takes in the platform's list of VMs.
+func (p *Pool) List(list lister.List) {
+	now := p.Clock()
+	p.joinMu.Lock()
+	var upstreams []cowslipproxy.VM
+	for _, vm := range list.VMs {
+		if vm.Role != cowslipproxy.VMEntry {
+			upstreams = append(upstreams, vm)
+		}
+	}
+	p.joiner.List(upstreams, list.Taken, now)
+	p.joinMu.Unlock()
+}
+
+// Drain takes in an operator's order to drain an upstream, or to end that.
+func (p *Pool) Drain(name string, on bool) {
+	p.joinMu.Lock()
+	defer p.joinMu.Unlock()
+	p.joiner.Drain(name, on, p.Clock())
+}
+
+// refresh connects to new upstreams, drops forgotten ones, and tells the
+// chooser which ones may get new work.
+func (p *Pool) refresh(ctx context.Context, now time.Time) {
+	p.joinMu.Lock()
+	known := append(p.joiner.Known(cowslipproxy.VMEngine), p.joiner.Known(cowslipproxy.VMService)...)
+	usable := make(map[string]bool, len(known))
+	for _, vm := range known {
+		usable[vm.Name] = p.joiner.IsUsable(vm.Name)
+	}
+	forgotten := p.joiner.Forget(now.Add(-forgetAfter))
+	err := p.joiner.Check()
+	p.joinMu.Unlock()
+	if err != nil {
+		_ = p.Checker.Violated(ctx, checker.InvariantLeaving, "", err) // no request to end: the work was sent
+	}
+	for _, vm := range known {
+		p.connect(vm, now)
+		p.chooser.SetLeaving(vm.Name, !usable[vm.Name])
+	}
+	for _, name := range forgotten {
+		p.disconnect(ctx, name, now)
+	}
+}
+
+func (p *Pool) connect(vm cowslipproxy.VM, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if vm.Role == cowslipproxy.VMService {
+		if s := p.services[vm.Name]; s != nil && s.vm.Address == vm.Address {
+			return
+		}
+		s := &service{Server: forwarder.Server{Address: vm.Address}, vm: vm, probing: true}
+		p.services[vm.Name] = s
+		p.ejector.Add(vm.Name, cowslipproxy.ScopeService+vm.Service)
+		p.chooser.Add(now, chooser.Upstream{Name: vm.Name, VM: vm.Name, Centre: vm.Centre, Service: vm.Service})
+		p.group.Go(func() { p.probeService(p.ctx, s) })
+		return
+	}
+	if e := p.engines[vm.Name]; e != nil {
+		if e.VM.Address == vm.Address {
+			return
+		}
+		e.cancel()
+	}
+	p.chooser.Add(now, chooser.Upstream{Name: vm.Name, VM: vm.Name, Centre: vm.Centre})
+	ctx, cancel := context.WithCancel(p.ctx)
+	e := &engine{cancel: cancel, Engine: &runner.Engine{
+		VM: vm, Logger: p.Logger, Metrics: p.Metrics, Clock: p.Clock,
+		OnUp: p.up, OnDown: p.down, OnReport: p.report, OnEvent: p.event,
+	}}
+	p.engines[vm.Name] = e
+	p.group.Go(func() {
+		if err := e.Run(ctx); err != nil {
+			reporter.EventEngineLost.Log(ctx, p.Logger, slog.String("engine", vm.Name), slog.Any("error", err))
+		}
+	})
+}
+
+func (p *Pool) disconnect(ctx context.Context, name string, now time.Time) {
+	p.mu.Lock()
+	if e := p.engines[name]; e != nil {
+		e.cancel()
+		delete(p.engines, name)
+	}
+	if s := p.services[name]; s != nil {
+		s.Close()
+		delete(p.services, name)
+	}
+	p.mu.Unlock()
+	p.chooser.Remove(name)
+	p.changes(ctx, p.ejector.Remove(name, now))
+}
+
+// changes logs ejections and returns.
+func (p *Pool) changes(ctx context.Context, changes []ejector.Change) {
+	for _, change := range changes {
+		if change.Ejected {
+			reporter.EventEjected.Log(ctx, p.Logger, slog.String("upstream", change.Name), slog.String("cause", string(change.Cause)), slog.Time("until", change.Until))
+			continue
+		}
+		reporter.EventRestored.Log(ctx, p.Logger, slog.String("upstream", change.Name))
+	}
+}
--- /dev/null
+++ b/pooler/services.go
@@ -0,0 +1,79 @@
+package pooler
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/chooser"
+)
+
+// Pick implements forwarder.Picker.
+func (p *Pool) Pick(now time.Time, name string, tried []string) (string, cowslipproxy.ServiceUpstream, bool) {
+	for range maxChoices {
+		pick, err := p.chooser.Service(now, name, tried)
+		if err != nil {
+			return "", nil, false
+		}
+		p.mu.Lock()
+		s, ok := p.services[pick.Name]
+		p.mu.Unlock()
+		if !ok || !p.ejector.Begin(pick.Name, now) {
+			tried = append(tried[:len(tried):len(tried)], pick.Name)
+			continue
+		}
+		p.joinMu.Lock()
+		p.joiner.Sent(pick.Name, now)
+		p.joinMu.Unlock()
+		p.chooser.Begin(pick.Name)
+		return pick.Name, &s.Server, true
+	}
+	return "", nil, false
+}
+
+// ObserveCall takes in how a call to a plain service ended.
+func (p *Pool) ObserveCall(name string, spent time.Duration, err error) {
+	now, ctx := p.Clock(), context.Background()
+	p.chooser.End(name)
+	switch {
+	case err == nil:
+		p.chooser.Observe(now, name, chooser.Sample{Elapsed: spent})
+		p.changes(ctx, p.ejector.Success(name, now, "", spent))
+	case errors.Is(err, context.Canceled):
+	default:
+		p.changes(ctx, p.ejector.Failure(name, now))
+	}
+}
+
+// probe tries to connect to each server of a plain service.
+func (p *Pool) probe(ctx context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.services {
+		if s.probing {
+			continue
+		}
+		s.probing = true
+		p.group.Go(func() { p.probeService(ctx, s) })
+	}
+}
+
+func (p *Pool) probeService(ctx context.Context, s *service) {
+	dialer := net.Dialer{Timeout: probeTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", s.vm.Address.String())
+	if err == nil {
+		_ = conn.Close() // nothing was sent on it
+	}
+	p.mu.Lock()
+	s.probing = false
+	p.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	p.joinMu.Lock()
+	p.joiner.Probe(s.vm.Name, err == nil, p.Clock())
+	p.joinMu.Unlock()
+}
--- a/reporter/events_engines.go
+++ b/reporter/events_engines.go
@@ -7,4 +7,6 @@
 	EventEngineConnected = newEvent(700, slog.LevelInfo, "engine connected", "The engine sent its first report and can be chosen.")
 	EventEngineLost      = newEvent(701, slog.LevelWarn, "engine connection lost", "The daemon reconnects with backoff. Steps in flight there are run elsewhere.")
 	EventStageReplaced   = newEvent(702, slog.LevelInfo, "stage replaced", "A stage failed while it ran a step. The request goes on with another engine for its layers.")
+	EventEjected         = newEvent(703, slog.LevelWarn, "upstream ejected", "The upstream gets no work until the time that the event names, and is then probed by one request.")
+	EventRestored        = newEvent(704, slog.LevelInfo, "upstream restored", "An ejected upstream answered its probe and gets work again.")
 )
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -214,7 +214,7 @@
 func (r *Resolver) Settled() cowslipproxy.Settled {
 	r.init()
 	if r.outdated {
-		r.settled.Configuration = r.state.configuration()
+		r.settled = cowslipproxy.Settled{Configuration: r.state.configuration()}.Indexed()
 		r.outdated = false
 	}
 	r.settled.At = r.changedAt
--- a/runner/engine.go
+++ b/runner/engine.go
@@ -21,10 +21,10 @@
 var ErrDown = errors.New("connection to the engine broke")
 
 const (
-	reconnectMin = 50 * time.Millisecond
-	reconnectMax = 2 * time.Second
-	sendQueue    = 1024
-	maxMessage   = 64 << 20 // a prefill's activations of a long prompt
+	firstReconnect   = 50 * time.Millisecond
+	longestReconnect = 2 * time.Second
+	sendQueue        = 1024
+	maxMessage       = 64 << 20 // a prefill's activations of a long prompt
 )
 
 // Engine is a connection to one model engine. It implements cowslipproxy.Engine.
@@ -65,7 +65,7 @@
 	e.mu.Lock()
 	e.conn = conn
 	e.mu.Unlock()
-	wait := reconnectMin
+	wait := firstReconnect
 	for ctx.Err() == nil {
 		began := e.Clock()
 		err := e.connect(ctx)
@@ -73,11 +73,11 @@
 			return nil
 		}
 		reporter.EventEngineLost.Log(ctx, e.Logger, slog.String("engine", e.VM.Name), slog.Any("error", err))
-		if e.Clock().Sub(began) > reconnectMax {
-			wait = reconnectMin
+		if e.Clock().Sub(began) > longestReconnect {
+			wait = firstReconnect
 		}
 		sleep(ctx, wait)
-		wait = min(2*wait, reconnectMax)
+		wait = min(2*wait, longestReconnect)
 		conn.ResetConnectBackoff()
 	}
 	return nil
--- a/standin/emulator/pipeline_test.go
+++ b/standin/emulator/pipeline_test.go
@@ -130,6 +130,12 @@
 	return p.down[name]
 }
 
+// Begin implements cowslipproxy.ChainChooser.
+func (p *pipeline) Begin(string) {}
+
+// End implements cowslipproxy.ChainChooser.
+func (p *pipeline) End(string) {}
+
 // Timeout implements cowslipproxy.StepObserver.
 func (p *pipeline) Timeout(time.Time, cowslipproxy.Stage, cowslipproxy.Step, int) time.Duration {
 	return 500 * time.Millisecond
--- a/standin/main.go
+++ b/standin/main.go
@@ -18,8 +18,8 @@
 func commands() []*ffcli.Command {
 	return []*ffcli.Command{
 		engineCommand(),
-	}
-	return []*ffcli.Command{listCommand()}
+		listCommand(),
+		logCommand(),
 		serviceCommand(),
 	}
 }
