--- a/chooser/chain.go
+++ b/chooser/chain.go
@@ -9,8 +9,12 @@
 )
 
 const (
-	// samples is the number of candidates that are drawn for each range.
-	samples = 3
+	// samples is the number of candidates that are drawn for each range, and
+	// fewSamples the number where a model is held in more than manyRanges, to
+	// keep the time of a decision down.
+	samples    = 3
+	fewSamples = 2
+	manyRanges = 40
 	// scanned is the number of usable candidates that are looked for when the
 	// drawn one is not usable.
 	scanned = 3
@@ -77,22 +81,26 @@
 
 // sample draws the candidates of each pool within the range.
 func (c *Chooser) sample(g *group, q *query) {
+	draws := uint64(samples)
+	if len(g.pools) > manyRanges {
+		draws = fewSamples
+	}
 	c.edges = slices.Grow(c.edges[:0], len(g.pools))[:len(g.pools)]
 	for i, p := range g.pools {
 		c.edges[i] = edge{}
 		if p.layers.First < q.need.Range.First || p.layers.End > q.need.Range.End {
 			continue
 		}
-		c.draw(&c.edges[i], p, q)
+		c.draw(&c.edges[i], p, q, draws)
 		if c.edges[i].best == nil {
 			c.scan(&c.edges[i], p, q)
 		}
 	}
 }
 
-func (c *Chooser) draw(e *edge, p *pool, q *query) {
+func (c *Chooser) draw(e *edge, p *pool, q *query, draws uint64) {
 	n := uint64(len(p.subset))
-	if n <= samples {
+	if n <= draws {
 		for _, u := range p.subset {
 			c.consider(e, u, q)
 		}
@@ -101,7 +109,7 @@
 	bits := c.random.Uint64()
 	first := bits % n
 	c.consider(e, p.subset[first], q)
-	for range samples - 1 {
+	for range draws - 1 {
 		bits >>= 16
 		c.consider(e, p.subset[(first+1+bits&0xffff%(n-1))%n], q)
 	}
--- a/chooser/chain_test.go
+++ b/chooser/chain_test.go
@@ -165,14 +165,14 @@
 	n := need()
 	n.Prefixes, n.Tokens = []uint64{1, 2, 3}, 4000
 	holder := engines[4].Name
-	require.False(t, c.Cache(holder, cowslipproxy.CacheEvent{Seq: 1, Stored: n.Prefixes}))
+	require.False(t, c.Cache(holder, cowslipproxy.CacheEvent{Seq: 7, Stored: n.Prefixes}), "first event seen")
 	for range 20 {
 		chain, err := c.Chain(start, n)
 		require.NoError(t, err)
 		require.Equal(t, holder, chain.Stages[0].Name)
 	}
-	require.True(t, c.Cache(holder, cowslipproxy.CacheEvent{Seq: 3, Stored: []uint64{9}}))
-	c.Cache(holder, cowslipproxy.CacheEvent{Seq: 2, Stored: n.Prefixes}) // late
+	require.True(t, c.Cache(holder, cowslipproxy.CacheEvent{Seq: 9, Stored: []uint64{9}}))
+	c.Cache(holder, cowslipproxy.CacheEvent{Seq: 8, Stored: n.Prefixes}) // late
 	for _, candidate := range c.Explain(start, n).Candidates {
 		require.Zero(t, candidate.Cached)
 	}
--- a/chooser/prefix.go
+++ b/chooser/prefix.go
@@ -23,6 +23,7 @@
 type prefixSet struct {
 	hashes map[uint64]struct{}
 	seq    uint64
+	begun  bool // an event came in
 }
 
 // Cache takes in a cache event and reports whether events before it are
@@ -43,12 +44,13 @@
 	case event.Seq <= u.cache.seq:
 		late = true
 	case event.Seq > u.cache.seq+1:
-		gap = true
+		gap = u.cache.begun // a daemon that starts later than the engine has lost nothing
 		c.forget(u)
 		fallthrough
 	default:
 		u.cache.seq = event.Seq
 	}
+	u.cache.begun = true
 	// A late event's prefixes may have been evicted since; its evictions are
 	// applied, since a cache that is believed empty does no harm.
 	if !late {
--- a/chooser/traffic_test.go
+++ b/chooser/traffic_test.go
@@ -107,10 +107,10 @@
 		c := &chooser.Chooser{Name: "entry-1"}
 		engines := fleet(8, 1)
 		fill(c, engines)
-		slow, now := engines[3].Name, start
+		slow := engines[3].Name
 		counts := map[int]int{} // requests to the slow link by second
 		for i := range 20 * rate {
-			now = start.Add(time.Duration(i) * time.Second / rate)
+			now := start.Add(time.Duration(i) * time.Second / rate)
 			chain, err := c.Chain(now, need())
 			require.NoError(t, err)
 			name := chain.Stages[0].Name
