--- a/chooser/average.go
+++ b/chooser/average.go
@@ -66,16 +66,17 @@
 	prefill  float64 // per token, for all of the upstream's layers
 	decode   float64 // per step, for all of the upstream's layers
 	link     float64 // round trip
-	call     float64 // whole call to a plain service
 	reported float64 // steps by the newest report, which count less as it ages
 	free     int     // cache memory by the newest report, in tokens
 	at       time.Duration
-	known    bool
 }
 
+// never is the time of estimates that have to be made anew.
+const never = -refresh
+
 // estimate returns the upstream's current times.
 func (c *Chooser) estimate(u *upstream, at time.Duration) *estimates {
-	if !u.now.known || at-u.now.at >= refresh {
+	if at-u.now.at >= refresh {
 		c.refresh(u, at)
 	}
 	return &u.now
@@ -100,10 +101,9 @@
 		prefill:  u.prefill.estimate(at, prefill) * layers,
 		decode:   u.decode.estimate(at, decode) * layers,
 		link:     u.link.estimate(at, link),
-		call:     u.call.estimate(at, link),
 		reported: float64(u.report.Queue+u.report.Running) * age,
 		free:     u.report.Free,
 		at:       at,
-		known:    true,
 	}
+	u.callTime = u.call.estimate(at, link)
 }
--- a/chooser/service.go
+++ b/chooser/service.go
@@ -42,7 +42,12 @@
 
 // callCost is the expected time of a call behind this daemon's other calls.
 func (c *Chooser) callCost(u *upstream, at time.Duration) float64 {
-	return c.estimate(u, at).call * float64(u.own+1)
+	return c.callTime(u, at) * float64(u.own+1)
+}
+
+func (c *Chooser) callTime(u *upstream, at time.Duration) float64 {
+	c.estimate(u, at)
+	return u.callTime
 }
 
 // scanService returns the cheapest of the first usable upstreams by rank.
--- a/chooser/upstream.go
+++ b/chooser/upstream.go
@@ -10,12 +10,11 @@
 )
 
 type upstream struct {
-	// A decision reads the first fields only; they share cache lines.
-	now   estimates
-	own   int    // this daemon's requests in flight
-	then  int    // own, when the report came in
-	hit   uint64 // decision in which the upstream was found to hold a prefix
-	depth int    // number of blocks of that prefix
+	// Pricing reads these three fields only. They fill one cache line, since
+	// a decision reads dozens of upstreams.
+	now  estimates
+	own  int // this daemon's requests in flight
+	then int // own, when the report came in
 
 	Upstream
 	rank     uint64 // rendezvous hash of the daemon's and the upstream's name
@@ -27,7 +26,10 @@
 	decode   average
 	link     average
 	call     average
+	callTime float64 // estimate of a whole call to a plain service
 	cache    prefixSet
+	hit      uint64 // decision in which the upstream was found to hold a prefix
+	depth    int    // number of blocks of that prefix
 }
 
 // Add adds an upstream, or updates it and keeps what was measured.
@@ -42,7 +44,7 @@
 	}
 	c.leave(u)
 	u.Upstream = added
-	u.now.known = false
+	u.now.at = never
 	c.join(u)
 }
 
