--- a/chooser/upstream.go
+++ b/chooser/upstream.go
@@ -128,7 +128,9 @@
 	}
 }
 
-// Observe takes in the result of a step or of a service call.
+// Observe takes in the result of a step or of a service call. A step that timed
+// out is observed with the time waited and no time spent, so that its upstream
+// loses traffic before the ejector judges it.
 func (c *Chooser) Observe(now time.Time, name string, sample Sample) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -160,20 +162,31 @@
 	} else {
 		spent = max(float64(sample.Elapsed)-known.link-wait, 0)
 	}
-	k := c.kinds[u.report.Kind]
+	value, own := spent/float64(sample.Layers), &u.decode
+	if sample.Kind == cowslipproxy.StepPrefill {
+		// A prefill that the cache saved wholly says nothing of the time per token.
+		computed := sample.Tokens - sample.Cached
+		if computed <= 0 {
+			return
+		}
+		value, own = value/float64(computed), &u.prefill
+	}
+	own.add(at, value)
+	// Only a reported computing time tells something of the kind.
+	if sample.Spent > 0 {
+		c.observeKind(u.report.Kind, at, sample.Kind, value)
+	}
+}
+
+func (c *Chooser) observeKind(name string, at time.Duration, step cowslipproxy.StepKind, value float64) {
+	k := c.kinds[name]
 	if k == nil {
 		k = &kind{}
-		c.kinds[u.report.Kind] = k
+		c.kinds[name] = k
 	}
-	if sample.Kind == cowslipproxy.StepDecode {
-		u.decode.add(at, spent/float64(sample.Layers))
-		k.decode.add(at, spent/float64(sample.Layers))
-		return
-	}
-	// A prefill that the cache saved wholly says nothing of the time per token.
-	if computed := sample.Tokens - sample.Cached; computed > 0 {
-		value := spent / float64(sample.Layers) / float64(computed)
-		u.prefill.add(at, value)
+	if step == cowslipproxy.StepPrefill {
 		k.prefill.add(at, value)
+		return
 	}
+	k.decode.add(at, value)
 }
