--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -106,6 +106,13 @@
 	return now.Sub(c.epoch)
 }
 
+// SetPeers changes Peers while the chooser is in use.
+func (c *Chooser) SetPeers(peers int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Peers = peers
+}
+
 func (c *Chooser) peers() float64 { return float64(max(c.Peers, 1)) }
 
 func (c *Chooser) usable(name string, now time.Time) bool {
