limiter: estimate waits through the floors of all higher classes

The estimate took the smallest floor whenever a class in between was saturated, and refused requests that had come when they were told.

--- a/limiter/line.go
+++ b/limiter/line.go
@@ -14,9 +14,11 @@
 // arrivals of a higher class moved the wait estimated for a lower one by half.
 const lineSpan = 10 * time.Second
 
+const known = 0.5 // weight from which an average counts as known
+
 // line is the queue of one class.
 type line struct {
-	tickets []*Ticket // by deadline
+	tickets []*Ticket // in the order in which they run
 	work    float64   // tokens that the waiting requests are expected to use
 	owed    float64   // tokens that this class owes to those below it
 	rate    float64   // tokens per second granted, averaged
@@ -30,15 +32,24 @@
 	missed   float64   // part of bookings whose request does not come, averaged
 }
 
-// position returns where a request with this deadline goes, and the work before it.
-func (l *line) position(deadline time.Time, m *meter) (index int, ahead float64) {
-	for index < len(l.tickets) && !l.tickets[index].Deadline.After(deadline) {
+// position returns where a request goes, and the work before it. Requests that
+// come when they were told go before the others of their class, which keeps
+// what they were told true.
+func (l *line) position(t *Ticket, m *meter) (index int, ahead float64) {
+	for index < len(l.tickets) && !t.before(l.tickets[index]) {
 		ahead += m.work(l.tickets[index])
 		index++
 	}
 	return index, ahead
 }
 
+func (t *Ticket) before(other *Ticket) bool {
+	if t.booked != other.booked {
+		return t.booked
+	}
+	return t.Deadline.Before(other.Deadline)
+}
+
 func (l *line) insert(index int, t *Ticket, m *meter) {
 	l.tickets = slices.Insert(l.tickets, index, t)
 	l.work += m.work(t)
@@ -85,48 +96,50 @@
 }
 
 // wait returns the expected wait of a request of a class behind that much work
-// of its own class. Either all waiting work of higher classes and what they are
-// granted meanwhile goes first, or the floor below one of them holds.
+// of its own class, its own included.
 func (q *Queue) wait(level int, work float64) time.Duration {
 	if q.meter.rate == 0 {
 		return 0 // not measured yet
 	}
-	best := math.Inf(1)
-	capacity, higher := q.share(level), 0.0
-	for k := level; k >= 0; k-- {
-		if k < level {
-			higher += q.lines[k].rate
-			work += q.lines[k].work
-			capacity = q.share(k)
-		}
-		if wait := work / (capacity - higher); capacity > higher && wait < best {
-			best = wait
+	return seconds(q.path(level, work/q.kept(level), 0))
+}
+
+// path returns the seconds until the work is done beside other work that comes
+// at a rate. Either the waiting and coming work of the next higher class goes
+// first, or the floor below that class holds; the shorter time is true.
+func (q *Queue) path(level int, work, rate float64) float64 {
+	if level == 0 {
+		if rate >= q.meter.rate {
+			return math.Inf(1)
 		}
+		return work / (q.meter.rate - rate)
 	}
-	return seconds(best)
+	higher := &q.lines[level-1]
+	behind := q.path(level-1, work+higher.work, rate+higher.rate)
+	return min(behind, q.path(level-1, work/q.floor(), rate/q.floor()))
 }
 
-// share returns the tokens per second that are certain for a class and those
-// below it. The class itself leaves their floor to those below.
-func (q *Queue) share(level int) float64 {
-	share := q.meter.rate
-	for range level {
-		share *= q.floor()
+// kept returns the part that a class keeps of what it shares with lower ones.
+func (q *Queue) kept(level int) float64 {
+	if level == levels-1 {
+		return 1
 	}
-	if level < levels-1 {
-		share *= 1 - q.floor()
-	}
-	return share
+	return 1 - q.floor()
 }
 
-// capacity returns the tokens per second that a class can have at present.
+// capacity returns the tokens per second that can be promised to a class. Below
+// a higher class that refused requests which will come again, or whose use isn't
+// known yet, only the floor is certain.
 func (q *Queue) capacity(level int) float64 {
-	best, higher := q.share(level), 0.0
-	for k := level - 1; k >= 0; k-- {
-		higher += q.lines[k].rate
-		best = max(best, q.share(k)-higher)
+	rate := q.meter.rate
+	for k := range level {
+		higher, floor := &q.lines[k], rate*q.floor()
+		rate -= higher.rate
+		if len(higher.bookings) > 0 || higher.known < known || rate < floor {
+			rate = floor
+		}
 	}
-	return best
+	return rate * q.kept(level)
 }
 
 // overloaded refuses a request and says when one like it can meet its deadline.
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -28,6 +28,7 @@
 	Request
 	level   int // index of the class, the most important is 0
 	running bool
+	booked  bool // came when it was told
 }
 
 func (t *Ticket) units() float64 { return or(t.Units, 1) }
@@ -71,8 +72,9 @@
 		return t, true, nil
 	}
 	line := &q.lines[t.level]
-	index, ahead := line.position(t.Deadline, &q.meter)
-	if !line.due(now, t) && len(line.tickets) > 0 {
+	t.booked = line.due(now, t)
+	index, ahead := line.position(t, &q.meter)
+	if !t.booked && len(line.tickets) > 0 {
 		ahead += line.expected()
 	}
 	wait := q.wait(t.level, ahead+q.meter.work(t))
