driver: restore stages from exported contexts; use one type for a chain's need

A stage that dies in a long context costs a recomputation through all stages before it. The driver now exports contexts every 64 tokens where a recomputation is expected to take over 500 ms, and a substitute imports the export and runs the few steps after it when that is expected to be faster. In the test the stages before a restored one run each token once. chooser.Need and Stage duplicated the root package's types and are gone.

--- a/chains.go
+++ b/chains.go
@@ -4,22 +4,23 @@
 
 // Need says which layers a request needs and what is known of the request.
 type Need struct {
-	Model    string
-	Version  string
-	Adapter  string
-	Layers   LayerRange
-	Prefixes []uint64        // see PrefixHashes
-	Tokens   int             // estimated length of the prompt and the tokens given
-	Output   int             // most tokens that are still to come
-	Avoid    map[string]bool // upstreams that failed this request
+	Model    string     `json:"model"`
+	Version  string     `json:"version"`
+	Adapter  string     `json:"adapter,omitempty"`
+	Range    LayerRange `json:"range"`              // the whole model, or the range of a stage to replace
+	Prefixes []uint64   `json:"prefixes,omitempty"` // see PrefixHashes
+	Tokens   int        `json:"tokens"`             // estimated length of the prompt and the tokens given
+	Output   int        `json:"output,omitempty"`   // most tokens that are still to come; 0 means 32
+	Centre   string     `json:"centre,omitempty"`   // preferred data centre
+	Avoid    []string   `json:"avoid,omitempty"`    // names of upstreams or VMs that failed this request
 }
 
 // Stage is one link of a chain.
 type Stage struct {
-	Upstream string
-	Range    LayerRange
-	Prefill  time.Duration // expected time of the prefill step
-	Decode   time.Duration // expected time of one decode step
+	Upstream string        `json:"upstream"`
+	Range    LayerRange    `json:"range"`
+	Prefill  time.Duration `json:"prefill"` // expected time of the prefill step, with link and queue
+	Decode   time.Duration `json:"decode"`  // expected time of one decode step, with link and queue
 }
 
 // ChainChooser chooses the engines that run a request.
--- a/chooser/bench_test.go
+++ b/chooser/bench_test.go
@@ -96,10 +96,10 @@
 		pools, next := tiling(engines), 0
 		for b.Loop() {
 			next++
-			stages := make([]chooser.Stage, len(pools))
+			stages := make([]cowslipproxy.Stage, len(pools))
 			for i, pool := range pools {
 				e := pool[next%len(pool)]
-				stages[i] = chooser.Stage{Name: e.Name, Range: e.Range}
+				stages[i] = cowslipproxy.Stage{Upstream: e.Name, Range: e.Range}
 			}
 		}
 	})
@@ -110,10 +110,10 @@
 	eachFleet(b, func(b *testing.B, engines []engine) {
 		pools := tiling(engines)
 		for b.Loop() {
-			stages := make([]chooser.Stage, len(pools))
+			stages := make([]cowslipproxy.Stage, len(pools))
 			for i, pool := range pools {
 				e := leastLoaded(pool)
-				stages[i] = chooser.Stage{Name: e.Name, Range: e.Range}
+				stages[i] = cowslipproxy.Stage{Upstream: e.Name, Range: e.Range}
 			}
 		}
 	})
--- a/chooser/chain.go
+++ b/chooser/chain.go
@@ -31,14 +31,14 @@
 // query is one decision's input. The chooser keeps one, so that a decision
 // allocates nothing but its result.
 type query struct {
-	need   Need
+	need   cowslipproxy.Need
 	now    time.Time
 	at     time.Duration
 	output float64 // expected decode steps
 }
 
 // ask starts a decision.
-func (c *Chooser) ask(now time.Time, need Need) *query {
+func (c *Chooser) ask(now time.Time, need cowslipproxy.Need) *query {
 	c.query = query{need: need, now: now, at: c.start(now), output: float64(need.Output)}
 	if need.Output <= 0 {
 		c.query.output = defaultOutput
@@ -48,7 +48,7 @@
 }
 
 // Chain chooses the engines for a request. The error is a *cowslipproxy.Failure.
-func (c *Chooser) Chain(now time.Time, need Need) (Chain, error) {
+func (c *Chooser) Chain(now time.Time, need cowslipproxy.Need) (Chain, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q := c.ask(now, need)
@@ -116,7 +116,7 @@
 }
 
 func (c *Chooser) consider(e *edge, u *upstream, q *query) {
-	if u == e.best || q.need.avoids(u) {
+	if u == e.best || avoids(&q.need, u) {
 		return
 	}
 	if cost := c.cost(u, q, 0); e.best == nil || cost < e.cost {
@@ -130,7 +130,7 @@
 	*e = edge{}
 	found := 0
 	for _, u := range p.members {
-		if q.need.avoids(u) || !c.usable(u.Name, q.now) {
+		if avoids(&q.need, u) || !c.usable(u.Name, q.now) {
 			continue
 		}
 		c.consider(e, u, q)
@@ -149,7 +149,7 @@
 			continue
 		}
 		e := &c.edges[i]
-		if e.best == nil || q.need.avoids(u) || !c.bounded(u, e.best, q.at) {
+		if e.best == nil || avoids(&q.need, u) || !c.bounded(u, e.best, q.at) {
 			continue
 		}
 		cached := c.cachedTokens(u, &q.need)
@@ -213,7 +213,7 @@
 	for to := end; g.bounds[to] != q.need.Range.First; to = g.pools[c.via[to]].from {
 		count++
 	}
-	chain := Chain{Stages: make([]Stage, count), Cost: time.Duration(c.dist[end])}
+	chain := Chain{Stages: make([]cowslipproxy.Stage, count), Cost: time.Duration(c.dist[end])}
 	for to := end; count > 0; {
 		i := c.via[to]
 		to = g.pools[i].from
@@ -223,12 +223,12 @@
 	return chain
 }
 
-func (c *Chooser) stage(e *edge, q *query) Stage {
+func (c *Chooser) stage(e *edge, q *query) cowslipproxy.Stage {
 	p := c.price(e.best, q, e.cached)
-	return Stage{
-		Name:    e.best.Name,
-		Range:   e.best.report.Range,
-		Prefill: time.Duration(p.prefill + p.link + p.wait),
-		Decode:  time.Duration(p.decode + p.link + p.wait),
+	return cowslipproxy.Stage{
+		Upstream: e.best.Name,
+		Range:    e.best.report.Range,
+		Prefill:  time.Duration(p.prefill + p.link + p.wait),
+		Decode:   time.Duration(p.decode + p.link + p.wait),
 	}
 }
--- a/chooser/chain_test.go
+++ b/chooser/chain_test.go
@@ -19,7 +19,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const layers = 6
 		c := &chooser.Chooser{Name: "entry-1", Seed: rapid.Uint64().Draw(t, "seed")}
-		n := chooser.Need{Model: "scribe", Version: "1", Tokens: 10}
+		n := cowslipproxy.Need{Model: "scribe", Version: "1", Tokens: 10}
 		n.Range = drawRange(t, layers)
 		barred := map[string]bool{}
 		c.Usable = func(name string, _ time.Time) bool { return !barred[name] }
@@ -61,7 +61,7 @@
 		}
 		var ranges []cowslipproxy.LayerRange
 		for _, stage := range chain.Stages {
-			require.Equal(t, allowed[stage.Name], stage.Range)
+			require.Equal(t, allowed[stage.Upstream], stage.Range)
 			ranges = append(ranges, cowslipproxy.LayerRange{First: stage.Range.First - n.Range.First, End: stage.Range.End - n.Range.First})
 		}
 		require.NoError(t, cowslipproxy.CheckTiling(ranges, n.Range.Len()))
@@ -121,7 +121,7 @@
 	require.Contains(t, explanation.Failure, "[16,32)")
 	require.Len(t, explanation.Candidates, 10)
 	require.Equal(t, chooser.VerdictLeaving, explanation.Candidates[2].Verdict)
-	_, err = c.Chain(start, chooser.Need{Model: "other", Range: whole})
+	_, err = c.Chain(start, cowslipproxy.Need{Model: "other", Range: whole})
 	require.ErrorContains(t, err, "no upstream holds layers [0,80)")
 }
 
@@ -152,7 +152,7 @@
 		require.NoError(t, err)
 		b, err := cached.Chain(start, n)
 		require.NoError(t, err)
-		require.LessOrEqual(t, float64(load[b.Stages[0].Name]), 1.25*float64(load[a.Stages[0].Name])+4)
+		require.LessOrEqual(t, float64(load[b.Stages[0].Upstream]), 1.25*float64(load[a.Stages[0].Upstream])+4)
 	})
 }
 
@@ -169,7 +169,7 @@
 	for range 20 {
 		chain, err := c.Chain(start, n)
 		require.NoError(t, err)
-		require.Equal(t, holder, chain.Stages[0].Name)
+		require.Equal(t, holder, chain.Stages[0].Upstream)
 	}
 	require.True(t, c.Cache(holder, cowslipproxy.CacheEvent{Seq: 9, Stored: []uint64{9}}))
 	c.Cache(holder, cowslipproxy.CacheEvent{Seq: 8, Stored: n.Prefixes}) // late
--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -49,31 +49,10 @@
 	Service string `json:"service,omitempty"` // empty for an engine
 }
 
-// Need says what a chain must provide.
-type Need struct {
-	Model    string                  `json:"model"`
-	Version  string                  `json:"version"`
-	Adapter  string                  `json:"adapter,omitempty"`
-	Range    cowslipproxy.LayerRange `json:"range"`              // the whole model, or the range of a stage to replace
-	Prefixes []uint64                `json:"prefixes,omitempty"` // see cowslipproxy.PrefixHashes
-	Tokens   int                     `json:"tokens"`             // length of the prompt
-	Output   int                     `json:"output,omitempty"`   // expected tokens of the answer; 0 means 32
-	Centre   string                  `json:"centre,omitempty"`   // preferred data centre
-	Avoid    []string                `json:"avoid,omitempty"`    // names of upstreams or VMs
-}
-
-// Stage is an upstream of a chain with the range that it runs.
-type Stage struct {
-	Name    string                  `json:"name"`
-	Range   cowslipproxy.LayerRange `json:"range"`
-	Prefill time.Duration           `json:"prefill"` // expected time of the prefill step, with link and queue
-	Decode  time.Duration           `json:"decode"`  // expected time of one decode step, with link and queue
-}
-
 // Chain is a list of stages whose ranges tile the needed range.
 type Chain struct {
-	Stages []Stage       `json:"stages"`
-	Cost   time.Duration `json:"cost"` // expected time of the whole answer
+	Stages []cowslipproxy.Stage `json:"stages"`
+	Cost   time.Duration        `json:"cost"` // expected time of the whole answer
 }
 
 // Sample is the result of one step or service call.
--- a/chooser/cost.go
+++ b/chooser/cost.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
 )
 
 const (
@@ -65,7 +67,7 @@
 
 // cachedTokens returns the tokens of the prompt that the engine holds, by the
 // share of the prompt's blocks that are known to be cached.
-func (c *Chooser) cachedTokens(u *upstream, need *Need) int {
+func (c *Chooser) cachedTokens(u *upstream, need *cowslipproxy.Need) int {
 	if u.hit != c.decision || len(need.Prefixes) == 0 {
 		return 0
 	}
@@ -77,6 +79,6 @@
 	return c.load(cached, at) <= loadBound*c.load(other, at)+loadSlack
 }
 
-func (n *Need) avoids(u *upstream) bool {
+func avoids(n *cowslipproxy.Need, u *upstream) bool {
 	return len(n.Avoid) > 0 && (slices.Contains(n.Avoid, u.Name) || slices.Contains(n.Avoid, u.VM))
 }
--- a/chooser/explain.go
+++ b/chooser/explain.go
@@ -44,15 +44,15 @@
 
 // Explanation is a decision with the candidates that it considered.
 type Explanation struct {
-	Need       Need        `json:"need"`
-	Chain      *Chain      `json:"chain,omitempty"`
-	Failure    string      `json:"failure,omitempty"`
-	Candidates []Candidate `json:"candidates"` // by range, then by name
+	Need       cowslipproxy.Need `json:"need"`
+	Chain      *Chain            `json:"chain,omitempty"`
+	Failure    string            `json:"failure,omitempty"`
+	Candidates []Candidate       `json:"candidates"` // by range, then by name
 }
 
 // Explain makes the decision of Chain and returns all holders of the model with
 // their costs. Its time grows with their number.
-func (c *Chooser) Explain(now time.Time, need Need) Explanation {
+func (c *Chooser) Explain(now time.Time, need cowslipproxy.Need) Explanation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q := c.ask(now, need)
@@ -113,7 +113,7 @@
 		return VerdictLeaving
 	case layers.First < q.need.Range.First || layers.End > q.need.Range.End:
 		return VerdictMisfit
-	case q.need.avoids(u):
+	case avoids(&q.need, u):
 		return VerdictAvoided
 	case !c.usable(u.Name, q.now):
 		return VerdictUnusable
@@ -137,7 +137,7 @@
 
 func (c *Chain) has(name string) bool {
 	for _, stage := range c.Stages {
-		if stage.Name == name {
+		if stage.Upstream == name {
 			return true
 		}
 	}
--- a/chooser/fleet_test.go
+++ b/chooser/fleet_test.go
@@ -56,6 +56,6 @@
 	}
 }
 
-func need() chooser.Need {
-	return chooser.Need{Model: "scribe", Version: "1", Range: whole, Tokens: 400}
+func need() cowslipproxy.Need {
+	return cowslipproxy.Need{Model: "scribe", Version: "1", Range: whole, Tokens: 400}
 }
--- a/chooser/missing.go
+++ b/chooser/missing.go
@@ -18,7 +18,7 @@
 )
 
 // missing tells which layers no usable upstream covers.
-func (c *Chooser) missing(g *group, need *Need) error {
+func (c *Chooser) missing(g *group, need *cowslipproxy.Need) error {
 	what := need.Model + " " + need.Version
 	if need.Adapter != "" {
 		what += " with adapter " + need.Adapter
--- a/chooser/traffic_test.go
+++ b/chooser/traffic_test.go
@@ -35,8 +35,8 @@
 			chain, err := c.Chain(start, need())
 			require.NoError(t, err)
 			for _, stage := range chain.Stages {
-				c.Begin(stage.Name)
-				chosen[stage.Name]++
+				c.Begin(stage.Upstream)
+				chosen[stage.Upstream]++
 			}
 			for _, pool := range tiling(engines) {
 				least[leastLoaded(pool).Name]++
@@ -86,11 +86,11 @@
 					return err
 				}
 				for _, stage := range chain.Stages {
-					c.Begin(stage.Name)
-					e.Begin(stage.Name, now)
-					c.Observe(now, stage.Name, chooser.Sample{Kind: cowslipproxy.StepDecode, Layers: stage.Range.Len(), Spent: time.Millisecond, Elapsed: 2 * time.Millisecond})
-					e.Success(stage.Name, now, cowslipproxy.StepDecode, time.Millisecond)
-					c.End(stage.Name)
+					c.Begin(stage.Upstream)
+					e.Begin(stage.Upstream, now)
+					c.Observe(now, stage.Upstream, chooser.Sample{Kind: cowslipproxy.StepDecode, Layers: stage.Range.Len(), Spent: time.Millisecond, Elapsed: 2 * time.Millisecond})
+					e.Success(stage.Upstream, now, cowslipproxy.StepDecode, time.Millisecond)
+					c.End(stage.Upstream)
 				}
 				c.Explain(now, need())
 			}
@@ -113,7 +113,7 @@
 			now := start.Add(time.Duration(i) * time.Second / rate)
 			chain, err := c.Chain(now, need())
 			require.NoError(t, err)
-			name := chain.Stages[0].Name
+			name := chain.Stages[0].Upstream
 			link := 2 * time.Millisecond
 			if name == slow {
 				counts[int(now.Sub(start)/time.Second)]++
--- a/cowslipd/router/operators.go
+++ b/cowslipd/router/operators.go
@@ -138,7 +138,7 @@
 	explanation.Tokens = len(question.Prompt)/bytesPerToken + question.Max
 	chain := r.pool.Explain(r.Clock(), cowslipproxy.Need{
 		Model: model.Name, Version: model.Version,
-		Layers:   cowslipproxy.LayerRange{First: 0, End: model.Layers},
+		Range:    cowslipproxy.LayerRange{First: 0, End: model.Layers},
 		Prefixes: cowslipproxy.PrefixHashes(model.Name, question.Prompt),
 		Tokens:   len(question.Prompt)/bytesPerToken + 1,
 		Output:   question.Max,
--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/advertiser"
@@ -39,6 +40,9 @@
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 64 << 10
 	stopPoll      = 50 * time.Millisecond
+	saveEvery     = 64                     // tokens
+	saveAbove     = 500 * time.Millisecond // a recomputation below this leaves most of the 2 s that a stage's death may cost
+	saveRoom      = 64 << 20               // bytes, a quarter of the daemon's memory
 )
 
 // Router is an entry daemon. Its exported fields are set before Run.
@@ -170,6 +174,7 @@
 	r.admission = &admission{limits: r.limits, track: track, floor: s.Floor, bound: s.Queue, clock: r.Clock, ctx: ctx, gates: map[string]*limiter.Gate{}}
 	r.driver = &driver.Driver{
 		Chooser: r.pool, Observer: r.pool, Engine: r.pool.Engine,
+		Saving:  &driver.Saving{Every: saveEvery, Above: saveAbove, Room: semaphore.NewWeighted(saveRoom)},
 		Checker: r.checker, Clock: r.Clock, Logger: r.Logger, Metrics: r.Metrics,
 	}
 	r.buildCallers(track)
--- a/driver/job.go
+++ b/driver/job.go
@@ -39,6 +39,7 @@
 	Tokens   int // tokens generated
 	Cached   int // prompt tokens that prefix caches saved
 	Replaced int // stages replaced
+	Restored int // of these, stages whose context came from an export
 }
 
 // Driver runs jobs. Its exported fields are set before the first job.
@@ -47,6 +48,7 @@
 	Observer cowslipproxy.StepObserver
 	Engine   func(name string) (cowslipproxy.Engine, bool)
 	Permit   func(now time.Time, job Job) error // whether a job may be sent to an engine again; may be nil
+	Saving   *Saving                            // nil if contexts are never exported
 	Checker  *checker.Checker
 	Clock    func() time.Time
 	Logger   *slog.Logger
@@ -58,7 +60,7 @@
 func (d *Driver) Run(ctx context.Context, job Job, emit func(Token) error) (Usage, error) {
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
 	defer cancel()
-	r := &run{driver: d, job: job, avoid: map[string]bool{}, used: map[string]bool{}}
+	r := &run{driver: d, job: job, used: map[string]bool{}}
 	defer r.release()
 	if err := r.plan(); err != nil {
 		return r.usage, r.failure(ctx, err)
--- a/driver/replace.go
+++ b/driver/replace.go
@@ -27,7 +27,7 @@
 		return errors.Wrapf(failed.err, "gave up after %d replacements", maxRecoveries)
 	}
 	lost := r.stages[failed.index]
-	r.avoid[lost.Upstream] = true
+	r.avoid = append(r.avoid, lost.Upstream)
 	if d.Permit != nil {
 		if err := d.Permit(d.Clock(), r.job); err != nil {
 			return err
@@ -40,6 +40,7 @@
 	}
 	substitute := stages[min(failed.index, len(stages)-1)]
 	r.adopt(stages)
+	r.prepare(ctx, lost, failed.index)
 	r.usage.Replaced++
 	metrics.GetOrRegisterCounter(reporter.MetricStagesReplaced, d.Metrics).Inc(1)
 	reporter.EventStageReplaced.Log(ctx, d.Logger,
@@ -51,6 +52,18 @@
 	return nil
 }
 
+// prepare decides where the next pass starts. The first token goes on behind
+// the stages that ran it, since the failed stage's input holds all positions,
+// and so does a token for which the substitute got the context of an export.
+// Otherwise all stages up to the substitute are computed again.
+func (r *run) prepare(ctx context.Context, lost stage, index int) {
+	token := len(r.given)
+	if token == 0 || r.restore(ctx, lost, index, token) {
+		return
+	}
+	r.resume = resumption{}
+}
+
 // substitute returns the chain with the failed stage replaced, or a new chain
 // where no engine holds just its layers. While there is neither it waits, since
 // ejections end and engines come back.
@@ -67,7 +80,7 @@
 		}
 		whole := cowslipproxy.LayerRange{First: 0, End: r.job.Model.Layers}
 		if chosen, err = d.Chooser.Chain(d.Clock(), r.need(whole, avoid)); err == nil {
-			r.resume = resumption{}
+			r.resume = resumption{} // no stage of the new chain ran anything yet
 			return fresh(chosen), nil
 		}
 		if !r.dispatched || d.Clock().Sub(began) > recoveryWait {
@@ -83,12 +96,12 @@
 }
 
 // need describes a range of the model's layers to the chooser.
-func (r *run) need(layers cowslipproxy.LayerRange, avoid map[string]bool) cowslipproxy.Need {
+func (r *run) need(layers cowslipproxy.LayerRange, avoid []string) cowslipproxy.Need {
 	return cowslipproxy.Need{
 		Model:    r.job.Model.Name,
 		Version:  r.job.Model.Version,
 		Adapter:  r.job.Adapter,
-		Layers:   layers,
+		Range:    layers,
 		Prefixes: r.job.Prefixes,
 		Tokens:   r.length(),
 		Output:   r.job.Max - len(r.given),
--- a/driver/run.go
+++ b/driver/run.go
@@ -23,18 +23,19 @@
 	stages     []stage
 	attempt    int // newest attempt of any stage
 	given      []int
-	avoid      map[string]bool // engines that failed this job
+	avoid      []string        // engines that failed this job
 	used       map[string]bool // engines that may hold contexts of this job
 	dispatched bool            // an engine may have started a step
 	recoveries int
 	usage      Usage
 	resume     resumption
+	keeper     keeper
 }
 
-// resumption lets a pass of the first token start behind the stages that ran.
+// resumption lets a pass start behind the stages that ran the token already.
 type resumption struct {
 	index int    // stage to start from
-	state []byte // its input, for all positions
+	state []byte // its input
 	ran   []cowslipproxy.LayerRange
 }
 
@@ -73,8 +74,10 @@
 // token produces one token, and replaces stages that fail on the way.
 func (r *run) token(ctx context.Context, index int) (cowslipproxy.Reply, error) {
 	for {
+		r.collect()
 		reply, err := r.pass(ctx, index)
 		if err == nil {
+			r.save(ctx, index)
 			return reply, nil
 		}
 		var failed *stageError
@@ -105,12 +108,11 @@
 		step := r.step(i, index, i <= last, i == last && index > 0, state)
 		var err error
 		if reply, err = r.do(ctx, &r.stages[i], step); err != nil {
-			if index == 0 {
-				r.resume = resumption{index: i, state: state, ran: ran}
-			}
+			r.resume = resumption{index: i, state: state, ran: ran}
 			return reply, &stageError{index: i, err: err}
 		}
 		r.stages[i].fresh = false
+		r.keep(&r.stages[i], step)
 		state, ran = reply.State, append(ran, reply.Range)
 	}
 	return reply, r.driver.Checker.Layers(ctx, r.job.Request, ran, r.job.Model.Layers)
@@ -219,6 +221,7 @@
 
 // release frees the contexts on all engines that may hold some.
 func (r *run) release() {
+	r.drop()
 	r.adopt(nil)
 	for name := range r.used {
 		if engine, ok := r.driver.Engine(name); ok {
--- a/pooler/choose.go
+++ b/pooler/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,59 +17,45 @@
 
 // Chain implements cowslipproxy.ChainChooser.
 func (p *Pool) Chain(now time.Time, need cowslipproxy.Need) ([]cowslipproxy.Stage, error) {
-	wanted := chooserNeed(need)
 	var chain chooser.Chain
 	var err error
 	for range maxChoices {
-		if chain, err = p.chooser.Chain(now, wanted); err != nil {
+		if chain, err = p.chooser.Chain(now, need); err != nil {
 			return nil, err
 		}
 		taken := p.claim(chain, now)
 		if taken == "" {
-			return p.stages(chain, now), nil
+			p.sent(chain, now)
+			return chain.Stages, nil
 		}
-		wanted.Avoid = append(wanted.Avoid, taken)
+		need.Avoid = append(need.Avoid[:len(need.Avoid):len(need.Avoid)], taken)
 	}
-	return nil, cowslipproxy.Refuse(cowslipproxy.ReasonNoChain, "all engines for the layers %v are being probed", need.Layers).After(time.Second)
+	return nil, cowslipproxy.Refuse(cowslipproxy.ReasonNoChain, "all engines for the layers %v are being probed", need.Range).After(time.Second)
 }
 
 // Explain says how a chain would be chosen now.
 func (p *Pool) Explain(now time.Time, need cowslipproxy.Need) chooser.Explanation {
-	return p.chooser.Explain(now, chooserNeed(need))
-}
-
-func chooserNeed(need cowslipproxy.Need) chooser.Need {
-	wanted := chooser.Need{
-		Model: need.Model, Version: need.Version, Adapter: need.Adapter, Range: need.Layers,
-		Prefixes: need.Prefixes, Tokens: need.Tokens, Output: need.Output,
-	}
-	for name := range need.Avoid {
-		wanted.Avoid = append(wanted.Avoid, name)
-	}
-	sort.Strings(wanted.Avoid)
-	return wanted
+	return p.chooser.Explain(now, need)
 }
 
 // claim takes the stages' upstreams for a request and returns the first one
 // that is ejected and not to be probed by it.
 func (p *Pool) claim(chain chooser.Chain, now time.Time) string {
 	for _, stage := range chain.Stages {
-		if !p.ejector.Begin(stage.Name, now) {
-			return stage.Name
+		if !p.ejector.Begin(stage.Upstream, now) {
+			return stage.Upstream
 		}
 	}
 	return ""
 }
 
-func (p *Pool) stages(chain chooser.Chain, now time.Time) []cowslipproxy.Stage {
-	stages := make([]cowslipproxy.Stage, len(chain.Stages))
+// sent notes that new work goes to a chain.
+func (p *Pool) sent(chain chooser.Chain, now time.Time) {
 	p.joinMu.Lock()
 	defer p.joinMu.Unlock()
-	for i, s := range chain.Stages {
-		stages[i] = cowslipproxy.Stage{Upstream: s.Name, Range: s.Range, Prefill: s.Prefill, Decode: s.Decode}
-		p.joiner.Sent(s.Name, now)
+	for _, stage := range chain.Stages {
+		p.joiner.Sent(stage.Upstream, now)
 	}
-	return stages
 }
 
 // Begin implements cowslipproxy.ChainChooser.
--- a/standin/emulator/engine.go
+++ b/standin/emulator/engine.go
@@ -21,6 +21,7 @@
 	Lag      time.Duration // lag of load reports and cache events
 	Fenced   bool          // refuses orders with an old fencing number
 	Loading  time.Duration // time to load a layer for an order
+	Copy     time.Duration // time to export or import one layer of one position
 	Link     time.Duration // one-way time of the link to the daemons
 	Width    int           // bytes of activations per position, 8 at least
 
--- a/standin/emulator/pipeline_test.go
+++ b/standin/emulator/pipeline_test.go
@@ -5,12 +5,14 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/semaphore"
 	"google.golang.org/grpc"
 
 	"github.com/cowslipproxy/cowslipproxy"
@@ -33,6 +35,7 @@
 	mu      sync.Mutex
 	lost    []string // requests in flight on engines that were lost
 	down    map[string]bool
+	slow    time.Duration // expected time of each stage's prefill
 }
 
 func newPipeline(t *testing.T) *pipeline {
@@ -102,23 +105,23 @@
 // Chain implements cowslipproxy.ChainChooser: the first connected engines in
 // order whose ranges fit one after another.
 func (p *pipeline) Chain(_ time.Time, need cowslipproxy.Need) ([]cowslipproxy.Stage, error) {
-	if chain, ok := p.tile(need, need.Layers.First); ok {
+	if chain, ok := p.tile(need, need.Range.First); ok {
 		return chain, nil
 	}
-	return nil, cowslipproxy.Refuse(cowslipproxy.ReasonNoChain, "no engines tile the layers %v", need.Layers)
+	return nil, cowslipproxy.Refuse(cowslipproxy.ReasonNoChain, "no engines tile the layers %v", need.Range)
 }
 
 func (p *pipeline) tile(need cowslipproxy.Need, next int) ([]cowslipproxy.Stage, bool) {
-	if next == need.Layers.End {
+	if next == need.Range.End {
 		return nil, true
 	}
 	for _, name := range p.order {
 		held := p.engines[name].Range
-		if held.First != next || held.End > need.Layers.End || need.Avoid[name] || p.isDown(name) {
+		if held.First != next || held.End > need.Range.End || slices.Contains(need.Avoid, name) || p.isDown(name) {
 			continue
 		}
 		if rest, ok := p.tile(need, held.End); ok {
-			return append([]cowslipproxy.Stage{{Upstream: name, Range: held}}, rest...), true
+			return append([]cowslipproxy.Stage{{Upstream: name, Range: held, Prefill: p.slow}}, rest...), true
 		}
 	}
 	return nil, false
@@ -196,6 +199,31 @@
 	}
 }
 
+// Guards against a substitute that goes on with a stale or incomplete context
+// after it imported an export, at any distance from the export.
+func TestStageIsRestoredFromAnExport(t *testing.T) {
+	for _, after := range []int{9, 12, 17, 18, 19, 30} {
+		p := newPipeline(t)
+		p.driver.Saving = &driver.Saving{Every: 8, Room: semaphore.NewWeighted(1 << 20)}
+		p.slow = time.Second // a recomputation is expected to take longer than an import
+		p.add("a", 0, 2)
+		p.add("b", 2, 4)
+		p.add("c", 4, 6)
+		p.add("b2", 2, 4)
+		p.engines["b"].SetFaults(emulator.Faults{After: after})
+		steps := p.engines["a"].Account().Steps
+		texts, usage, err := p.answer("r1", prompt, 40)
+		require.NoError(t, err)
+		require.Equal(t, emulator.Answer(model, "", prompt, 40), texts, "b dies at step %d", after)
+		require.Equal(t, 1, usage.Replaced)
+		if usage.Restored == 1 {
+			require.Equal(t, int64(40), p.engines["a"].Account().Steps-steps, "the stages before a restored one run each token once")
+		}
+		require.True(t, usage.Restored == 1 || after < 12, "nothing was restored at step %d", after)
+		require.True(t, p.driver.Saving.Room.TryAcquire(1<<20), "the exports' memory was not freed")
+	}
+}
+
 // Guards against a request that fails where two stages die one after the other
 // and only engines with other ranges are left.
 func TestTwoStagesDieAndAnotherTilingTakesOver(t *testing.T) {
--- a/standin/emulator/serve.go
+++ b/standin/emulator/serve.go
@@ -145,32 +145,47 @@
 }
 
 // Export implements runner.Server.
-func (h handler) Export(_ context.Context, id *cowslipproxy.StepID) (*cowslipproxy.Cache, error) {
-	e := h.engine
+func (h handler) Export(ctx context.Context, id *cowslipproxy.StepID) (*cowslipproxy.Cache, error) {
+	cache, err := h.engine.exportContext(*id)
+	if err != nil {
+		return nil, err
+	}
+	return &cache, wait(ctx, h.engine.copyTime(cache.Tokens))
+}
+
+func (e *Engine) exportContext(id cowslipproxy.StepID) (cowslipproxy.Cache, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	seq, ok := e.contexts[contextKey{request: id.Request, attempt: id.Attempt}]
 	if !ok {
-		return nil, status.Errorf(codes.NotFound, "no context of request %s, attempt %d", id.Request, id.Attempt)
+		return cowslipproxy.Cache{}, status.Errorf(codes.NotFound, "no context of request %s, attempt %d", id.Request, id.Attempt)
 	}
 	var data []byte
 	var err error
 	if data, err = seq.encode(); err != nil {
-		return nil, err
+		return cowslipproxy.Cache{}, err
 	}
-	newest := *id
-	newest.Token, newest.Range = seq.Token, e.Range
-	return &cowslipproxy.Cache{StepID: newest, Model: e.Model.Name, Version: e.Model.Version, Tokens: seq.Positions, Data: data}, nil
+	id.Token, id.Range = seq.Token, e.Range
+	return cowslipproxy.Cache{StepID: id, Model: e.Model.Name, Version: e.Model.Version, Tokens: seq.Positions, Data: data}, nil
+}
+
+func (e *Engine) copyTime(positions int) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Copy * time.Duration(positions*e.Range.Len())
 }
 
 // Import implements runner.Server.
-func (h handler) Import(_ context.Context, cache *cowslipproxy.Cache) (*runner.Empty, error) {
+func (h handler) Import(ctx context.Context, cache *cowslipproxy.Cache) (*runner.Empty, error) {
 	e := h.engine
 	var seq *sequence
 	var err error
 	if seq, err = decodeSequence(cache.Data); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
+	if err := wait(ctx, e.copyTime(seq.Positions)); err != nil {
+		return nil, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if cache.Range != e.Range || cache.Model != e.Model.Name || cache.Version != e.Model.Version {
