--- /dev/null
+++ b/advertiser/advertiser_test.go
@@ -0,0 +1,137 @@
+package advertiser_test
+
+import (
+	"flag"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/advertiser"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func member(i int, centre string) cowslipproxy.Member {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
+	return cowslipproxy.Member{
+		Owner: cowslipproxy.Owner{Name: "entry-" + strconv.Itoa(100+i), Incarnation: 1},
+		Hello: cowslipproxy.Hello{Caller: address, Peer: address, Centre: centre},
+	}
+}
+
+// Guards against answers that name stopping or failed daemons, that send
+// callers to another data centre first, or that leave usable daemons out.
+func TestAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		centres := []string{"oyo-a", "oyo-b", "oyo-c"}
+		usable := map[netip.AddrPort]string{}
+		near := 0
+		var members []cowslipproxy.Member
+		for i := range rapid.IntRange(0, 20).Draw(t, "members") {
+			m := member(i, rapid.SampledFrom(centres).Draw(t, "centre"))
+			m.Down, m.Stopping = rapid.Bool().Draw(t, "down"), rapid.Bool().Draw(t, "stopping")
+			members = append(members, m)
+			if !m.Down && !m.Stopping {
+				usable[m.Caller] = m.Centre
+				if m.Centre == "oyo-a" {
+					near++
+				}
+			}
+		}
+		a := advertiser.Advertiser{Centre: "oyo-a", Random: rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed")))}
+		answer := a.Answer(members)
+		require.Len(t, answer.Addresses, min(len(usable), 8))
+		seen := map[netip.AddrPort]bool{}
+		for i, address := range answer.Addresses {
+			require.Contains(t, usable, address.Address)
+			require.False(t, seen[address.Address], "named twice")
+			require.Equal(t, i < near, address.Centre == "oyo-a")
+			seen[address.Address] = true
+		}
+	})
+}
+
+// Guards against callers that all start with the same daemon.
+func TestAnswerSpreads(t *testing.T) {
+	var members []cowslipproxy.Member
+	for i := range 15 {
+		members = append(members, member(i, []string{"a", "b", "c"}[i%3]))
+	}
+	a := advertiser.Advertiser{Centre: "a", Random: rand.New(rand.NewPCG(1, 2))}
+	first := map[netip.AddrPort]int{}
+	for range 5000 {
+		first[a.Answer(members).Addresses[0].Address]++
+	}
+	require.Len(t, first, 5)
+	for _, count := range first {
+		require.InDelta(t, 1000, count, 150) // five standard deviations
+	}
+}
+
+// Guards against a stopping daemon that turns away callers whose answers still
+// name it. News of the stop reaches each peer at any time within the spread, and
+// each peer answers callers before and after.
+func TestStopOutlastsAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const spread, lifetime = 5 * time.Second, 30 * time.Second
+		stopper := advertiser.Stopper{Spread: spread, Lifetime: lifetime}
+		a := advertiser.Advertiser{Centre: "a", Lifetime: lifetime, Random: rand.New(rand.NewPCG(3, 4))}
+		stopping := member(0, "a")
+		var last time.Time // when the last answer that names the daemon expires
+		for range 15 {
+			news := time.Duration(rapid.Int64Range(0, int64(spread)-1).Draw(t, "news"))
+			asked := time.Duration(rapid.Int64Range(0, int64(2*spread)).Draw(t, "asked"))
+			way := time.Duration(rapid.Int64Range(0, int64(time.Second)-1).Draw(t, "way"))
+			known := stopping
+			known.Stopping = asked >= news
+			answer := a.Answer([]cowslipproxy.Member{known, member(1, "a")})
+			require.Len(t, answer.Addresses, map[bool]int{true: 1, false: 2}[known.Stopping])
+			if expiry := start.Add(asked + way + time.Duration(answer.Lifetime)); !known.Stopping && expiry.After(last) {
+				last = expiry
+			}
+		}
+		stopper.Begin(start)
+		gap := time.Duration(rapid.Int64Range(1e8, 7e9).Draw(t, "gap"))
+		for now := start; now.Before(last); now = now.Add(gap) {
+			phase := stopper.Step(0, now)
+			require.Contains(t, []advertiser.Phase{advertiser.PhaseLeaving, advertiser.PhaseDraining}, phase)
+		}
+		require.Equal(t, advertiser.PhaseEnded, stopper.Step(0, start.Add(spread+lifetime+time.Second)))
+	})
+}
+
+// Guards against a stop that cuts off requests in flight before the operator's
+// limit, or that never ends after it.
+func TestStopWaitsForRequests(t *testing.T) {
+	for _, limit := range []time.Duration{0, time.Minute} {
+		stopper := advertiser.Stopper{Spread: time.Second, Lifetime: 8 * time.Second, Limit: limit}
+		require.Equal(t, advertiser.PhaseServing, stopper.Step(1, start))
+		require.False(t, stopper.IsStopping())
+		stopper.Begin(start)
+		stopper.Begin(start.Add(time.Second))
+		finishing := start.Add(10 * time.Second)
+		require.Equal(t, advertiser.PhaseLeaving, stopper.Step(1, start))
+		require.Equal(t, advertiser.PhaseDraining, stopper.Step(0, finishing.Add(-1)))
+		require.Equal(t, advertiser.PhaseFinishing, stopper.Step(1, finishing))
+		require.Equal(t, advertiser.PhaseFinishing, stopper.Step(1, finishing.Add(time.Minute-1)))
+		if limit > 0 {
+			require.Equal(t, advertiser.PhaseEnded, stopper.Step(1, finishing.Add(time.Minute)))
+			continue
+		}
+		require.Equal(t, advertiser.PhaseFinishing, stopper.Step(1, finishing.Add(time.Hour)))
+		require.Equal(t, advertiser.PhaseEnded, stopper.Step(0, finishing.Add(time.Hour)))
+	}
+}
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -81,6 +81,7 @@
 	p.seen, p.acked = message.Seq, message.Ack
 	fresh := g.store.Apply(message.Items, message.From.Name, now)
 	g.heard(message.From, now)
+	g.refute(fresh, now)
 	if slices.ContainsFunc(fresh, func(i Item) bool { return i.Urgent }) {
 		g.signal()
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -53,6 +53,7 @@
 	peers    map[string]*peer
 	conns    *connections
 	wake     chan struct{}
+	said     cowslipproxy.Hello // by this daemon
 	hellos   map[cowslipproxy.Owner]knownHello
 	superior bool // a later incarnation of this daemon is known
 	rounds   int
@@ -84,6 +85,7 @@
 		if g.Logger == nil {
 			g.Logger = slog.Default()
 		}
+		g.said = g.Hello
 		g.store = NewStore()
 		g.hellos = map[cowslipproxy.Owner]knownHello{}
 		g.detector = &Detector{Timeout: g.Timeout}
@@ -99,7 +101,10 @@
 func (g *Gossiper) Run(ctx context.Context) error {
 	g.setup()
 	defer g.conns.close()
-	if err := g.Say(g.Hello); err != nil {
+	g.mu.Lock()
+	hello := g.said
+	g.mu.Unlock()
+	if err := g.Say(hello); err != nil {
 		return err
 	}
 	server := grpc.NewServer(serverOptions()...)
--- a/gossiper/item.go
+++ b/gossiper/item.go
@@ -17,6 +17,7 @@
 const (
 	KindHello  Kind = "hello"  // cowslipproxy.Hello
 	KindDown   Kind = "down"   // the key is the owner that gives no heartbeats
+	KindAlive  Kind = "alive"  // answers the report of the owner that is the key
 	KindOffset Kind = "offset" // offset through which the configuration is folded
 	KindPoison Kind = "poison" // suspect or quarantined request
 	KindDemand Kind = "demand" // a customer's demand at the owner
--- a/gossiper/members.go
+++ b/gossiper/members.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -55,9 +55,11 @@
 	return g.Publish(Item{Kind: kind, Key: key, Reach: reach, Urgent: true, Gone: true})
 }
 
-// Say tells the other daemons about this one, at once.
+// Say tells the other daemons about this one, at once. The data centre stays
+// that of the field Hello.
 func (g *Gossiper) Say(hello cowslipproxy.Hello) error {
 	g.setup()
+	hello.Centre = g.Hello.Centre
 	if err := hello.Check(); err != nil {
 		return errors.Wrap(err, "hello")
 	}
@@ -67,7 +69,7 @@
 		return err
 	}
 	g.mu.Lock()
-	g.Hello = hello
+	g.said = hello
 	g.mu.Unlock()
 	return g.Publish(Item{Kind: KindHello, Data: data, Urgent: true})
 }
@@ -76,7 +78,7 @@
 func (g *Gossiper) Stop() error {
 	g.setup()
 	g.mu.Lock()
-	hello := g.Hello
+	hello := g.said
 	g.mu.Unlock()
 	hello.Stopping = true
 	return g.Say(hello)
@@ -132,20 +134,21 @@
 
 func (g *Gossiper) members() []cowslipproxy.Member {
 	var members []cowslipproxy.Member
-	centres := map[cowslipproxy.Owner]string{}
+	accused := g.accused()
 	for _, item := range g.store.Items(KindHello) {
 		hello, ok := g.hello(item)
 		if !ok {
 			continue
 		}
 		member := cowslipproxy.Member{Owner: item.Owner, Hello: hello}
-		centres[member.Owner] = member.Centre
+		// The own observation counts more than what others report.
+		if missing, watched := g.detector.Missing(member.Owner); watched {
+			member.Down = missing
+		} else {
+			member.Down = accused[member.Key()] && member.Owner != g.Self
+		}
 		members = append(members, member)
 	}
-	reports := g.reports(centres)
-	for i, member := range members {
-		members[i].Down = g.isDown(member, centres, reports)
-	}
 	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
 	return members
 }
@@ -190,44 +193,54 @@
 	}
 }
 
-// reports returns who reported a daemon as missing, by the daemon's key.
-func (g *Gossiper) reports(centres map[cowslipproxy.Owner]string) map[string][]cowslipproxy.Owner {
-	reports := map[string][]cowslipproxy.Owner{}
-	for _, item := range g.store.Items(KindDown) {
-		if centres[item.Owner] != "" {
-			reports[item.Key] = append(reports[item.Key], item.Owner)
+// accused returns the keys of the daemons that others report as missing, less
+// those that answered the report. A daemon that lost only its link to the
+// reporter, but not to others, so stays in use.
+func (g *Gossiper) accused() map[string]bool {
+	accused := map[string]bool{}
+	for _, report := range g.store.Items(KindDown) {
+		if !g.refuted(report) {
+			accused[report.Key] = true
 		}
 	}
-	return reports
+	return accused
 }
 
-// isDown decides by the own observation if there is one. Otherwise it goes by
-// reports from this data centre and from the member's. Those from a third one
-// don't count, since it may have lost only its own link to the member. Nor do
-// reports of daemons that are reported themselves.
-func (g *Gossiper) isDown(member cowslipproxy.Member, centres map[cowslipproxy.Owner]string, reports map[string][]cowslipproxy.Owner) bool {
-	if member.Owner == g.Self {
+func (g *Gossiper) refuted(report Item) bool {
+	name, _ := cutKey(report.Key)
+	answer, ok := g.store.Get(cowslipproxy.Owner{Name: name, Incarnation: g.store.Newest(name)}, ReachAll, KindAlive, report.Owner.Key())
+	if !ok {
 		return false
 	}
-	if missing, watched := g.detector.Missing(member.Owner); watched {
-		return missing
-	}
-	for _, observer := range reports[member.Owner.Key()] {
-		if g.counts(observer, member.Centre, centres) && !g.accused(observer, centres, reports) {
-			return true
-		}
+	var version uint64
+	if err := decoder.CBOR(answer.Data, &version); err != nil {
+		return false
 	}
-	return false
+	return version >= report.Version
 }
 
-func (g *Gossiper) counts(observer cowslipproxy.Owner, centre string, centres map[cowslipproxy.Owner]string) bool {
-	return centres[observer] == g.Hello.Centre || centres[observer] == centre
+// cutKey splits the key of an owner into name and incarnation.
+func cutKey(key string) (name, incarnation string) {
+	i := strings.LastIndexByte(key, '-')
+	if i < 0 {
+		return key, ""
+	}
+	return key[:i], key[i+1:]
 }
 
-func (g *Gossiper) accused(observer cowslipproxy.Owner, centres map[cowslipproxy.Owner]string, reports map[string][]cowslipproxy.Owner) bool {
-	return slices.ContainsFunc(reports[observer.Key()], func(other cowslipproxy.Owner) bool {
-		return g.counts(other, centres[observer], centres)
-	})
+// refute answers reports that this daemon is missing.
+func (g *Gossiper) refute(fresh []Item, now time.Time) {
+	for _, report := range fresh {
+		if report.Kind != KindDown || report.Key != g.Self.Key() {
+			continue
+		}
+		answer := Item{Kind: KindAlive, Key: report.Owner.Key(), Reach: ReachAll, Urgent: true, Gone: report.Gone}
+		var err error
+		if answer.Data, err = Encode(report.Version); err != nil {
+			continue // a number always encodes
+		}
+		g.put(answer, now)
+	}
 }
 
 // SetListed sets the entry VMs of the platform's list. They are called until
@@ -258,22 +271,25 @@
 }
 
 // contacts returns the other daemons that can be called, and those that are
-// down or listed without having said hello.
+// down or listed without having said hello. A daemon that is down and listed at
+// another address may have been replaced there.
 func (g *Gossiper) contacts() (live, silent []Contact) {
-	known := map[string]bool{g.Self.Name: true}
+	up := map[string]bool{g.Self.Name: true}
+	tried := map[string]bool{}
 	for _, member := range g.members() {
-		known[member.Name] = true
 		contact := Contact{Owner: member.Owner, Address: member.Peer.String(), Centre: member.Centre}
 		switch {
 		case member.Owner == g.Self:
 		case member.Down:
 			silent = append(silent, contact)
+			tried[contact.Address] = true
 		default:
 			live = append(live, contact)
+			up[member.Name] = true
 		}
 	}
 	for name, contact := range g.listed {
-		if !known[name] {
+		if !up[name] && !tried[contact.Address] {
 			silent = append(silent, contact)
 		}
 	}
--- a/joiner/joiner.go
+++ b/joiner/joiner.go
@@ -96,11 +96,11 @@
 	return now.Sub(taken) < limit
 }
 
-func (s *state) mark(reason Reason, on, clear bool, now time.Time) {
+func (s *state) mark(reason Reason, on, lift bool, now time.Time) {
 	if on && s.leaving[reason].IsZero() {
 		s.leaving[reason] = now
 	}
-	if !on && clear {
+	if !on && lift {
 		delete(s.leaving, reason)
 	}
 }
--- /dev/null
+++ b/joiner/joiner_test.go
@@ -0,0 +1,128 @@
+package joiner_test
+
+import (
+	"flag"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/joiner"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func vm(name string, state cowslipproxy.VMState) cowslipproxy.VM {
+	return cowslipproxy.VM{Name: name, Role: cowslipproxy.VMEngine, Address: netip.MustParseAddrPort("127.0.0.1:1"), Centre: "a", State: state}
+}
+
+func live(names ...string) []cowslipproxy.VM {
+	var vms []cowslipproxy.VM
+	for _, name := range names {
+		vms = append(vms, vm(name, cowslipproxy.VMLive))
+	}
+	return vms
+}
+
+// Guards against work for VMs that are only listed, that fail probes, that
+// leave or that vanished, and against a VM that waits for the list to show it.
+func TestDecide(t *testing.T) {
+	var j joiner.Joiner
+	require.Equal(t, joiner.ReasonUnknown, j.Decide("a"))
+	j.List(live("a", "b"), start, start)
+	require.Equal(t, joiner.ReasonUnseen, j.Decide("a"))
+	j.Probe("a", true, start)
+	j.Hello(vm("new", cowslipproxy.VMLive), start)
+	require.True(t, j.IsUsable("a"))
+	require.True(t, j.IsUsable("new"))
+	require.Len(t, j.Usable(cowslipproxy.VMEngine), 2)
+	j.Probe("a", false, start)
+	j.Probe("a", false, start)
+	require.Equal(t, joiner.ReasonFailing, j.Decide("a"))
+	j.Probe("a", true, start)
+	j.Report("a", true, start)
+	require.Equal(t, joiner.ReasonOwn, j.Decide("a"))
+	j.Report("a", false, start)
+	j.List([]cowslipproxy.VM{vm("a", cowslipproxy.VMLeaving)}, start, start)
+	require.Equal(t, joiner.ReasonListed, j.Decide("a"))
+	require.Equal(t, joiner.ReasonVanished, j.Decide("b"))
+	require.True(t, j.IsUsable("new"), "was never listed, so can't have vanished")
+	j.Drain("new", true, start)
+	require.Equal(t, joiner.ReasonDrained, j.Decide("new"))
+}
+
+// Guards against an outdated list that takes VMs out of service which answer
+// probes, or whose marks are of a run that was replaced.
+func TestOutdatedList(t *testing.T) {
+	var j joiner.Joiner
+	j.List(live("a", "b"), start, start)
+	j.Probe("a", true, start)
+	j.Probe("b", true, start)
+	later := start.Add(time.Minute)
+	j.List(live("a"), start.Add(time.Second), later)
+	require.True(t, j.IsUsable("b"))
+	j.Restart("a", later)
+	j.Hello(vm("a", cowslipproxy.VMLive), later)
+	j.List([]cowslipproxy.VM{vm("a", cowslipproxy.VMLeaving)}, start, later)
+	require.True(t, j.IsUsable("a"))
+	j.List(live("a"), later, later)
+	require.Equal(t, joiner.ReasonVanished, j.Decide("b"))
+	require.Equal(t, []string{"b"}, j.Forget(later))
+}
+
+// Guards against new work for a VM more than 3 s after it was known to leave,
+// whichever source said so and in whichever order the news came.
+func TestLeavingInvariant(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var j joiner.Joiner
+		names := []string{"a", "b", "c"}
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, 5e9).Draw(t, "gap")))
+			name := rapid.SampledFrom(names).Draw(t, "name")
+			on := rapid.Bool().Draw(t, "on")
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				taken := now.Add(-time.Duration(rapid.Int64Range(0, 60e9).Draw(t, "age")))
+				j.List(append(live(names[:rapid.IntRange(0, 2).Draw(t, "listed")]...), vm("c", cowslipproxy.VMLeaving)), taken, now)
+			case 1:
+				j.Hello(vm(name, cowslipproxy.VMLive), now)
+			case 2:
+				j.Probe(name, on, now)
+			case 3:
+				j.Report(name, on, now)
+			case 4:
+				j.Drain(name, on, now)
+			case 5:
+				j.Restart(name, now)
+			}
+			for _, name := range names {
+				if j.IsUsable(name) {
+					require.Zero(t, j.Leaving(name))
+					j.Sent(name, now)
+				}
+			}
+			require.NoError(t, j.Check())
+		}
+	})
+}
+
+// Guards against an invariant check that never fails.
+func TestCheckReportsLateWork(t *testing.T) {
+	var j joiner.Joiner
+	j.Drain("a", true, start)
+	j.Sent("a", start.Add(joiner.Limit))
+	require.NoError(t, j.Check())
+	j.Sent("a", start.Add(joiner.Limit+1))
+	require.ErrorContains(t, j.Check(), "vm a: got new work")
+}
