--- a/standin/main.go
+++ b/standin/main.go
@@ -16,7 +16,9 @@
 
 // commands returns the subcommands, one from each file.
 func commands() []*ffcli.Command {
-	return []*ffcli.Command{}
+	return []*ffcli.Command{
+		logCommand(),
+	}
 }
 
 func main() {
