--- a/standin/main.go
+++ b/standin/main.go
@@ -17,7 +17,10 @@
 // commands returns the subcommands, one from each file.
 func commands() []*ffcli.Command {
 	return []*ffcli.Command{
+		engineCommand(),
+		listCommand(),
 		logCommand(),
+		serviceCommand(),
 	}
 }
 
