--- /dev/null
+++ b/cowslipctl/file.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/decoder"
+)
+
+// maxFile bounds a configuration file in memory: ten times today's largest expected size.
+const maxFile = 64 << 20
+
+// readConfiguration reads and checks the file that is the only argument; "-" is standard input.
+func readConfiguration(args []string) (cowslipproxy.Configuration, error) {
+	var configuration cowslipproxy.Configuration
+	if len(args) != 1 {
+		return configuration, usageError("found %d arguments, accepted is one FILE, or - for standard input", len(args))
+	}
+	input := os.Stdin
+	if args[0] != "-" {
+		var err error
+		if input, err = os.Open(args[0]); err != nil {
+			return configuration, errors.WithStack(err)
+		}
+		defer func() { _ = input.Close() }()
+	}
+	data, err := io.ReadAll(io.LimitReader(input, maxFile+1))
+	if err != nil {
+		return configuration, errors.WithStack(err)
+	}
+	if len(data) > maxFile {
+		return configuration, errors.Errorf("%s: found more than %d bytes", args[0], maxFile)
+	}
+	if err := decoder.YAML(data, &configuration); err != nil {
+		return configuration, errors.Wrap(err, args[0])
+	}
+	return configuration, errors.Wrap(checkKeys(configuration), args[0])
+}
+
+// checkKeys reports a bearer key that two customers share, since a request that
+// carries it could belong to either.
+func checkKeys(configuration cowslipproxy.Configuration) error {
+	owners := map[string]string{}
+	for _, customer := range configuration.Customers {
+		for _, key := range customer.Keys {
+			if owner, ok := owners[key]; ok && owner != customer.Name {
+				return errors.Errorf("customers %s and %s: found the same key, accepted are different ones", owner, customer.Name)
+			}
+			owners[key] = customer.Name
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cowslipctl/log.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy/follower"
+)
+
+// logFlags are the flags of commands that talk to the log.
+type logFlags struct {
+	address *string
+	timeout *time.Duration
+	json    *bool
+}
+
+func newLogFlags(flags *flag.FlagSet) logFlags {
+	return logFlags{
+		address: flags.String("log", "", "address of the log, an IP number and port (required)"),
+		timeout: flags.Duration("timeout", 10*time.Second, "time for the whole command"),
+		json:    flags.Bool("json", false, "print JSON"),
+	}
+}
+
+func (l logFlags) client() (*follower.Client, error) {
+	address, err := netip.ParseAddrPort(*l.address)
+	if err != nil {
+		return nil, usageError("log: found %q, accepted is an IP number and port such as 127.0.0.1:7100", *l.address)
+	}
+	if *l.timeout <= 0 {
+		return nil, usageError("timeout: found %v, accepted is more than 0", *l.timeout)
+	}
+	return &follower.Client{Address: address}, nil
+}
+
+func printJSON(w io.Writer, value any) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return errors.WithStack(encoder.Encode(value))
+}
--- a/cowslipctl/main.go
+++ b/cowslipctl/main.go
@@ -15,7 +15,12 @@
 
 // commands returns the subcommands, one from each file.
 func commands() []*ffcli.Command {
-	return []*ffcli.Command{}
+	return []*ffcli.Command{
+		checkCommand(),
+		publishCommand(),
+		showCommand(),
+		versionCommand(),
+	}
 }
 
 func main() {
@@ -28,11 +33,16 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
-		if errors.Is(err, flag.ErrHelp) {
-			os.Exit(2)
+	if err := root.Parse(os.Args[1:]); err != nil {
+		if !errors.Is(err, flag.ErrHelp) {
+			fmt.Fprintln(os.Stderr, "cowslipctl:", err)
+		}
+		os.Exit(exitUsage)
+	}
+	if err := root.Run(ctx); err != nil {
+		if !errors.Is(err, flag.ErrHelp) {
+			fmt.Fprintln(os.Stderr, "cowslipctl:", err)
 		}
-		fmt.Fprintln(os.Stderr, "cowslipctl:", err)
-		os.Exit(1)
+		os.Exit(exitCode(err))
 	}
 }
--- /dev/null
+++ b/cowslipctl/publish.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy/follower"
+	"github.com/cowslipproxy/cowslipproxy/resolver"
+)
+
+func publishCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("cowslipctl publish", flag.ContinueOnError)
+	log := newLogFlags(flags)
+	prune := flags.Bool("prune", false, "without bases in FILE: delete what is in force and not in FILE")
+	return &ffcli.Command{
+		Name:       "publish",
+		ShortUsage: "cowslipctl publish --log ADDRESS [flags] FILE",
+		ShortHelp:  "Publishes a configuration file to the log.",
+		LongHelp: "Appends each customer, model and service of FILE that differs from the one in\n" +
+			"force, and reports its verdict: accepted, conflict, invalid or unknown yet.\n" +
+			"A change is accepted when its base is the version in force. The bases are those\n" +
+			"in FILE, as \"cowslipctl show\" prints them, else the versions in the log now.\n" +
+			"An item that the bases in FILE name and FILE lacks is deleted.\n" +
+			"Publishing the same file again is safe, also after \"unknown yet\".\n\n" +
+			"Exit codes: 0 all accepted, 3 conflict, 4 unknown yet, 2 usage, 1 other.",
+		FlagSet: flags,
+		Options: []ff.Option{ff.WithEnvVarPrefix("COWSLIP")},
+		Exec: func(ctx context.Context, args []string) error {
+			client, err := log.client()
+			if err != nil {
+				return err
+			}
+			publisher := &follower.Publisher{Log: client, Timeout: *log.timeout, Prune: *prune}
+			return publish(ctx, os.Stdout, publisher, args, *log.json)
+		},
+	}
+}
+
+func publish(ctx context.Context, w io.Writer, publisher *follower.Publisher, args []string, asJSON bool) error {
+	configuration, err := readConfiguration(args)
+	if err != nil {
+		return err
+	}
+	results, err := publisher.Publish(ctx, configuration)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		err = printJSON(w, results)
+	} else {
+		err = printResults(w, results)
+	}
+	if err != nil {
+		return err
+	}
+	return publishError(results)
+}
+
+func printResults(w io.Writer, results []follower.Result) error {
+	for _, result := range results {
+		line := fmt.Sprintf("%s: %s", result.Scope, result.Verdict)
+		if result.ID == "" {
+			line += " (in force already)"
+		}
+		if result.Reason != "" {
+			line += ": " + result.Reason
+		}
+		if _, err := fmt.Fprintln(w, line); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
+
+// publishError returns the error for the worst verdict: what was refused comes
+// before what isn't known yet, since publishing again doesn't help there.
+func publishError(results []follower.Result) error {
+	counts := map[resolver.Verdict]int{}
+	for _, result := range results {
+		counts[result.Verdict]++
+	}
+	switch {
+	case counts[resolver.VerdictInvalid] > 0:
+		return errors.Errorf("%d changes are invalid", counts[resolver.VerdictInvalid])
+	case counts[resolver.VerdictConflict] > 0:
+		return codeError{exitConflict, errors.Errorf("%d changes conflict with changes of others; compare with \"cowslipctl show\"", counts[resolver.VerdictConflict])}
+	case counts[resolver.VerdictUnknown] > 0:
+		return codeError{exitUnknown, errors.Errorf("%d changes have no verdict yet; publish the same file again", counts[resolver.VerdictUnknown])}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/declarer/declarer.go
@@ -0,0 +1,180 @@
+// Package declarer is the library with which operators declare their customers,
+// models and services. It prints the configuration that cowslipctl checks and
+// publishes. It imports the configuration's types and nothing of the daemon.
+package declarer
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+// Classes of customers, the most important first.
+const (
+	Critical = cowslipproxy.ClassCritical
+	High     = cowslipproxy.ClassHigh
+	Normal   = cowslipproxy.ClassNormal
+)
+
+// Effects of requests. Requests with effect Once are non-idempotent.
+const (
+	Repeat = cowslipproxy.EffectRepeat
+	Once   = cowslipproxy.EffectOnce
+)
+
+// minKey is the least length of a bearer key. Only a digest without a salt is
+// published, so a short key could be found by trying all.
+const minKey = 20
+
+// Customer declares a customer.
+type Customer struct {
+	Name  string
+	Keys  []string // bearer keys in clear; only their digests are printed
+	Class cowslipproxy.Class
+	Rate  float64 // tokens per second
+	Burst float64 // tokens; 0 means ten seconds of Rate
+}
+
+// Model declares a model. Its requests are idempotent unless Effect is Once.
+type Model struct {
+	Name     string
+	Version  string
+	Layers   int
+	Window   int // longest context, in tokens
+	Adapters []string
+	Effect   cowslipproxy.Effect // "" means Repeat
+	Replicas int                 // 0 means 2
+	Fenced   bool                // its engines refuse orders with an old fencing number
+}
+
+// Service declares a plain service.
+type Service struct {
+	Name    string
+	Effect  cowslipproxy.Effect // of requests that no rule matches; "" means Once, the safe choice
+	Rules   []cowslipproxy.Rule // the first that matches counts
+	Timeout time.Duration       // 0 means 10 s
+	Keyed   bool                // it honours idempotency keys itself
+	Fenced  bool                // it checks fencing numbers
+	Urgent  bool                // goes before model work
+}
+
+// RunsOnce returns a rule for non-idempotent requests, by method ("*" for any) and prefix of the path.
+func RunsOnce(method, path string) cowslipproxy.Rule {
+	return cowslipproxy.Rule{Method: method, Path: path, Effect: Once}
+}
+
+// MayRepeat returns a rule for idempotent requests, by method ("*" for any) and prefix of the path.
+func MayRepeat(method, path string) cowslipproxy.Rule {
+	return cowslipproxy.Rule{Method: method, Path: path, Effect: Repeat}
+}
+
+// Declaration is everything that an operator declares.
+type Declaration struct {
+	Customers []Customer
+	Models    []Model
+	Services  []Service
+}
+
+// Configuration returns the declaration as it is published. Its remaining fields
+// are checked by "cowslipctl check" and by each daemon.
+func (d Declaration) Configuration() (cowslipproxy.Configuration, error) {
+	configuration := cowslipproxy.Configuration{
+		Customers: []cowslipproxy.Customer{}, Models: []cowslipproxy.Model{}, Services: []cowslipproxy.Service{},
+	}
+	owners := map[string]string{}
+	for _, customer := range d.Customers {
+		var declared cowslipproxy.Customer
+		var err error
+		if declared, err = customer.declare(owners); err != nil {
+			return configuration, errors.Wrapf(err, "customer %s", customer.Name)
+		}
+		configuration.Customers = append(configuration.Customers, declared)
+	}
+	for _, model := range d.Models {
+		configuration.Models = append(configuration.Models, model.declare())
+	}
+	for _, service := range d.Services {
+		configuration.Services = append(configuration.Services, service.declare())
+	}
+	return configuration, configuration.Check()
+}
+
+// declare returns the customer with the digests of its keys. A key that two
+// customers share could not tell them apart.
+func (c Customer) declare(owners map[string]string) (cowslipproxy.Customer, error) {
+	declared := cowslipproxy.Customer{Name: c.Name, Class: c.Class, Rate: c.Rate, Burst: c.Burst}
+	if c.Burst == 0 {
+		declared.Burst = 10 * c.Rate
+	}
+	for i, key := range c.Keys {
+		if len(key) < minKey {
+			return declared, errors.Errorf("key %d: found %d characters, accepted are at least %d", i, len(key), minKey)
+		}
+		digest := sha256.Sum256([]byte(key))
+		text := hex.EncodeToString(digest[:])
+		if owner, ok := owners[text]; ok {
+			return declared, errors.Errorf("key %d: found the key of customer %s, accepted is one that no other customer has", i, owner)
+		}
+		owners[text] = c.Name
+		declared.Keys = append(declared.Keys, text)
+	}
+	return declared, nil
+}
+
+func (m Model) declare() cowslipproxy.Model {
+	declared := cowslipproxy.Model{
+		Name: m.Name, Version: m.Version, Layers: m.Layers, Window: m.Window, Adapters: m.Adapters,
+		Effect: m.Effect, Replicas: m.Replicas, Fenced: m.Fenced,
+	}
+	if m.Effect == "" {
+		declared.Effect = Repeat
+	}
+	if m.Replicas == 0 {
+		declared.Replicas = 2
+	}
+	return declared
+}
+
+func (s Service) declare() cowslipproxy.Service {
+	declared := cowslipproxy.Service{
+		Name: s.Name, Effect: s.Effect, Rules: s.Rules, Timeout: cowslipproxy.Duration(s.Timeout),
+		Keyed: s.Keyed, Fenced: s.Fenced, Urgent: s.Urgent,
+	}
+	if s.Effect == "" {
+		declared.Effect = Once
+	}
+	if s.Timeout == 0 {
+		declared.Timeout = cowslipproxy.Duration(10 * time.Second)
+	}
+	return declared
+}
+
+// Write prints the declaration as YAML.
+func (d Declaration) Write(w io.Writer) error {
+	var configuration cowslipproxy.Configuration
+	var err error
+	if configuration, err = d.Configuration(); err != nil {
+		return err
+	}
+	return errors.WithStack(yaml.NewEncoder(w, yaml.IndentSequence(true)).Encode(configuration))
+}
+
+// Main prints the declaration on standard output, or the error and exits. It is
+// all that the main function of an operator's program calls.
+func (d Declaration) Main() {
+	if err := d.Write(os.Stdout); err != nil {
+		_, _ = io.WriteString(os.Stderr, "declaration: "+err.Error()+"\n")
+		os.Exit(1)
+	}
+}
+
+// Key returns the value of an environment variable, so that bearer keys need not
+// stand in the source.
+func Key(variable string) string { return os.Getenv(variable) }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -34,6 +34,7 @@
 	// OnChange is called from Run with each configuration that comes into force. Optional.
 	OnChange func(cowslipproxy.Settled)
 	Logger   *slog.Logger // nil means slog.Default()
+	Random   Random       // of pauses and of the time of snapshots; nil means the runtime's
 
 	mu       sync.Mutex
 	resolver resolver.Resolver
@@ -74,8 +75,8 @@
 func (f *Follower) Run(ctx context.Context) error {
 	var writing sync.WaitGroup
 	defer writing.Wait()
-	f.timer.retention = f.retention()
-	var pause backoff
+	f.timer.retention, f.timer.random = f.retention(), f.Random
+	pause := backoff{random: f.Random}
 	down := false
 	for ctx.Err() == nil {
 		var atEnd bool
--- a/follower/publisher.go
+++ b/follower/publisher.go
@@ -134,7 +134,7 @@
 	var appending sync.WaitGroup
 	appending.Go(func() {
 		for _, wait := range waits {
-			appends.Go(func() error { return appendAgain(wait.ctx, p.Log, wait.data, math.MaxInt) })
+			appends.Go(func() error { return appendAgain(wait.ctx, p.Log, wait.data, math.MaxInt, nil) })
 		}
 		_ = appends.Wait() // changes without a verdict are reported as unknown
 	})
--- a/follower/snapshot.go
+++ b/follower/snapshot.go
@@ -22,6 +22,7 @@
 type snapshotTimer struct {
 	mu        sync.Mutex
 	retention time.Duration
+	random    Random
 	marks     []mark    // sparse times of records, the oldest first
 	base      time.Time // of the record after the newest snapshot, else of the oldest record
 	due       time.Time // zero while nothing was read
@@ -74,14 +75,14 @@
 
 func (t *snapshotTimer) draw(now time.Time) {
 	third := t.retention / 3
-	t.due = t.base.Add(third*2/3 + rand.N(third/3+1))
+	t.due = t.base.Add(third*2/3 + t.random.below(third/3+1))
 	if t.due.Before(now) {
 		t.soon(now)
 	}
 }
 
 func (t *snapshotTimer) soon(now time.Time) {
-	t.due = now.Add(rand.N(t.retention/36 + 1))
+	t.due = now.Add(t.random.below(t.retention/36 + 1))
 }
 
 // take reports whether a snapshot is due, and if so reserves writing it.
@@ -129,7 +130,7 @@
 		if data, err = resolver.Encode(part); err != nil {
 			return err
 		}
-		if err := appendAgain(ctx, f.Log, data, appendAttempts); err != nil {
+		if err := appendAgain(ctx, f.Log, data, appendAttempts, f.Random); err != nil {
 			return err
 		}
 	}
@@ -141,8 +142,8 @@
 const appendAttempts = 5
 
 // appendAgain appends a record until an answer comes, at most the given number of times.
-func appendAgain(ctx context.Context, log cowslipproxy.Log, data []byte, attempts int) error {
-	var pause backoff
+func appendAgain(ctx context.Context, log cowslipproxy.Log, data []byte, attempts int, random Random) error {
+	pause := backoff{random: random}
 	for {
 		_, err := log.Append(ctx, cowslipproxy.StreamConfig, data)
 		if err == nil {
--- a/resolver/resolver_test.go
+++ b/resolver/resolver_test.go
@@ -106,20 +106,25 @@
 			} else {
 				publish(t, j, &sent)
 			}
-			outcomes, err := full.Fold(j.read(full.Next(), 100), start)
-			require.NoError(t, err)
-			for _, outcome := range outcomes {
-				if outcome.Changed {
-					key := fmt.Sprint(outcome.Scope, full.Version(outcome.Scope))
-					require.Empty(t, wins[key], "second winner")
-					wins[key] = outcome.ID
-				}
-			}
+			foldOne(t, j, full, wins)
 		}
 		checkLate(t, j, full)
 	})
 }
 
+// foldOne folds the newest record and checks that its base had no winner before.
+func foldOne(t *rapid.T, j *journal, full *resolver.Resolver, wins map[string]string) {
+	outcomes, err := full.Fold(j.read(full.Next(), 100), start)
+	require.NoError(t, err)
+	for _, outcome := range outcomes {
+		if outcome.Changed {
+			key := fmt.Sprint(outcome.Scope, full.Version(outcome.Scope))
+			require.Empty(t, wins[key], "second winner")
+			wins[key] = outcome.ID
+		}
+	}
+}
+
 // checkLate starts a reader in the truncated log and compares it with one that folded everything.
 func checkLate(t *rapid.T, j *journal, full *resolver.Resolver) {
 	j.first = uint64(rapid.IntRange(0, len(j.entries)).Draw(t, "first"))
--- a/resolver/state.go
+++ b/resolver/state.go
@@ -156,7 +156,12 @@
 }
 
 func (s *state) configuration() cowslipproxy.Configuration {
-	configuration := cowslipproxy.Configuration{Bases: map[string]uint64{}}
+	configuration := cowslipproxy.Configuration{
+		Bases:     map[string]uint64{},
+		Customers: []cowslipproxy.Customer{},
+		Models:    []cowslipproxy.Model{},
+		Services:  []cowslipproxy.Service{},
+	}
 	for _, entry := range s.entries() {
 		if entry.Version > 0 {
 			configuration.Bases[entry.Scope] = entry.Version
