follower: keep history and stack traces out of the log

Events carried the stack of pkg/errors, and a starting daemon reported the verdicts of the whole history again. Two tests raced with their daemons' first reads: a trace showed the log truncated before any daemon had read the record, and a publication before the first read. They now wait first; their bounds are as before.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -206,7 +206,7 @@
 	err := f.resolver.Install(parts, time.Now())
 	f.mu.Unlock()
 	if err != nil {
-		f.log(ctx, refusal(err), slog.Uint64("at", parts[0].At), slog.String("snapshot", parts[0].ID), slog.Any("error", err))
+		f.log(ctx, refusal(err), slog.Uint64("at", parts[0].At), slog.String("snapshot", parts[0].ID), slog.String("error", err.Error()))
 		return false
 	}
 	f.log(ctx, reporter.EventSnapshotLoaded, slog.Uint64("at", parts[0].At), slog.String("snapshot", parts[0].ID))
@@ -223,23 +223,26 @@
 
 func (f *Follower) logFailure(ctx context.Context, err error, down bool) {
 	if errors.Is(err, resolver.ErrWentBack) || errors.Is(err, resolver.ErrHole) {
-		f.log(ctx, reporter.EventLogInconsistent, slog.Any("error", err))
+		f.log(ctx, reporter.EventLogInconsistent, slog.String("error", err.Error()))
 		return
 	}
 	if !down {
-		f.log(ctx, reporter.EventLogDown, slog.Any("error", err))
+		f.log(ctx, reporter.EventLogDown, slog.String("error", err.Error()))
 	}
 }
 
 func (f *Follower) logOutcome(ctx context.Context, outcome resolver.Outcome) {
 	attrs := []slog.Attr{slog.Uint64("offset", outcome.Offset), slog.String("id", outcome.ID)}
 	if outcome.Err != nil {
-		attrs = append(attrs, slog.Any("error", outcome.Err))
+		attrs = append(attrs, slog.String("error", outcome.Err.Error()))
 	}
 	switch {
 	case errors.Is(outcome.Err, resolver.ErrDecrease):
 		f.log(ctx, reporter.EventVersionDecrease, attrs...)
 	case outcome.Verdict != "":
+		if _, ready := f.Current(); !ready {
+			return // history that is folded at the start was reported when it came
+		}
 		f.log(ctx, reporter.EventChangeJudged, append(attrs, slog.String("scope", outcome.Scope), slog.String("verdict", string(outcome.Verdict)))...)
 	case outcome.Loaded:
 		f.log(ctx, reporter.EventSnapshotLoaded, append(attrs, slog.Uint64("at", outcome.At))...)
--- a/follower/snapshot.go
+++ b/follower/snapshot.go
@@ -111,7 +111,7 @@
 	writing.Go(func() {
 		err := f.writeSnapshot(ctx)
 		if err != nil && ctx.Err() == nil {
-			f.log(ctx, reporter.EventSnapshotFailed, slog.Any("error", err))
+			f.log(ctx, reporter.EventSnapshotFailed, slog.String("error", err.Error()))
 		}
 		f.timer.done(time.Now())
 	})
--- a/standin/appender/follower_test.go
+++ b/standin/appender/follower_test.go
@@ -112,6 +112,7 @@
 	run(t, func(f *fleet) {
 		var seen []int
 		daemon := f.start(&follower.Follower{OnChange: func(s cowslipproxy.Settled) { seen = append(seen, len(s.Models)) }})
+		synctest.Wait() // it has read the empty log
 		require.Equal(t, resolver.VerdictAccepted, f.publish(configuration(10))[0].Verdict)
 		time.Sleep(time.Second)
 		require.Equal(t, 10, layers(daemon))
@@ -239,6 +240,7 @@
 				time.Sleep(3 * time.Second)
 				f.publish(configuration(2))
 				f.publish(configuration(3))
+				time.Sleep(time.Second) // the other daemon has read it
 				f.server.Truncate("config", 3)
 				log.pause(false)
 				time.Sleep(5 * time.Second)
