leaser: add leases from log records

Section 12 of the design times a lease from before its append and lets a successor wait the whole lease from when it read the record. A record counts only if no other record of the lease lies between its base and its offset, so that readers agree even in a truncated log.

--- /dev/null
+++ b/leaser/leaser_test.go
@@ -0,0 +1,246 @@
+package leaser_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/leaser"
+)
+
+const length = 9 * time.Second
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// stream is the log, with limited retention.
+type stream struct {
+	first   uint64
+	records []leaser.Record
+}
+
+func (s *stream) append(r leaser.Record) { s.records = append(s.records, r) }
+
+// batch returns at most some records from an offset on.
+func (s *stream) batch(t require.TestingT, from uint64, most int) cowslipproxy.Batch {
+	from = max(from, s.first)
+	b := cowslipproxy.Batch{First: s.first, Next: min(from+uint64(most), uint64(len(s.records)))}
+	for offset := from; offset < b.Next; offset++ {
+		data, err := json.Marshal(s.records[offset])
+		require.NoError(t, err)
+		b.Entries = append(b.Entries, cowslipproxy.Entry{Offset: offset, Data: data})
+	}
+	return b
+}
+
+// claimant is a daemon that reads late and may be paused.
+type claimant struct {
+	*leaser.Leaser
+	next uint64
+}
+
+type model struct {
+	t         *rapid.T
+	now       time.Time
+	log       stream
+	claimants []*claimant
+	transit   []leaser.Record // appends that may take effect, once or twice
+	serial    int
+	fence     uint64
+	held      bool
+}
+
+func (m *model) start() *claimant {
+	m.serial++
+	return &claimant{Leaser: &leaser.Leaser{Name: "placement", Self: fmt.Sprint("daemon-", m.serial), Length: length}}
+}
+
+func (m *model) pick(t *rapid.T) *claimant {
+	return m.claimants[rapid.IntRange(0, len(m.claimants)-1).Draw(t, "claimant")]
+}
+
+func (m *model) claim(t *rapid.T) {
+	m.serial++
+	if record, ok := m.pick(t).Claim(m.now, fmt.Sprint("id-", m.serial)); ok {
+		m.transit = append(m.transit, record)
+	}
+}
+
+func (m *model) release(t *rapid.T) {
+	m.serial++
+	if record, ok := m.pick(t).Release(m.now, fmt.Sprint("id-", m.serial)); ok {
+		m.transit = append(m.transit, record)
+	}
+}
+
+// land makes an append take effect. It may be repeated, since the answer is lost.
+func (m *model) land(t *rapid.T) {
+	if len(m.transit) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.transit)-1).Draw(t, "append")
+	m.log.append(m.transit[i])
+	if !rapid.Bool().Draw(t, "repeat") {
+		m.transit = append(m.transit[:i], m.transit[i+1:]...)
+	}
+}
+
+func (m *model) read(t *rapid.T) {
+	c := m.pick(t)
+	batch := m.log.batch(t, c.next, rapid.IntRange(1, 6).Draw(t, "most"))
+	c.Fold(m.now, batch)
+	c.next = max(c.next, batch.Next)
+}
+
+func (m *model) wait(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 1, 2, 3, 9}).Draw(t, "seconds")) * time.Second)
+}
+
+func (m *model) restart(t *rapid.T) {
+	if rapid.IntRange(0, 3).Draw(t, "rarely") == 0 {
+		m.claimants[rapid.IntRange(0, len(m.claimants)-1).Draw(t, "claimant")] = m.start()
+	}
+}
+
+// truncate drops old records, even those of a lease in force.
+func (m *model) truncate(*rapid.T) {
+	if n := uint64(len(m.log.records)); n > 1 {
+		m.log.first = max(m.log.first, n-1)
+	}
+}
+
+func (m *model) check(t *rapid.T) {
+	var holders []string
+	for _, c := range m.claimants {
+		fence, ok := c.Holds(m.now)
+		if !ok {
+			continue
+		}
+		holders = append(holders, c.Self)
+		if fence < m.fence {
+			t.Fatalf("%s holds the lease with fencing number %d after %d", c.Self, fence, m.fence)
+		}
+		m.fence, m.held = fence, true
+	}
+	if len(holders) > 1 {
+		t.Fatalf("%v hold the lease at once", holders)
+	}
+}
+
+// Guards against two holders at once and against a fencing number that decreases,
+// under any interleaving of pauses, late reads, repeated and late appends,
+// restarts and truncation.
+func TestOneHolderAtOnce(t *testing.T) {
+	held := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{t: t, now: epoch}
+		for range 3 {
+			m.claimants = append(m.claimants, m.start())
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"claim": m.claim, "claim more": m.claim, "release": m.release, "land": m.land, "land more": m.land,
+			"read": m.read, "read more": m.read, "read most": m.read, "wait": m.wait,
+			"restart": m.restart, "truncate": m.truncate, "": m.check,
+		})
+		if m.held {
+			held++
+		}
+	})
+	require.Greater(t, held, 1000, "runs in which the lease was held")
+}
+
+// Guards against a holder that is paused past its lease and still gives orders,
+// and against a successor that doesn't wait the whole lease.
+func TestPausedHolder(t *testing.T) {
+	log := &stream{}
+	a := &leaser.Leaser{Name: "placement", Self: "a", Length: length}
+	b := &leaser.Leaser{Name: "placement", Self: "b", Length: length}
+	a.Fold(epoch, log.batch(t, 0, 9))
+	record, ok := a.Claim(epoch, "one")
+	require.True(t, ok)
+	_, ok = a.Claim(epoch, "one")
+	require.False(t, ok, "an id that was used would give the lease a later start")
+	log.append(record)
+	read := epoch.Add(2 * time.Second) // the append took two seconds
+	a.Fold(read, log.batch(t, 0, 9))
+	b.Fold(read, log.batch(t, 0, 9))
+	_, ok = a.Holds(read)
+	require.True(t, ok)
+	_, ok = a.Holds(epoch.Add(length))
+	require.False(t, ok, "the lease is timed from before the append")
+	_, ok = b.Claim(read.Add(length-time.Millisecond), "two")
+	require.False(t, ok)
+	require.Equal(t, read.Add(length), b.Next(read))
+	_, ok = b.Claim(read.Add(length), "two")
+	require.True(t, ok)
+}
+
+// Guards against a daemon that acts after it gave the lease up, before it read
+// its own release, and against a successor that waits after it read one.
+func TestRelease(t *testing.T) {
+	log := &stream{}
+	a := &leaser.Leaser{Name: "placement", Self: "a", Length: length}
+	b := &leaser.Leaser{Name: "placement", Self: "b", Length: length}
+	a.Fold(epoch, log.batch(t, 0, 9))
+	record, _ := a.Claim(epoch, "one")
+	log.append(record)
+	a.Fold(epoch, log.batch(t, 0, 9))
+	renewal, _ := a.Claim(epoch, "two")
+	release, ok := a.Release(epoch, "three")
+	require.True(t, ok)
+	_, ok = a.Holds(epoch)
+	require.False(t, ok)
+	log.append(renewal) // lands late, before the release
+	a.Fold(epoch, log.batch(t, 1, 9))
+	_, ok = a.Holds(epoch)
+	require.False(t, ok)
+
+	log = &stream{records: []leaser.Record{record, release}}
+	b.Fold(epoch, log.batch(t, 0, 9))
+	_, ok = b.Claim(epoch, "four")
+	require.True(t, ok)
+}
+
+// Guards against readers that disagree on whether a record counts, because one
+// of them started where the log was truncated.
+func TestReadersAgree(t *testing.T) {
+	claim := func(holder, id string, base uint64) leaser.Record {
+		return leaser.Record{Kind: leaser.KindClaim, ID: id, Name: "placement", Holder: holder, Base: base, Length: cowslipproxy.Duration(length)}
+	}
+	log := &stream{}
+	a := &leaser.Leaser{Name: "placement", Self: "a", Length: length}
+	a.Fold(epoch, log.batch(t, 0, 9))
+	first, _ := a.Claim(epoch, "one")
+	log.append(first)
+	a.Fold(epoch, log.batch(t, 0, 9))
+	renewal, _ := a.Claim(epoch.Add(time.Second), "two")
+	log.append(claim("b", "three", 0)) // doesn't count, but the renewal's author hadn't read it
+	log.append(renewal)
+	a.Fold(epoch.Add(2*time.Second), log.batch(t, 1, 9))
+	fence, ok := a.Holds(epoch.Add(2 * time.Second))
+	require.True(t, ok)
+	require.Zero(t, fence, "a reader that starts at offset 1 can't count the renewal")
+
+	log.first = 3
+	c := &leaser.Leaser{Name: "placement", Self: "c", Length: length}
+	c.Fold(epoch.Add(2*time.Second), log.batch(t, 0, 9))
+	_, ok = c.Claim(epoch.Add(3*time.Second), "four")
+	require.False(t, ok, "a record that the log dropped may be in force")
+}
+
+// Guards against records that are accepted although a field is wrong.
+func TestDecodeNamesTheWrongField(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"kind":"take","id":"1","name":"n","holder":"a","base":0,"length":"9s"}`:   `kind: found "take"`,
+		`{"kind":"claim","id":"1","name":"n","holder":"","base":0,"length":"9s"}`:   "holder: found nothing",
+		`{"kind":"claim","id":"1","name":"n","holder":"a","base":0,"length":"2h"}`:  "length: found 2h0m0s",
+		`{"kind":"claim","id":"1","name":"n","holder":"a","bass":0,"length":"10s"}`: `unknown field "bass"`,
+	} {
+		_, err := leaser.Decode([]byte(text))
+		require.ErrorContains(t, err, want)
+	}
+}
