--- /dev/null
+++ b/planner/planner_test.go
@@ -0,0 +1,174 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/planner"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// fleet is an input that has engines enough for each stage in each data centre.
+func fleet(t *rapid.T) planner.Input {
+	in := planner.Input{Rate: 100}
+	needed := 0
+	for i := range rapid.IntRange(1, 3).Draw(t, "models") {
+		m := planner.Model{Stage: rapid.IntRange(1, 5).Draw(t, "stage"), Bytes: 10}
+		m.Name, m.Version = fmt.Sprint("model-", i), "1"
+		m.Layers, m.Replicas = rapid.IntRange(1, 20).Draw(t, "layers"), rapid.IntRange(1, 4).Draw(t, "replicas")
+		needed += (m.Layers + m.Stage - 1) / m.Stage * m.Replicas
+		in.Models = append(in.Models, m)
+	}
+	for i := range 3 * needed {
+		in.Engines = append(in.Engines, engine(t, fmt.Sprintf("vm-%03d", i), fmt.Sprint("centre-", i%3)))
+	}
+	return in
+}
+
+func engine(t *rapid.T, name, centre string) planner.Engine {
+	e := planner.Engine{VM: name, Centre: centre, Memory: map[string]int{}}
+	for i := range 3 {
+		e.Memory[fmt.Sprint("model-", i)] = rapid.IntRange(5, 12).Draw(t, "memory")
+	}
+	return e
+}
+
+// settle carries plans out until none orders anything and no stage waits for the
+// weight store. It returns the number of moves.
+func settle(t require.TestingT, p *planner.Planner, now *time.Time, in *planner.Input) (moves int) {
+	start, loaded := *now, int64(0)
+	for range 10000 {
+		plan, err := p.Plan(*now, *in)
+		require.NoError(t, err)
+		largest := int64(0)
+		for _, move := range plan.Moves {
+			require.NoError(t, move.Order.Check())
+			apply(in, move)
+			loaded, largest = loaded+move.Bytes, max(largest, move.Bytes)
+		}
+		allowed := in.Rate * (now.Sub(start) + planner.DefaultSaved).Seconds()
+		require.LessOrEqual(t, float64(loaded-largest), allowed, "more than the weight store's rate")
+		moves += len(plan.Moves)
+		if len(plan.Gaps) == 0 {
+			return moves
+		}
+		*now = now.Add(time.Second)
+	}
+	require.Fail(t, "stages still lack replicas")
+	return moves
+}
+
+func apply(in *planner.Input, move planner.Move) {
+	for i := range in.Engines {
+		if in.Engines[i].VM == move.VM {
+			in.Engines[i].Holds = planner.Holding{Model: move.Order.Model, Version: move.Order.Version, Range: move.Order.Range}
+		}
+	}
+}
+
+// holders returns the data centres that hold a layer.
+func holders(in planner.Input, m planner.Model, layer int) (engines int, centres map[string]bool) {
+	centres = map[string]bool{}
+	for _, e := range in.Engines {
+		if h := e.Holds; h.Model == m.Name && h.Version == m.Version && h.Range.First <= layer && layer < h.Range.End {
+			engines++
+			centres[e.Centre] = true
+		}
+	}
+	return engines, centres
+}
+
+func checkReplicas(t require.TestingT, in planner.Input) {
+	for _, m := range in.Models {
+		for layer := range m.Layers {
+			engines, centres := holders(in, m, layer)
+			require.GreaterOrEqual(t, engines, m.Replicas)
+			require.GreaterOrEqual(t, len(centres), min(m.Replicas, 2))
+		}
+	}
+}
+
+// Guards against layers without their replicas or with all of them in one data
+// centre, loads beyond the rate, and moves that a lost, new or upgraded VM
+// doesn't need.
+func TestPlacement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, now, in := &planner.Planner{}, epoch, fleet(t)
+		settle(t, p, &now, &in)
+		checkReplicas(t, in)
+		in.Engines = append(in.Engines, engine(t, "vm-new", "centre-0"))
+		require.Zero(t, settle(t, p, &now, &in), "a new VM moves nothing")
+
+		lost := rapid.IntRange(0, len(in.Engines)-1).Draw(t, "lost")
+		stages := 0
+		for _, m := range in.Models {
+			if h := in.Engines[lost].Holds; h.Model == m.Name {
+				stages = (h.Range.Len() + m.Stage - 1) / m.Stage
+			}
+		}
+		in.Engines = append(in.Engines[:lost], in.Engines[lost+1:]...)
+		require.LessOrEqual(t, settle(t, p, &now, &in), stages, "a lost VM moves more than what it held")
+		checkReplicas(t, in)
+	})
+}
+
+// Guards against a new version that takes the last engines of the version that
+// requests still need, and against a stage that stays empty while others have two.
+func TestScarceEngines(t *testing.T) {
+	m := planner.Model{Model: cowslipproxy.Model{Name: "scribe", Version: "1", Layers: 2, Replicas: 2}, Stage: 1, Bytes: 1}
+	in := planner.Input{Rate: 100, Models: []planner.Model{m}}
+	for i := range 4 {
+		holds := planner.Holding{Model: "scribe", Version: "1", Range: cowslipproxy.LayerRange{First: 0, End: 1}}
+		in.Engines = append(in.Engines, planner.Engine{VM: fmt.Sprint("vm-", i), Memory: map[string]int{"scribe": 1}, Holds: holds})
+	}
+	in.Engines = in.Engines[:2] // both hold layer 0
+	p := &planner.Planner{}
+	plan, err := p.Plan(epoch, in)
+	require.NoError(t, err)
+	require.Len(t, plan.Moves, 1)
+	require.Equal(t, cowslipproxy.LayerRange{First: 1, End: 2}, plan.Moves[0].Order.Range)
+	require.Len(t, plan.Gaps, 2)
+	apply(&in, plan.Moves[0])
+
+	in.Models[0].Version = "2"
+	plan, err = p.Plan(epoch.Add(time.Minute), in)
+	require.NoError(t, err)
+	require.Empty(t, plan.Moves, "each layer of version 1 has one holder")
+	for i := range 2 {
+		in.Engines = append(in.Engines, planner.Engine{VM: fmt.Sprint("vm-", 8+i), Memory: map[string]int{"scribe": 1}})
+	}
+	now := epoch.Add(2 * time.Minute)
+	require.Equal(t, 4, settle(t, p, &now, &in))
+}
+
+// BenchmarkPlan measures a plan for the fleet of two years from now, one VM of
+// which was lost.
+func BenchmarkPlan(b *testing.B) {
+	in := planner.Input{Rate: 1e12}
+	for i := range 22 {
+		m := planner.Model{Model: cowslipproxy.Model{Name: fmt.Sprint("model-", i), Version: "1", Layers: 80, Replicas: 14}, Stage: 4, Bytes: 1}
+		in.Models = append(in.Models, m)
+	}
+	for i := range 6900 {
+		e := planner.Engine{VM: fmt.Sprintf("vm-%05d", i), Centre: fmt.Sprint(i % 13), Memory: map[string]int{}}
+		for _, m := range in.Models {
+			e.Memory[m.Name] = 4 + i%3*4
+		}
+		in.Engines = append(in.Engines, e)
+	}
+	now := epoch
+	settle(b, &planner.Planner{}, &now, &in)
+	in.Engines = in.Engines[:len(in.Engines)-1]
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := (&planner.Planner{}).Plan(now, in); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
