--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -52,7 +52,7 @@
 const (
 	DefaultPartitions = 4
 	DefaultRetention  = 24 * time.Hour
-	DefaultKeys       = 500_000  // about 150 MB, see docs/effects.md
+	DefaultKeys       = 300_000  // about 110 MB, see docs/effects.md
 	DefaultBytes      = 32 << 20 // recorded bodies
 )
 
