resolver: compare verdicts with the plain rules in the property test

Trial changes to the resolver (refusals not remembered, ids not remembered) passed the test, because all readers then agreed on the same wrong verdict. The test now folds each record by section 5 as well.

--- a/resolver/resolver_test.go
+++ b/resolver/resolver_test.go
@@ -94,7 +94,7 @@
 		j, full := &journal{}, &resolver.Resolver{}
 		var sent []resolver.Change
 		var snapshots [][]resolver.Part
-		wins := map[string]string{}
+		plain := &rules{versions: map[string]uint64{}, verdicts: map[string]resolver.Verdict{}}
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			if rapid.IntRange(0, 7).Draw(t, "snapshot") == 0 {
 				if parts, err := full.Snapshot(fmt.Sprint("snapshot", step)); err == nil && parts != nil {
@@ -106,23 +106,48 @@
 			} else {
 				publish(t, j, &sent)
 			}
-			foldOne(t, j, full, wins)
+			foldOne(t, j, full, plain)
 		}
 		checkLate(t, j, full)
 	})
 }
 
-// foldOne folds the newest record and checks that its base had no winner before.
-func foldOne(t *rapid.T, j *journal, full *resolver.Resolver, wins map[string]string) {
+// rules is section 5 of the design page in its plainest form, without snapshots.
+type rules struct {
+	versions map[string]uint64
+	verdicts map[string]resolver.Verdict
+}
+
+// fold returns the verdict on a record and whether it comes into force.
+func (m *rules) fold(c resolver.Change) (resolver.Verdict, bool) {
+	if verdict, seen := m.verdicts[c.ID]; seen {
+		return verdict, false
+	}
+	verdict := resolver.VerdictConflict
+	if strings.Contains(string(c.Body), `"layers":0`) {
+		verdict = resolver.VerdictInvalid
+	} else if c.Base == m.versions[c.Scope] {
+		verdict = resolver.VerdictAccepted
+		m.versions[c.Scope]++
+	}
+	m.verdicts[c.ID] = verdict
+	return verdict, verdict == resolver.VerdictAccepted
+}
+
+// foldOne folds the newest record and compares the verdict and versions with the rules.
+func foldOne(t *rapid.T, j *journal, full *resolver.Resolver, plain *rules) {
+	var newest resolver.Change
+	require.NoError(t, json.Unmarshal(j.entries[len(j.entries)-1].Data, &newest))
 	outcomes, err := full.Fold(j.read(full.Next(), 100), start)
 	require.NoError(t, err)
-	for _, outcome := range outcomes {
-		if outcome.Changed {
-			key := fmt.Sprint(outcome.Scope, full.Version(outcome.Scope))
-			require.Empty(t, wins[key], "second winner")
-			wins[key] = outcome.ID
-		}
+	require.Len(t, outcomes, 1)
+	if newest.Kind == resolver.KindChange {
+		verdict, changed := plain.fold(newest)
+		require.Equal(t, changed, outcomes[0].Changed)
+		got, _ := full.Verdict(newest.ID)
+		require.Equal(t, verdict, got)
 	}
+	require.Equal(t, plain.versions, full.Settled().Bases)
 }
 
 // checkLate starts a reader in the truncated log and compares it with one that folded everything.
--- a/standin/appender/follower_test.go
+++ b/standin/appender/follower_test.go
@@ -291,14 +291,14 @@
 }
 
 // Guards against retention that outruns the snapshots: for ten
-// times a retention of 24 min, daemons that restart every 6 min must keep the log
+// times a retention of 24 min, daemons that restart every 5 min must keep the log
 // readable for a new daemon, and must not all append snapshots.
 func TestSnapshotsOutliveRetention(t *testing.T) {
 	run(t, func(f *fleet) {
 		f.server.SetFaults(appender.Faults{Age: cowslipproxy.Duration(24 * time.Minute)})
 		f.publish(configuration(10))
 		random := seeded()
-		for range 40 {
+		for range 48 {
 			ctx, cancel := context.WithCancel(f.ctx)
 			var wg sync.WaitGroup
 			for i := range 5 {
@@ -306,7 +306,7 @@
 				daemon.Logger, daemon.Random = slog.New(slog.DiscardHandler), random
 				wg.Go(func() { _ = daemon.Run(ctx) })
 			}
-			time.Sleep(6 * time.Minute)
+			time.Sleep(5 * time.Minute)
 			cancel()
 			wg.Wait()
 		}
