--- a/resolver/record.go
+++ b/resolver/record.go
@@ -64,6 +64,7 @@
 // It is remembered, since the change would be accepted if it were sent again at
 // the right moment.
 type Refusal struct {
+	Scope   string  `json:"scope" validate:"required,max=80"`
 	ID      string  `json:"id" validate:"required,max=128"`
 	Base    uint64  `json:"base"`
 	Verdict Verdict `json:"verdict" validate:"oneof=conflict invalid"`
@@ -72,32 +73,26 @@
 // Entry is the state of a scope in a snapshot.
 type Entry struct {
 	Scope   string          `json:"scope" validate:"required,max=80"`
-	Version uint64          `json:"version"`
-	ID      string          `json:"id,omitempty" validate:"max=128"` // last accepted change
-	Body    json.RawMessage `json:"body,omitempty"`                  // empty when the scope is deleted
-	Refused []Refusal       `json:"refused,omitempty" validate:"max=16,dive"`
+	Version uint64          `json:"version" validate:"gte=1"`
+	ID      string          `json:"id" validate:"required,max=128"` // last accepted change
+	Body    json.RawMessage `json:"body,omitempty"`                 // empty when the scope is deleted
 }
 
-// Check reports a scope, body or version that is not valid.
+// Check reports a scope or body that is not valid.
 func (e Entry) Check() error {
-	if (e.Version == 0) != (e.ID == "") {
-		return errors.Errorf("%s: found version %d with id %q, accepted is an id from version 1 on", e.Scope, e.Version, e.ID)
-	}
-	if e.Version == 0 && !isEmpty(e.Body) {
-		return errors.Errorf("%s: found a body at version 0, accepted is none", e.Scope)
-	}
 	_, err := decodeBody(e.Scope, e.Body)
 	return err
 }
 
 // Part is one record of a snapshot. A snapshot is complete with all its parts.
 type Part struct {
-	Kind    Kind    `json:"kind" validate:"oneof=snapshot"`
-	ID      string  `json:"id" validate:"required,max=128"`
-	At      uint64  `json:"at"` // offset through which the entries were folded
-	Part    int     `json:"part" validate:"gte=0"`
-	Parts   int     `json:"parts" validate:"gte=1,lte=100000"`
-	Entries []Entry `json:"entries" validate:"dive"`
+	Kind    Kind      `json:"kind" validate:"oneof=snapshot"`
+	ID      string    `json:"id" validate:"required,max=128"`
+	At      uint64    `json:"at"` // offset through which the entries were folded
+	Part    int       `json:"part" validate:"gte=0"`
+	Parts   int       `json:"parts" validate:"gte=1,lte=100000"`
+	Entries []Entry   `json:"entries" validate:"dive"`
+	Refused []Refusal `json:"refused,omitempty" validate:"dive"`
 }
 
 // Check reports a part number outside of the snapshot or an entry that is not valid.
@@ -110,6 +105,11 @@
 			return err
 		}
 	}
+	for _, refusal := range p.Refused {
+		if _, err := decodeBody(refusal.Scope, nil); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
--- a/resolver/snapshot.go
+++ b/resolver/snapshot.go
@@ -68,7 +68,7 @@
 		return
 	}
 	if !r.lost {
-		part.Entries = nil // a reader that has folded the records only needs to know that it is complete
+		part.Entries, part.Refused = nil, nil // a reader that has folded the records only needs to know that it is complete
 	}
 	whole := r.partial.add(part)
 	if whole == nil {
@@ -125,12 +125,14 @@
 		return errors.Wrapf(ErrStale, "at %d, log starts at %d, folded through %d", at, r.floor, int64(r.next)-1)
 	}
 	var entries []Entry
+	var refused []Refusal
 	for _, part := range parts {
 		entries = append(entries, part.Entries...)
+		refused = append(refused, part.Refused...)
 	}
 	var loaded state
 	var err error
-	if loaded, err = load(entries); err != nil {
+	if loaded, err = load(entries, refused); err != nil {
 		return err
 	}
 	if err := loaded.checkAfter(r.state); err != nil {
@@ -148,25 +150,47 @@
 	if r.next == 0 || r.lost {
 		return nil, nil
 	}
-	at := r.next - 1
-	parts := []Part{{Kind: KindSnapshot, ID: id, At: at, Entries: []Entry{}}}
-	size := partHead
+	split := splitter{head: Part{Kind: KindSnapshot, ID: id, At: r.next - 1, Entries: []Entry{}}}
 	for _, entry := range r.state.entries() {
-		var data []byte
-		var err error
-		if data, err = Encode(entry); err != nil {
+		last, err := split.fit(entry)
+		if err != nil {
 			return nil, err
 		}
-		if size+len(data)+1 > MaxRecord {
-			parts = append(parts, Part{Kind: KindSnapshot, ID: id, At: at, Part: len(parts), Entries: []Entry{}})
-			size = partHead
-		}
-		last := &parts[len(parts)-1]
 		last.Entries = append(last.Entries, entry)
-		size += len(data) + 1
 	}
-	for i := range parts {
-		parts[i].Parts = len(parts)
+	for _, refusal := range r.state.refusals() {
+		last, err := split.fit(refusal)
+		if err != nil {
+			return nil, err
+		}
+		last.Refused = append(last.Refused, refusal)
+	}
+	if len(split.parts) == 0 {
+		split.parts = []Part{split.head}
+	}
+	for i := range split.parts {
+		split.parts[i].Part, split.parts[i].Parts = i, len(split.parts)
 	}
-	return parts, nil
+	return split.parts, nil
+}
+
+// splitter distributes the contents of a snapshot over parts.
+type splitter struct {
+	head  Part
+	parts []Part
+	size  int
+}
+
+// fit returns the part that has space for the value.
+func (s *splitter) fit(value any) (*Part, error) {
+	data, err := Encode(value)
+	if err != nil {
+		return nil, err
+	}
+	if len(s.parts) == 0 || s.size+len(data)+1 > MaxRecord {
+		s.parts = append(s.parts, s.head)
+		s.size = partHead
+	}
+	s.size += len(data) + 1
+	return &s.parts[len(s.parts)-1], nil
 }
--- a/resolver/state.go
+++ b/resolver/state.go
@@ -10,15 +10,13 @@
 	"github.com/cowslipproxy/cowslipproxy"
 )
 
-// maxRefused bounds the refusals that a scope remembers; the oldest goes first.
-const maxRefused = 16
-
 // ErrDecrease marks a state that would take a version in force back.
 var ErrDecrease = errors.New("version in force would decrease")
 
 type item struct {
 	Entry
-	value any // customer, model or service; nil when deleted
+	value   any // customer, model or service; nil when deleted
+	refused []Refusal
 }
 
 // state is exactly what a snapshot carries.
@@ -78,12 +76,12 @@
 // forget drops the ids that no longer matter once next replaces old.
 func (s *state) forget(old, next *item) {
 	delete(s.ids, old.ID)
-	for _, refusal := range old.Refused {
+	for _, refusal := range old.refused {
 		if refusal.Base < next.Version {
 			delete(s.ids, refusal.ID)
 			continue
 		}
-		next.Refused = append(next.Refused, refusal)
+		next.refused = append(next.refused, refusal)
 	}
 }
 
@@ -95,21 +93,21 @@
 	if _, err := decodeBody(change.Scope, nil); err != nil {
 		return
 	}
-	found, ok := s.items[change.Scope]
+	s.keep(Refusal{Scope: change.Scope, ID: change.ID, Base: change.Base, Verdict: verdict})
+}
+
+func (s *state) keep(refusal Refusal) {
+	found, ok := s.items[refusal.Scope]
 	if !ok {
-		found = &item{Entry: Entry{Scope: change.Scope}}
-		s.items[change.Scope] = found
-	}
-	if len(found.Refused) == maxRefused {
-		delete(s.ids, found.Refused[0].ID)
-		found.Refused = found.Refused[1:]
+		found = &item{Entry: Entry{Scope: refusal.Scope}}
+		s.items[refusal.Scope] = found
 	}
-	found.Refused = append(found.Refused, Refusal{ID: change.ID, Base: change.Base, Verdict: verdict})
-	s.ids[change.ID] = verdict
+	found.refused = append(found.refused, refusal)
+	s.ids[refusal.ID] = refusal.Verdict
 }
 
-// load builds the state from the entries of a snapshot.
-func load(entries []Entry) (state, error) {
+// load builds the state from the contents of a snapshot.
+func load(entries []Entry, refused []Refusal) (state, error) {
 	loaded := newState()
 	for _, entry := range entries {
 		if _, ok := loaded.items[entry.Scope]; ok {
@@ -124,12 +122,10 @@
 		}
 		entry.Body = compact(entry.Body)
 		loaded.items[entry.Scope] = &item{Entry: entry, value: value}
-		if entry.ID != "" {
-			loaded.ids[entry.ID] = VerdictAccepted
-		}
-		for _, refusal := range entry.Refused {
-			loaded.ids[refusal.ID] = refusal.Verdict
-		}
+		loaded.ids[entry.ID] = VerdictAccepted
+	}
+	for _, refusal := range refused {
+		loaded.keep(refusal)
 	}
 	return loaded, nil
 }
@@ -147,14 +143,23 @@
 func (s *state) entries() []Entry {
 	entries := make([]Entry, 0, len(s.items))
 	for _, found := range s.items {
-		entry := found.Entry
-		entry.Refused = append([]Refusal(nil), entry.Refused...)
-		entries = append(entries, entry)
+		if found.Version > 0 {
+			entries = append(entries, found.Entry)
+		}
 	}
 	sort.Slice(entries, func(i, j int) bool { return entries[i].Scope < entries[j].Scope })
 	return entries
 }
 
+func (s *state) refusals() []Refusal {
+	var refused []Refusal
+	for _, found := range s.items {
+		refused = append(refused, found.refused...)
+	}
+	sort.Slice(refused, func(i, j int) bool { return refused[i].ID < refused[j].ID })
+	return refused
+}
+
 func (s *state) configuration() cowslipproxy.Configuration {
 	configuration := cowslipproxy.Configuration{
 		Bases:     map[string]uint64{},
@@ -163,9 +168,7 @@
 		Services:  []cowslipproxy.Service{},
 	}
 	for _, entry := range s.entries() {
-		if entry.Version > 0 {
-			configuration.Bases[entry.Scope] = entry.Version
-		}
+		configuration.Bases[entry.Scope] = entry.Version
 		switch value := s.items[entry.Scope].value.(type) {
 		case cowslipproxy.Customer:
 			configuration.Customers = append(configuration.Customers, value)
