--- a/chains.go
+++ b/chains.go
@@ -13,6 +13,8 @@
 	Output   int        `json:"output,omitempty"`   // most tokens that are still to come; 0 means 32
 	Centre   string     `json:"centre,omitempty"`   // preferred data centre
 	Avoid    []string   `json:"avoid,omitempty"`    // names of upstreams or VMs that failed this request
+	Request  string     `json:"request,omitempty"`
+	Suspect  bool       `json:"suspect,omitempty"` // an upstream crashed with the request in flight
 }
 
 // Stage is one link of a chain.
@@ -28,9 +30,11 @@
 	// Chain returns stages that tile the needed layers exactly.
 	Chain(now time.Time, need Need) ([]Stage, error)
 	// Begin counts a request that uses an upstream.
-	Begin(upstream string)
+	Begin(upstream, request string)
 	// End counts a request that no longer uses an upstream.
-	End(upstream string)
+	End(upstream, request string)
+	// Clear ends a request's exclusion of other suspects from its upstreams.
+	Clear(request string)
 }
 
 // StepObserver learns from the steps of all requests.
--- a/cowslipd/router/admit.go
+++ b/cowslipd/router/admit.go
@@ -9,6 +9,7 @@
 	"github.com/cowslipproxy/cowslipproxy/caller"
 	"github.com/cowslipproxy/cowslipproxy/driver"
 	"github.com/cowslipproxy/cowslipproxy/limiter"
+	"github.com/cowslipproxy/cowslipproxy/quarantiner"
 )
 
 const (
@@ -91,7 +92,8 @@
 
 type tracked struct {
 	limiter.Request
-	gate *limiter.Gate // nil for calls to plain services
+	gate *limiter.Gate    // nil for calls to plain services
+	run  *quarantiner.Run // nil while it may not run
 }
 
 func (t *tracker) add(id string, request limiter.Request, gate *limiter.Gate) {
@@ -100,6 +102,15 @@
 	t.requests[id] = tracked{Request: request, gate: gate}
 }
 
+func (t *tracker) setRun(id string, run *quarantiner.Run) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if request, ok := t.requests[id]; ok {
+		request.run = run
+		t.requests[id] = request
+	}
+}
+
 func (t *tracker) remove(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -117,6 +128,7 @@
 type meteredDriver struct {
 	driver *driver.Driver
 	track  *tracker
+	ended  func(ctx context.Context, request string, whole bool)
 }
 
 // Run implements caller.ModelRunner.
@@ -129,6 +141,7 @@
 		return emit(token)
 	}
 	usage, err := m.driver.Run(ctx, job, counted)
+	m.ended(ctx, job.Request, err == nil)
 	if ok {
 		request.gate.Token(usage.Prompt)
 	}
--- a/cowslipd/router/deployment_test.go
+++ b/cowslipd/router/deployment_test.go
@@ -260,3 +260,27 @@
 	require.Fail(d.t, "the list doesn't show "+name)
 	return netip.AddrPort{}
 }
+
+// killOne crashes the first of two engines that runs so many steps.
+func (d *deployment) killOne(after int, one, other string) {
+	for _, pair := range [][2]string{{one, other}, {other, one}} {
+		d.engines[pair[0]].SetFaults(emulator.Faults{After: after})
+		go func() {
+			<-d.engines[pair[0]].Crashed()
+			d.engines[pair[1]].SetFaults(emulator.Faults{})
+		}()
+	}
+}
+
+// crashed returns how many engines have crashed.
+func (d *deployment) crashed() int {
+	count := 0
+	for _, engine := range d.engines {
+		select {
+		case <-engine.Crashed():
+			count++
+		default:
+		}
+	}
+	return count
+}
--- a/cowslipd/router/exchange.go
+++ b/cowslipd/router/exchange.go
@@ -65,6 +65,7 @@
 		}
 	}
 	r.limits.SetDaemons(now, live)
+	r.quarantiner.SetPeers(live)
 }
 
 // publishDemand publishes each changed customer as an item of its own, so that
--- a/cowslipd/router/operators.go
+++ b/cowslipd/router/operators.go
@@ -14,6 +14,7 @@
 	"github.com/cowslipproxy/cowslipproxy/lister"
 	"github.com/cowslipproxy/cowslipproxy/operator"
 	"github.com/cowslipproxy/cowslipproxy/pooler"
+	"github.com/cowslipproxy/cowslipproxy/quarantiner"
 )
 
 // Version is the version of the daemon.
@@ -60,6 +61,7 @@
 	Claims     claimer.Counts        `json:"claims"`
 	Appends    committer.Counts      `json:"appends"`
 	Upstreams  pooler.Dump           `json:"upstreams"`
+	Suspects   []quarantiner.Record  `json:"suspects"`
 }
 
 // Holding is what a daemon holds of a customer's limit.
@@ -84,6 +86,7 @@
 		Claims:     r.claimer.Counts(),
 		Appends:    r.committer.Counts(),
 		Upstreams:  r.pool.Dump(),
+		Suspects:   r.quarantiner.Held(r.Clock()),
 	}
 	for _, service := range settled.Services {
 		dump.Services = append(dump.Services, service.Name)
@@ -159,6 +162,3 @@
 	}
 	return explanation, nil
 }
-
-// lift ends the quarantine of a fingerprint.
-func (r *Router) lift(string) bool { return false }
--- /dev/null
+++ b/cowslipd/router/quarantine.go
@@ -0,0 +1,196 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/decoder"
+	"github.com/cowslipproxy/cowslipproxy/driver"
+	"github.com/cowslipproxy/cowslipproxy/limiter"
+	"github.com/cowslipproxy/cowslipproxy/quarantiner"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+)
+
+const (
+	suspectTimeout = time.Second
+	suspectPeriod  = 100 * time.Millisecond // between two tries to reach a daemon that lacks records
+	maxSuspects    = 64
+	holdBack       = 2 * time.Second // longest delay of a failure; a daemon that is down is noticed after 3 s
+	holdBackPoll   = 10 * time.Millisecond
+)
+
+// suspectRecords is what daemons send each other of requests that may be poison.
+type suspectRecords struct {
+	Records []quarantiner.Record `json:"records"`
+}
+
+// Check reports the first record that is out of range.
+func (s suspectRecords) Check() error {
+	if len(s.Records) > maxSuspects {
+		return errors.Errorf("records: found %d, accepted are at most %d", len(s.Records), maxSuspects)
+	}
+	for i, record := range s.Records {
+		if err := record.Check(); err != nil {
+			return errors.Wrapf(err, "records[%d]", i)
+		}
+	}
+	return nil
+}
+
+func printOf(request limiter.Request) quarantiner.Print {
+	return quarantiner.Print{Customer: request.Customer.Name, Content: request.Content}
+}
+
+// crashed takes in that an engine was lost with requests in flight.
+func (r *Router) crashed(upstream string, requests []string, now time.Time) {
+	var prints []quarantiner.Print
+	for _, id := range requests {
+		request, ok := r.admission.track.get(id)
+		switch {
+		case !ok:
+		case request.run != nil && request.run.Alone:
+			r.quarantiner.CrashAlone(now, upstream, printOf(request.Request))
+		default:
+			prints = append(prints, printOf(request.Request))
+		}
+	}
+	r.quarantiner.Crash(now, upstream, prints)
+	reporter.EventCrash.Log(context.Background(), r.Logger, slog.String("upstream", upstream), slog.Int("requests", len(requests)))
+	select {
+	case r.suspected <- struct{}{}:
+	default: // a round is due already
+	}
+}
+
+// permit implements driver.Permit.
+func (r *Router) permit(now time.Time, job driver.Job) (bool, *cowslipproxy.Failure) {
+	request, ok := r.admission.track.get(job.Request)
+	if !ok {
+		return false, nil
+	}
+	print := printOf(request.Request)
+	if request.run != nil {
+		r.quarantiner.End(now, *request.run, false) // the run that crashed
+	}
+	run, failure := r.quarantiner.Begin(now, print)
+	if failure == nil {
+		r.admission.track.setRun(job.Request, &run)
+	} else {
+		r.admission.track.setRun(job.Request, nil)
+	}
+	if failure != nil && r.quarantiner.State(now, print) == quarantiner.StateQuarantined {
+		reporter.EventQuarantined.Log(context.Background(), r.Logger, slog.String("customer", print.Customer), slog.String("fingerprint", fingerprint(print)))
+	}
+	return run.Alone, failure
+}
+
+func fingerprint(print quarantiner.Print) string { return strconv.FormatUint(print.Content, 16) }
+
+// survived takes in that a suspect got past the token at which an upstream
+// crashed. It may share its upstreams with other suspects from now on.
+func (r *Router) survived(job driver.Job) {
+	request, ok := r.admission.track.get(job.Request)
+	if !ok || request.run == nil {
+		return
+	}
+	r.quarantiner.End(r.Clock(), *request.run, false)
+	r.admission.track.setRun(job.Request, &quarantiner.Run{Print: request.run.Print})
+}
+
+// completed tells the quarantine that a job ended. A failure is held back until
+// the other daemons know of the crashes, since the caller may send the request
+// again through any of them.
+func (r *Router) completed(ctx context.Context, id string, whole bool) {
+	request, ok := r.admission.track.get(id)
+	if !ok {
+		return
+	}
+	if request.run != nil {
+		r.quarantiner.End(r.Clock(), *request.run, whole)
+	}
+	if whole {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, holdBack)
+	defer cancel()
+	for !r.quarantiner.Known(r.Clock(), printOf(request.Request)) && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(holdBackPoll):
+		}
+	}
+}
+
+// spreadSuspects sends records to the daemons that lack them.
+func (r *Router) spreadSuspects(ctx context.Context) error {
+	ticker := time.NewTicker(suspectPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.suspected:
+		case <-ticker.C:
+		}
+		for _, member := range r.gossiper.Members() {
+			if member.Down || member.Owner == r.owner {
+				continue
+			}
+			if records := r.quarantiner.Pending(r.Clock(), member.Key()); len(records) > 0 {
+				r.sendSuspects(ctx, member, records)
+			}
+		}
+	}
+}
+
+func (r *Router) sendSuspects(ctx context.Context, member cowslipproxy.Member, records []quarantiner.Record) {
+	if !r.sending.begin(member.Key()) {
+		return
+	}
+	r.admission.group.Go(func() {
+		defer r.sending.end(member.Key())
+		ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
+		defer cancel()
+		var held suspectRecords
+		data, err := cbor.Marshal(suspectRecords{Records: records})
+		if err == nil {
+			data, err = r.gossiper.SendSuspects(ctx, member.Peer.String(), data)
+		}
+		if err == nil {
+			err = decoder.CBOR(data, &held)
+		}
+		if err != nil {
+			reporter.EventExchangeFailed.Log(ctx, r.Logger, slog.String("peer", member.Name), slog.Any("error", err))
+			return
+		}
+		r.quarantiner.Acked(r.Clock(), member.Key(), records, held.Records)
+	})
+}
+
+// takeSuspects takes in another daemon's records.
+func (r *Router) takeSuspects(data []byte) ([]byte, error) {
+	var sent suspectRecords
+	if err := decoder.CBOR(data, &sent); err != nil {
+		return nil, err
+	}
+	held := r.quarantiner.Merge(r.Clock(), sent.Records)
+	return cbor.Marshal(suspectRecords{Records: held})
+}
+
+// lift ends the quarantine of a fingerprint.
+func (r *Router) lift(text string) bool {
+	now := r.Clock()
+	lifted := false
+	for _, record := range r.quarantiner.Held(now) {
+		if fingerprint(record.Print) == text && r.quarantiner.Lift(now, record.Print) {
+			lifted = true
+		}
+	}
+	return lifted
+}
--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -31,6 +31,7 @@
 	"github.com/cowslipproxy/cowslipproxy/lister"
 	"github.com/cowslipproxy/cowslipproxy/loader"
 	"github.com/cowslipproxy/cowslipproxy/pooler"
+	"github.com/cowslipproxy/cowslipproxy/quarantiner"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/retrier"
 )
@@ -65,7 +66,11 @@
 	caller    *caller.Server
 	driver    *driver.Driver
 	retrier   *retrier.Retrier
-	started   time.Time
+	suspected chan struct{} // an upstream crashed
+	sending   busy
+
+	quarantiner *quarantiner.Quarantiner
+	started     time.Time
 
 	stopMu     sync.Mutex
 	stopper    advertiser.Stopper
@@ -98,6 +103,7 @@
 	group.Go(func() error { return r.gossiper.Run(work) })
 	group.Go(func() error { return ignoreEnd(work, r.committer.Run(work)) })
 	group.Go(func() error { return r.exchange(work) })
+	group.Go(func() error { return r.spreadSuspects(work) })
 	group.Go(func() error { return serve(server, netutil.LimitListener(sockets.callers, r.Settings.Sockets)) })
 	group.Go(func() error { return serve(operators, sockets.operator) })
 	reporter.EventStarted.Log(ctx, r.Logger, slog.String("name", r.owner.Key()), slog.String("callers", sockets.callers.Addr().String()))
@@ -170,10 +176,16 @@
 	r.committer = &committer.Committer{Log: log, Claimer: r.claimer, Logger: r.Logger}
 	r.limits = &limiter.Limits{Self: r.owner.Key()}
 	r.retrier = &retrier.Retrier{}
+	r.suspected = make(chan struct{}, 1)
+	r.quarantiner = &quarantiner.Quarantiner{Self: r.owner.Key()}
 	track := &tracker{requests: map[string]tracked{}}
 	r.admission = &admission{limits: r.limits, track: track, floor: s.Floor, bound: s.Queue, clock: r.Clock, ctx: ctx, gates: map[string]*limiter.Gate{}}
+	r.admission.quarantine = func(now time.Time, request limiter.Request) *cowslipproxy.Failure {
+		return r.quarantiner.Check(now, printOf(request))
+	}
+	r.pool.OnCrash = r.crashed
 	r.driver = &driver.Driver{
-		Chooser: r.pool, Observer: r.pool, Engine: r.pool.Engine,
+		Chooser: r.pool, Observer: r.pool, Engine: r.pool.Engine, Permit: r.permit, Survived: r.survived,
 		Saving:  &driver.Saving{Every: saveEvery, Above: saveAbove, Room: semaphore.NewWeighted(saveRoom)},
 		Checker: r.checker, Clock: r.Clock, Logger: r.Logger, Metrics: r.Metrics,
 	}
@@ -184,6 +196,7 @@
 		Listener: peers,
 		MaxBytes: s.Body,
 		Snapshot: r.snapshot,
+		Suspects: r.takeSuspects,
 		Handler:  r.caller.Handler(),
 		Changed:  r.received,
 		Logger:   r.Logger,
@@ -198,7 +211,7 @@
 	r.caller = &caller.Server{
 		Settled:  r.follower.Current,
 		Admitter: r.admission,
-		Models:   &meteredDriver{driver: r.driver, track: track},
+		Models:   &meteredDriver{driver: r.driver, track: track, ended: r.completed},
 		Services: &serviceRunner{
 			forwarder: forwarder.Forwarder{Picker: r.pool, MaxBody: r.Settings.Body, Observe: r.pool.ObserveCall, Retry: r.mayRetry},
 			clock:     r.Clock, retrier: r.retrier,
--- a/cowslipd/router/router_test.go
+++ b/cowslipd/router/router_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -87,10 +88,7 @@
 	d.publish()
 	d.ready(one)
 	const count = 60
-	for _, pair := range [][2]string{{"a1", "a2"}, {"b1", "b2"}} {
-		d.engines[pair[0]].SetFaults(emulator.Faults{After: 20})
-		d.engines[pair[1]].SetFaults(emulator.Faults{After: 200})
-	}
+	d.killOne(20, "b1", "b2")
 	request, err := http.NewRequest(http.MethodPost, "http://"+one.at.Callers.String()+"/v1/chat/completions",
 		strings.NewReader(fmt.Sprintf(`{"model":"scribe:letters","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":"write"}]}`, count)))
 	require.NoError(t, err)
@@ -120,6 +118,7 @@
 	require.Equal(t, "[DONE]", last)
 	require.Equal(t, "done", response.Trailer.Get("Cowslip-Outcome"))
 	model := scribe
+	require.Equal(t, 1, d.crashed())
 	require.Equal(t, emulator.Answer(model, "letters", "<|user|>\nwrite\n<|assistant|>\n", count), texts[:count])
 }
 
@@ -225,3 +224,39 @@
 	})
 	require.Equal(t, before, leaving.Account().Steps)
 }
+
+// Guards against a request that crashes each upstream that runs it taking down
+// more than two of them, however often and through whichever daemon it is sent,
+// and against failing the requests that were batched with it.
+func TestPoisonTakesDownTwoUpstreamsAtMost(t *testing.T) {
+	d := newDeployment(t)
+	for _, name := range []string{"a1", "a2", "a3", "a4"} {
+		d.engine(name, 0, 3).SetFaults(emulator.Faults{Crash: "poison"})
+	}
+	for _, name := range []string{"b1", "b2"} {
+		d.engine(name, 3, 6)
+	}
+	first, second := d.daemon("entry-1"), d.daemon("entry-2")
+	d.publish()
+	d.ready(first, second)
+	var group sync.WaitGroup
+	for i := range 12 {
+		group.Go(func() {
+			prompt := fmt.Sprint("innocent ", i)
+			response, text := d.complete([]*daemon{first, second}[i%2], officerKey, prompt, 200)
+			require.Equal(t, "done", response.outcome(), "%s", response.body)
+			require.Equal(t, expected(prompt, 200), text)
+		})
+	}
+	time.Sleep(20 * time.Millisecond) // so that innocent requests are in flight on each engine
+	var last *reply
+	for range 10 {
+		for _, one := range []*daemon{first, second} {
+			last, _ = d.complete(one, clerkKey, "poison", 5)
+			require.NotEqual(t, "done", last.outcome())
+		}
+	}
+	require.Equal(t, []string{"refused", "quarantined"}, []string{last.outcome(), last.reason()})
+	group.Wait()
+	require.Equal(t, 2, d.crashed())
+}
--- a/driver/job.go
+++ b/driver/job.go
@@ -42,13 +42,18 @@
 	Restored int // of these, stages whose context came from an export
 }
 
+// Permit decides whether a job may be sent to an engine again, and whether it is
+// suspected to crash its upstreams.
+type Permit func(now time.Time, job Job) (suspect bool, refusal *cowslipproxy.Failure)
+
 // Driver runs jobs. Its exported fields are set before the first job.
 type Driver struct {
 	Chooser  cowslipproxy.ChainChooser
 	Observer cowslipproxy.StepObserver
 	Engine   func(name string) (cowslipproxy.Engine, bool)
-	Permit   func(now time.Time, job Job) error // whether a job may be sent to an engine again; may be nil
-	Saving   *Saving                            // nil if contexts are never exported
+	Permit   Permit        // may be nil
+	Survived func(job Job) // a suspect got past the token at which an upstream crashed; may be nil
+	Saving   *Saving       // nil if contexts are never exported
 	Checker  *checker.Checker
 	Clock    func() time.Time
 	Logger   *slog.Logger
@@ -62,7 +67,7 @@
 	defer cancel()
 	r := &run{driver: d, job: job, used: map[string]bool{}}
 	defer r.release()
-	if err := r.plan(); err != nil {
+	if err := r.begin(); err != nil {
 		return r.usage, r.failure(ctx, err)
 	}
 	for index := range job.Max {
--- a/driver/replace.go
+++ b/driver/replace.go
@@ -17,6 +17,12 @@
 	recoveryWait  = 5 * time.Second       // longest wait for an engine that holds the missing layers
 	recoveryPoll  = 20 * time.Millisecond // first wait between two looks; it doubles
 	recoveryMax   = 200 * time.Millisecond
+
+	// A quarantine may be lifted at once, when the other daemons' records show
+	// that another request explains the crashes.
+	quarantineWait = 500 * time.Millisecond
+
+	survivedTokens = 3 // the token at which an upstream crashed, and two more
 )
 
 // replace puts other engines in the place of a stage that failed.
@@ -28,10 +34,8 @@
 	}
 	lost := r.stages[failed.index]
 	r.avoid = append(r.avoid, lost.Upstream)
-	if d.Permit != nil {
-		if err := d.Permit(d.Clock(), r.job); err != nil {
-			return err
-		}
+	if err := r.permit(ctx); err != nil {
+		return err
 	}
 	var stages []stage
 	var err error
@@ -52,6 +56,61 @@
 	return nil
 }
 
+// begin asks whether the job may run at all, and chooses its chain.
+func (r *run) begin() error {
+	d := r.driver
+	if d.Permit != nil {
+		suspect, refusal := d.Permit(d.Clock(), r.job)
+		if refusal != nil {
+			return refusal
+		}
+		if suspect {
+			r.suspect = r.job.Max + 1 // it isn't known at which token an upstream crashed
+		}
+	}
+	return r.plan()
+}
+
+// permit asks whether the job may be sent to an engine again. A suspect waits
+// while the other daemons are told of it.
+func (r *run) permit(ctx context.Context) error {
+	d := r.driver
+	if d.Permit == nil {
+		return nil
+	}
+	began := d.Clock()
+	for pause := recoveryPoll; ; pause = min(2*pause, recoveryMax) {
+		suspect, failure := d.Permit(d.Clock(), r.job)
+		if failure == nil {
+			if suspect {
+				r.suspect = survivedTokens
+			}
+			return nil
+		}
+		limit := recoveryWait
+		if failure.RetryAfter > recoveryWait {
+			limit = quarantineWait
+		}
+		if d.Clock().Sub(began) > limit {
+			return failure
+		}
+		if err := rest(ctx, pause); err != nil {
+			return err
+		}
+	}
+}
+
+func rest(ctx context.Context, pause time.Duration) error {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
 // prepare decides where the next pass starts. The first token goes on behind
 // the stages that ran it, since the failed stage's input holds all positions,
 // and so does a token for which the substitute got the context of an export.
@@ -87,10 +146,8 @@
 			return nil, err
 		}
 		avoid = nil // an engine that failed this job once may be the only one left
-		select {
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-time.After(pause):
+		if err := rest(ctx, pause); err != nil {
+			return nil, err
 		}
 	}
 }
@@ -106,6 +163,8 @@
 		Tokens:   r.length(),
 		Output:   r.job.Max - len(r.given),
 		Avoid:    avoid,
+		Request:  r.job.Request,
+		Suspect:  r.suspect > 0,
 	}
 }
 
--- a/driver/run.go
+++ b/driver/run.go
@@ -27,6 +27,7 @@
 	used       map[string]bool // engines that may hold contexts of this job
 	dispatched bool            // an engine may have started a step
 	recoveries int
+	suspect    int // tokens to go until the request shares upstreams with suspects again; 0 if it is none
 	usage      Usage
 	resume     resumption
 	keeper     keeper
@@ -63,10 +64,10 @@
 // adopt makes a chain the current one and counts the request on its engines.
 func (r *run) adopt(stages []stage) {
 	for _, s := range stages {
-		r.driver.Chooser.Begin(s.Upstream)
+		r.driver.Chooser.Begin(s.Upstream, r.job.Request)
 	}
 	for _, s := range r.stages {
-		r.driver.Chooser.End(s.Upstream)
+		r.driver.Chooser.End(s.Upstream, r.job.Request)
 	}
 	r.stages = stages
 }
@@ -77,6 +78,7 @@
 		r.collect()
 		reply, err := r.pass(ctx, index)
 		if err == nil {
+			r.survive()
 			r.save(ctx, index)
 			return reply, nil
 		}
@@ -90,6 +92,21 @@
 	}
 }
 
+// survive counts a token that a suspect produced. A request that crashes its
+// upstreams does so at the same token again, so that one which got past it need
+// not keep other suspects off its upstreams.
+func (r *run) survive() {
+	if r.suspect == 0 {
+		return
+	}
+	if r.suspect--; r.suspect == 0 {
+		r.driver.Chooser.Clear(r.job.Request)
+		if r.driver.Survived != nil {
+			r.driver.Survived(r.job)
+		}
+	}
+}
+
 // pass runs each layer once for one token. Stages up to the last one without a
 // context are prefilled with all positions under a new attempt; the stages after
 // it take one position.
@@ -221,6 +238,7 @@
 
 // release frees the contexts on all engines that may hold some.
 func (r *run) release() {
+	r.driver.Chooser.Clear(r.job.Request)
 	r.drop()
 	r.adopt(nil)
 	for name := range r.used {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -40,6 +40,7 @@
 	Budget   float64                                                       // bytes per second for items that are not urgent
 	Dial     func(ctx context.Context, address string) (net.Conn, error)   // nil means TCP
 	Snapshot func(ctx context.Context) (at uint64, data []byte, err error) // of the configuration
+	Suspects func(data []byte) (held []byte, err error)                    // takes in records of suspects
 	Handler  http.Handler                                                  // serves forwarded requests
 	Changed  func(item Item)                                               // is told of items from other daemons
 	Logger   *slog.Logger                                                  // nil means the default one
--- a/gossiper/service.go
+++ b/gossiper/service.go
@@ -33,6 +33,13 @@
 	Data []byte `json:"data"`
 }
 
+// Suspects are records of requests that may be poison, as their owner encoded
+// them. They go to each daemon directly, since their sender has to know which
+// daemons hold them.
+type Suspects struct {
+	Data []byte `json:"data"`
+}
+
 type peers interface {
 	answer(request *Exchange) (*Exchange, error)
 	difference(question *Compare) (*Difference, error)
@@ -47,6 +54,7 @@
 		unary("Snapshot", func(g *Gossiper, ctx context.Context, _ *SnapshotRequest) (*SnapshotAnswer, error) {
 			return g.snapshot(ctx)
 		}),
+		unary("Suspects", func(g *Gossiper, _ context.Context, s *Suspects) (*Suspects, error) { return g.suspects(s) }),
 	},
 	Streams: []grpc.StreamDesc{{
 		StreamName:    "Forward",
@@ -104,6 +112,26 @@
 	return answer, err
 }
 
+func (g *Gossiper) suspects(sent *Suspects) (*Suspects, error) {
+	if g.Suspects == nil {
+		return nil, status.Error(codes.Unavailable, "not ready")
+	}
+	data, err := g.Suspects(sent.Data)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return &Suspects{Data: data}, nil
+}
+
+// SendSuspects sends records to another daemon and returns what it holds of the
+// same requests.
+func (g *Gossiper) SendSuspects(ctx context.Context, address string, data []byte) ([]byte, error) {
+	g.setup()
+	var held Suspects
+	err := g.invoke(ctx, address, "Suspects", &Suspects{Data: data}, &held)
+	return held.Data, err
+}
+
 func (g *Gossiper) invoke(ctx context.Context, address, method string, request, answer any, options ...grpc.CallOption) error {
 	var conn *grpc.ClientConn
 	var err error
--- a/pooler/choose.go
+++ b/pooler/choose.go
@@ -17,6 +17,9 @@
 
 // Chain implements cowslipproxy.ChainChooser.
 func (p *Pool) Chain(now time.Time, need cowslipproxy.Need) ([]cowslipproxy.Stage, error) {
+	if need.Suspect {
+		need.Avoid = append(need.Avoid[:len(need.Avoid):len(need.Avoid)], p.suspects.others(need.Request)...)
+	}
 	var chain chooser.Chain
 	var err error
 	for range maxChoices {
@@ -26,6 +29,9 @@
 		taken := p.claim(chain, now)
 		if taken == "" {
 			p.sent(chain, now)
+			if need.Suspect {
+				p.suspects.hold(need.Request, chain.Stages)
+			}
 			return chain.Stages, nil
 		}
 		need.Avoid = append(need.Avoid[:len(need.Avoid):len(need.Avoid)], taken)
@@ -59,10 +65,16 @@
 }
 
 // Begin implements cowslipproxy.ChainChooser.
-func (p *Pool) Begin(upstream string) { p.chooser.Begin(upstream) }
+func (p *Pool) Begin(upstream, _ string) { p.chooser.Begin(upstream) }
 
 // End implements cowslipproxy.ChainChooser.
-func (p *Pool) End(upstream string) { p.chooser.End(upstream) }
+func (p *Pool) End(upstream, request string) {
+	p.chooser.End(upstream)
+	p.suspects.release(upstream, request)
+}
+
+// Clear implements cowslipproxy.ChainChooser.
+func (p *Pool) Clear(request string) { p.suspects.clear(request) }
 
 // Timeout implements cowslipproxy.StepObserver.
 func (p *Pool) Timeout(_ time.Time, stage cowslipproxy.Stage, step cowslipproxy.Step, _ int) time.Duration {
--- a/pooler/engines.go
+++ b/pooler/engines.go
@@ -38,10 +38,20 @@
 	p.joinMu.Unlock()
 	p.changes(context.Background(), p.ejector.Broken(name, now))
 	if p.OnCrash != nil && len(requests) > 0 {
-		p.OnCrash(name, requests, now)
+		p.OnCrash(p.runOf(name), requests, now)
 	}
 }
 
+// runOf names the run of an engine that was connected last. All daemons name it
+// alike, so that what they saw of one crash counts as one.
+func (p *Pool) runOf(name string) string {
+	if engine, ok := p.Engine(name); ok {
+		report, _ := engine.Report()
+		return name + "/" + report.Boot
+	}
+	return name
+}
+
 func (p *Pool) report(name string, report cowslipproxy.Report, now time.Time) {
 	p.joinMu.Lock()
 	p.joiner.Probe(name, true, now)
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -38,8 +38,9 @@
 	Logger  *slog.Logger
 	Metrics metrics.Registry
 
-	chooser chooser.Chooser
-	ejector ejector.Ejector
+	chooser  chooser.Chooser
+	suspects suspects
+	ejector  ejector.Ejector
 
 	joinMu sync.Mutex // never held while the chooser is called
 	joiner joiner.Joiner
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -53,7 +53,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	e := q.entry(now, p)
-	if e == nil || e.state() == StateClear {
+	if e == nil || q.state(e) == StateClear {
 		return Run{Print: p}, nil
 	}
 	if failure := q.refuse(now, e); failure != nil {
@@ -69,7 +69,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	e := q.entry(now, p)
-	if e == nil || e.state() == StateClear {
+	if e == nil || q.state(e) == StateClear {
 		return nil
 	}
 	return q.refuse(now, e)
@@ -77,7 +77,7 @@
 
 func (q *Quarantiner) refuse(now time.Time, e *entry) *cowslipproxy.Failure {
 	const reason = cowslipproxy.ReasonQuarantined
-	if e.state() == StateQuarantined {
+	if q.state(e) == StateQuarantined {
 		left := e.latest().Add(q.hold()).Sub(now)
 		return cowslipproxy.Refuse(reason, "two upstreams crashed while they ran this request").After(left)
 	}
@@ -117,7 +117,7 @@
 	if run.Alone {
 		e.running = false
 	}
-	if completed && e.state() == StateSuspect {
+	if completed && q.state(e) == StateSuspect {
 		q.clear(now, e)
 	}
 }
@@ -129,17 +129,55 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	for _, p := range prints {
-		e := q.entry(now, p)
-		if e == nil {
-			e = q.add(now, Record{Print: p, Time: now})
+		q.crash(now, p, Crash{Upstream: upstream, Source: q.Self, Time: now})
+	}
+}
+
+func (q *Quarantiner) crash(now time.Time, p Print, crash Crash) {
+	e := q.entry(now, p)
+	if e == nil {
+		e = q.add(now, Record{Print: p, Time: now})
+	}
+	e.changed = true // even if the record stays the same, since callers here wait for Known
+	if hasUpstream(e.Crashes, crash.Upstream) {
+		return // a second report could change the owner while it runs the suspect
+	}
+	q.change(e, merge(e.Record, Record{Print: p, Version: e.Version, Crashes: []Crash{crash}, Time: e.Time, Term: e.Term, Owner: e.Owner}))
+}
+
+// CrashAlone records that an upstream crashed with a suspect in flight that
+// shared it with no other suspect.
+func (q *Quarantiner) CrashAlone(now time.Time, upstream string, p Print) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.crash(now, p, Crash{Upstream: upstream, Source: q.Self, Time: now, Alone: true})
+}
+
+// state returns how requests with a record's fingerprint are treated. Crashes
+// that another request explains don't count.
+func (q *Quarantiner) state(e *entry) State {
+	counted := 0
+	for _, crash := range e.Crashes {
+		if crash.Alone || !q.explained(e, crash) {
+			counted++
+		}
+	}
+	return stateAfter(counted)
+}
+
+// explained reports whether a crash is the work of another request: one that
+// crashed two upstreams, this one among them, and at least one of the two while
+// it shared it with no other suspect.
+func (q *Quarantiner) explained(e *entry, crash Crash) bool {
+	for p, other := range q.entries {
+		if p == e.Print || len(other.Crashes) < mostCrashes || !hasUpstream(other.Crashes, crash.Upstream) {
+			continue
 		}
-		e.changed = true // even if the record stays the same, since callers here wait for Known
-		if hasUpstream(e.Crashes, upstream) {
-			continue // a second report could change the owner while it runs the suspect
+		if slices.ContainsFunc(other.Crashes, func(c Crash) bool { return c.Alone }) {
+			return true
 		}
-		crash := Crash{Upstream: upstream, Source: q.Self, Time: now}
-		q.change(e, merge(e.Record, Record{Print: p, Version: e.Version, Crashes: []Crash{crash}, Time: e.Time, Term: e.Term, Owner: e.Owner}))
 	}
+	return false
 }
 
 // Lift clears a fingerprint at an operator's order. It reports whether it was held.
@@ -147,7 +185,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	e := q.entry(now, p)
-	if e == nil || e.state() == StateClear {
+	if e == nil || q.state(e) == StateClear {
 		return false
 	}
 	q.clear(now, e)
@@ -159,7 +197,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if e := q.entry(now, p); e != nil {
-		return e.state()
+		return q.state(e)
 	}
 	return StateClear
 }
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -36,6 +36,7 @@
 	Upstream string    `json:"upstream"` // names the incarnation: a restarted upstream is another one
 	Source   string    `json:"source"`   // incarnation of the daemon that saw it
 	Time     time.Time `json:"time"`
+	Alone    bool      `json:"alone,omitempty"` // no other suspect was in flight there
 }
 
 // Record is what daemons exchange about one fingerprint.
@@ -97,7 +98,11 @@
 	slices.SortFunc(all, Crash.compare)
 	kept := all[:0]
 	for _, crash := range all {
-		if len(kept) < mostCrashes && !hasUpstream(kept, crash.Upstream) {
+		if i := slices.IndexFunc(kept, crash.sameUpstream); i >= 0 {
+			kept[i].Alone = kept[i].Alone || crash.Alone
+			continue
+		}
+		if len(kept) < mostCrashes {
 			kept = append(kept, crash)
 		}
 	}
@@ -108,6 +113,8 @@
 	return cmp.Or(c.Time.Compare(other.Time), cmp.Compare(c.Source, other.Source), cmp.Compare(c.Upstream, other.Upstream))
 }
 
+func (c Crash) sameUpstream(other Crash) bool { return c.Upstream == other.Upstream }
+
 func hasUpstream(crashes []Crash, upstream string) bool {
 	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.Upstream == upstream })
 }
@@ -117,7 +124,7 @@
 		return false
 	}
 	return slices.EqualFunc(r.Crashes, other.Crashes, func(a, b Crash) bool {
-		return a.compare(b) == 0
+		return a.compare(b) == 0 && a.Alone == b.Alone
 	})
 }
 
@@ -131,8 +138,9 @@
 	StateQuarantined State = "quarantined" // doesn't run
 )
 
-func (r Record) state() State {
-	switch len(r.Crashes) {
+// stateAfter returns the state after a number of crashes.
+func stateAfter(crashes int) State {
+	switch crashes {
 	case 0:
 		return StateClear
 	case 1:
--- a/standin/emulator/engine.go
+++ b/standin/emulator/engine.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/cowslipproxy/cowslipproxy"
 )
 
@@ -37,6 +39,7 @@
 	fence     uint64
 	role      cowslipproxy.Role
 	leaving   bool
+	boot      string
 	crashed   chan struct{}
 	crashOnce sync.Once
 }
@@ -81,6 +84,7 @@
 // Init prepares the engine for Run and for the gRPC handlers.
 func (e *Engine) Init() {
 	e.wake = make(chan struct{}, 1)
+	e.boot = uuid.NewString()
 	e.crashed = make(chan struct{})
 	e.contexts = map[contextKey]*sequence{}
 	e.prefixes = newPrefixCache(e.Prefixes)
@@ -119,6 +123,7 @@
 		Pace:     e.scaled(e.Pace),
 		Free:     max(0, e.Memory-e.used),
 		Leaving:  e.leaving,
+		Boot:     e.boot,
 	}
 	return report
 }
--- a/standin/emulator/pipeline_test.go
+++ b/standin/emulator/pipeline_test.go
@@ -134,10 +134,13 @@
 }
 
 // Begin implements cowslipproxy.ChainChooser.
-func (p *pipeline) Begin(string) {}
+func (p *pipeline) Begin(string, string) {}
 
 // End implements cowslipproxy.ChainChooser.
-func (p *pipeline) End(string) {}
+func (p *pipeline) End(string, string) {}
+
+// Clear implements cowslipproxy.ChainChooser.
+func (p *pipeline) Clear(string) {}
 
 // Timeout implements cowslipproxy.StepObserver.
 func (p *pipeline) Timeout(time.Time, cowslipproxy.Stage, cowslipproxy.Step, int) time.Duration {
--- a/steps.go
+++ b/steps.go
@@ -115,6 +115,7 @@
 	Pace     time.Duration `json:"pace"`    // recent time for one layer of one decode step
 	Free     int           `json:"free"`    // free cache memory, in tokens
 	Leaving  bool          `json:"leaving,omitempty"`
+	Boot     string        `json:"boot,omitempty"` // names this run of the engine
 }
 
 // Check reports the first field that is out of range.
