gossiper: pace publications by fleet size and compare versions rarely

All daemons published their first demand at once: 15 KB/s per daemon among 150. A random wait after a quiet time spreads that.

--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -14,7 +14,8 @@
 
 const (
 	callTimeout    = time.Second
-	compareGap     = 10 * time.Second // between comparisons with one peer
+	compareGap     = time.Minute // between comparisons with one peer
+	compareFleet   = 150         // daemons from which on the gap grows with their number, as the vectors do
 	compareUnequal = 3                // hashes differ for a moment after each change
 )
 
@@ -85,7 +86,7 @@
 	if slices.ContainsFunc(fresh, func(i Item) bool { return i.Urgent }) {
 		g.signal()
 	}
-	due := g.differs(p, message, first) && now.Sub(p.compared) >= compareGap
+	due := g.differs(p, message, first) && now.Sub(p.compared) >= g.compareGap()
 	g.mu.Unlock()
 	if g.Changed != nil {
 		for _, item := range fresh {
@@ -109,6 +110,12 @@
 	return p.unequal >= compareUnequal
 }
 
+// compareGap is long, since the journal passes everything but for what a cut
+// message or an unfinished comparison left out.
+func (g *Gossiper) compareGap() time.Duration {
+	return compareGap * time.Duration(max(1, len(g.hellos)/compareFleet))
+}
+
 // reserve allows one comparison at a time, so that a new daemon doesn't receive
 // everything from several others.
 func (g *Gossiper) reserve(name string, now time.Time) bool {
--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -29,7 +29,7 @@
 	parted map[[2]string]bool
 	open   map[*link]bool
 	bytes  atomic.Int64 // both ways, each counted once
-	calls  atomic.Int64 // connections
+	ended  func(*link)  // is told before a connection closes
 }
 
 type link struct {
@@ -56,7 +56,6 @@
 		if err != nil {
 			return nil, err
 		}
-		n.calls.Add(1)
 		l := &link{Conn: conn, network: n, ends: ends}
 		n.mu.Lock()
 		defer n.mu.Unlock()
@@ -78,6 +77,16 @@
 	}
 }
 
+func (l *link) Close() error {
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	if l.network.ended != nil && l.network.open[l] {
+		l.network.ended(l)
+	}
+	delete(l.network.open, l)
+	return l.Conn.Close()
+}
+
 func (l *link) Read(data []byte) (int, error) {
 	n, err := l.Conn.Read(data)
 	l.network.bytes.Add(int64(n))
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -37,7 +37,7 @@
 	Period   time.Duration                                                 // of rounds
 	Timeout  time.Duration                                                 // silence after which a daemon counts as down
 	MaxBytes int64                                                         // of a forwarded request's body, and of its answer's
-	Budget   float64                                                       // bytes per second for items that are not urgent
+	Budget   float64                                                       // bytes per second for items that are not urgent; 0 means by the fleet's size
 	Dial     func(ctx context.Context, address string) (net.Conn, error)   // nil means TCP
 	Snapshot func(ctx context.Context) (at uint64, data []byte, err error) // of the configuration
 	Handler  http.Handler                                                  // serves forwarded requests
--- a/gossiper/members.go
+++ b/gossiper/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sort"
 	"strings"
 	"time"
@@ -300,7 +301,14 @@
 }
 
 func (g *Gossiper) publishDue(now time.Time) {
-	for _, item := range g.pacer.take(len(g.store.newest), now) {
+	members := map[Reach]int{}
+	for _, known := range g.hellos {
+		members[ReachAll]++
+		if known.hello.Centre == g.Hello.Centre {
+			members[ReachCentre]++
+		}
+	}
+	for _, item := range g.pacer.take(members, now, rand.Float64()) {
 		g.put(item, now)
 	}
 }
--- a/gossiper/traffic_linux_test.go
+++ b/gossiper/traffic_linux_test.go
@@ -22,16 +22,17 @@
 func BenchmarkTraffic(b *testing.B) {
 	for _, size := range []int{5, 15, 50, 150} {
 		b.Run(strconv.Itoa(size), func(b *testing.B) {
-			n := newNetwork()
+			n, closed := newNetwork(), 0
+			n.ended = func(l *link) { closed += l.segments(b) }
 			fleet := n.fleet(b, size, time.Second)
 			time.Sleep(3 * time.Second)
 			b.ResetTimer()
 			for range b.N {
-				measure(b, n, fleet, "idle", func(int) {})
-				measure(b, n, fleet, "urgent", func(second int) {
+				measure(b, n, &closed, fleet, "idle", func(int) {})
+				measure(b, n, &closed, fleet, "urgent", func(second int) {
 					require.NoError(b, fleet[second%size].SaySuspect(strconv.Itoa(second), make([]byte, 50)))
 				})
-				measure(b, n, fleet, "busy", func(int) {
+				measure(b, n, &closed, fleet, "busy", func(int) {
 					for _, d := range fleet {
 						require.NoError(b, d.SayDemand("customer", gossiper.ReachAll, make([]byte, 100)))
 					}
@@ -43,8 +44,8 @@
 
 const measured = 20 // seconds
 
-func measure(b *testing.B, n *network, fleet []*daemon, name string, change func(second int)) {
-	bytes, segments, processor := n.bytes.Load(), n.segments(b), spent(b)
+func measure(b *testing.B, n *network, closed *int, fleet []*daemon, name string, change func(second int)) {
+	bytes, segments, processor := n.bytes.Load(), n.segments(b, closed), spent(b)
 	for second := range measured {
 		change(second)
 		time.Sleep(time.Second)
@@ -52,7 +53,7 @@
 	daemons := float64(len(fleet) * measured)
 	// Each byte has a sender and a receiver.
 	sent := 2 * float64(n.bytes.Load()-bytes) / daemons
-	headers := 2 * segmentHeader * float64(n.segments(b)-segments) / daemons
+	headers := 2 * segmentHeader * float64(n.segments(b, closed)-segments) / daemons
 	b.ReportMetric(sent, name+"-B/s")
 	b.ReportMetric(sent+headers, name+"-wire-B/s")
 	b.ReportMetric(100*(spent(b)-processor).Seconds()/daemons, name+"-%core")
@@ -63,20 +64,26 @@
 
 const segmentHeader = 52 // IPv4, and TCP with timestamps
 
-// segments returns the TCP segments, both ways, of the open connections.
-func (n *network) segments(b *testing.B) int {
+// segments returns the TCP segments, both ways, of the open connections and of
+// those in closed, which is guarded by the network's lock.
+func (n *network) segments(b *testing.B, closed *int) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	total := 0
+	total := *closed
 	for l := range n.open {
-		raw, err := l.Conn.(*net.TCPConn).SyscallConn()
-		require.NoError(b, err)
-		// A closed connection has no descriptor, and its segments no longer count.
-		_ = raw.Control(func(fd uintptr) { total += segmentsOf(fd) })
+		total += l.segments(b)
 	}
 	return total
 }
 
+func (l *link) segments(b *testing.B) int {
+	raw, err := l.Conn.(*net.TCPConn).SyscallConn()
+	require.NoError(b, err)
+	total := 0
+	require.NoError(b, raw.Control(func(fd uintptr) { total = segmentsOf(fd) }))
+	return total
+}
+
 func segmentsOf(fd uintptr) int {
 	const out, in = 136, 140 // offsets of tcpi_segs_out and tcpi_segs_in in Linux's struct tcp_info
 	var info [256]byte
