gossiper: acknowledge monotonically and repeat failed comparisons

Calls in both directions cross. An older message without acknowledgement could make the sender skip the items since the last one, and a comparison that failed was repeated only after a minute.

--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -16,7 +16,7 @@
 	callTimeout    = time.Second
 	compareGap     = time.Minute // between comparisons with one peer
 	compareFleet   = 150         // daemons from which on the gap grows with their number, as the vectors do
-	compareUnequal = 3                // hashes differ for a moment after each change
+	compareUnequal = 3           // hashes differ for a moment after each change
 )
 
 // exchange calls a daemon, and compares the version vectors if news that
@@ -36,7 +36,11 @@
 		return nil
 	}
 	defer g.release()
-	return g.compare(ctx, contact, answer)
+	if err := g.compare(ctx, contact, answer); err != nil {
+		g.soon(answer.From.Name)
+		return err
+	}
+	return nil
 }
 
 // failed notes that the called daemon knows a later incarnation of this one.
@@ -79,7 +83,8 @@
 	if first {
 		*p = peer{owner: message.From, busy: p.busy, again: p.again}
 	}
-	p.seen, p.acked = message.Seq, message.Ack
+	// Calls in both directions cross, so an older message may come later.
+	p.seen, p.acked = max(p.seen, message.Seq), max(p.acked, message.Ack)
 	fresh := g.store.Apply(message.Items, message.From.Name, now)
 	g.heard(message.From, now)
 	g.refute(fresh, now)
