gossiper: name the receiver's incarnation in acknowledgements

The restarted daemon then skipped its first items, its hello among them, and as later versions passed, nobody asked for them.

--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -64,7 +64,10 @@
 // first, and so receives only those that no other daemon gave it.
 func (g *Gossiper) message(name string, near bool) Exchange {
 	p := g.peer(name)
-	message := Exchange{From: g.Self, Centre: g.Hello.Centre, Ack: p.seen, Seq: g.store.seq, All: g.store.Hash(ReachAll)}
+	if p.owner.Incarnation < g.store.Newest(name) {
+		*p = peer{busy: p.busy, again: p.again} // the positions are of an earlier run
+	}
+	message := Exchange{From: g.Self, Centre: g.Hello.Centre, To: p.owner.Incarnation, Ack: p.seen, Seq: g.store.seq, All: g.store.Hash(ReachAll)}
 	if near {
 		message.Near = g.store.Hash(ReachCentre)
 	}
@@ -83,8 +86,13 @@
 	if first {
 		*p = peer{owner: message.From, busy: p.busy, again: p.again}
 	}
-	// Calls in both directions cross, so an older message may come later.
-	p.seen, p.acked = max(p.seen, message.Seq), max(p.acked, message.Ack)
+	// Calls in both directions cross, so an older message may come later. A
+	// sender that doesn't know of this run yet acknowledges an earlier one's
+	// journal; to count that would skip items of this one.
+	p.seen = max(p.seen, message.Seq)
+	if message.To == g.Self.Incarnation {
+		p.acked = max(p.acked, message.Ack)
+	}
 	fresh := g.store.Apply(message.Items, message.From.Name, now)
 	g.heard(message.From, now)
 	g.refute(fresh, now)
--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -118,7 +118,7 @@
 	ctx, kill := context.WithCancel(context.Background())
 	d := &daemon{address: address.String(), kill: kill, done: make(chan error, 1)}
 	d.Gossiper = &gossiper.Gossiper{
-		Self:     cowslipproxy.Owner{Name: "entry-" + strconv.Itoa(name), Incarnation: incarnation},
+		Self:     cowslipproxy.Owner{Name: "entry-" + strconv.Itoa(name), Incarnation: 1<<60 + incarnation}, // as large as a start time in nanoseconds
 		Hello:    cowslipproxy.Hello{Caller: address, Peer: address, Centre: centre},
 		Listener: listener, Period: period, Timeout: 30 * period, Dial: n.dial(centre),
 		Logger:   slog.New(slog.DiscardHandler),
--- a/gossiper/item.go
+++ b/gossiper/item.go
@@ -84,6 +84,7 @@
 type Exchange struct {
 	From   cowslipproxy.Owner `json:"from"`
 	Centre string             `json:"centre"`
+	To     uint64             `json:"to,omitempty"`   // incarnation of the receiver whose journal Ack speaks of
 	Seq    uint64             `json:"seq"`            // position in the sender's journal that the items reach
 	Ack    uint64             `json:"ack,omitempty"`  // position in the receiver's journal that the sender has
 	All    uint64             `json:"all"`            // hash of the version vector of items for all
