--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -14,8 +14,9 @@
 
 const (
 	callTimeout    = time.Second
-	compareGap     = 10 * time.Second // between comparisons with one peer
-	compareUnequal = 3                // hashes differ for a moment after each change
+	compareGap     = time.Minute // between comparisons with one peer
+	compareFleet   = 150         // daemons from which on the gap grows with their number, as the vectors do
+	compareUnequal = 3           // hashes differ for a moment after each change
 )
 
 // exchange calls a daemon, and compares the version vectors if news that
@@ -35,7 +36,11 @@
 		return nil
 	}
 	defer g.release()
-	return g.compare(ctx, contact, answer)
+	if err := g.compare(ctx, contact, answer); err != nil {
+		g.soon(answer.From.Name)
+		return err
+	}
+	return nil
 }
 
 // failed notes that the called daemon knows a later incarnation of this one.
@@ -59,7 +64,10 @@
 // first, and so receives only those that no other daemon gave it.
 func (g *Gossiper) message(name string, near bool) Exchange {
 	p := g.peer(name)
-	message := Exchange{From: g.Self, Centre: g.Hello.Centre, Ack: p.seen, Seq: g.store.seq, All: g.store.Hash(ReachAll)}
+	if p.owner.Incarnation < g.store.Newest(name) {
+		*p = peer{busy: p.busy, again: p.again} // the positions are of an earlier run
+	}
+	message := Exchange{From: g.Self, Centre: g.Hello.Centre, To: p.owner.Incarnation, Ack: p.seen, Seq: g.store.seq, All: g.store.Hash(ReachAll)}
 	if near {
 		message.Near = g.store.Hash(ReachCentre)
 	}
@@ -78,14 +86,20 @@
 	if first {
 		*p = peer{owner: message.From, busy: p.busy, again: p.again}
 	}
-	p.seen, p.acked = message.Seq, message.Ack
+	// Calls in both directions cross, so an older message may come later. A
+	// sender that doesn't know of this run yet acknowledges an earlier one's
+	// journal; to count that would skip items of this one.
+	p.seen = max(p.seen, message.Seq)
+	if message.To == g.Self.Incarnation {
+		p.acked = max(p.acked, message.Ack)
+	}
 	fresh := g.store.Apply(message.Items, message.From.Name, now)
 	g.heard(message.From, now)
 	g.refute(fresh, now)
 	if slices.ContainsFunc(fresh, func(i Item) bool { return i.Urgent }) {
 		g.signal()
 	}
-	due := g.differs(p, message, first) && now.Sub(p.compared) >= compareGap
+	due := g.differs(p, message, first) && now.Sub(p.compared) >= g.compareGap()
 	g.mu.Unlock()
 	if g.Changed != nil {
 		for _, item := range fresh {
@@ -109,6 +123,12 @@
 	return p.unequal >= compareUnequal
 }
 
+// compareGap is long, since the journal passes everything but for what a cut
+// message or an unfinished comparison left out.
+func (g *Gossiper) compareGap() time.Duration {
+	return compareGap * time.Duration(max(1, len(g.hellos)/compareFleet))
+}
+
 // reserve allows one comparison at a time, so that a new daemon doesn't receive
 // everything from several others.
 func (g *Gossiper) reserve(name string, now time.Time) bool {
