router: give each daemon's suspects upstreams of their own

Two daemons ran one suspect each beside the other on one engine, so that the innocent one was quarantined with the culprit. Each engine is now left to the suspects of one daemon by rendezvous hashing, and a crash that another request explains no longer counts for requests that never crashed an engine alone. TestPoisonTakesDownTwoUpstreamsAtMost still fails in some runs.

--- a/cowslipd/router/exchange.go
+++ b/cowslipd/router/exchange.go
@@ -54,10 +54,11 @@
 	for _, vm := range r.lister.Last().VMs {
 		listed[vm.Name] = true
 	}
-	var live []string
+	var live, names []string
 	for _, member := range r.gossiper.Members() {
 		if !member.Down {
 			live = append(live, member.Key())
+			names = append(names, member.Name)
 			continue
 		}
 		if !listed[member.Name] && r.lister.IsFresh(now) {
@@ -66,6 +67,7 @@
 	}
 	r.limits.SetDaemons(now, live)
 	r.quarantiner.SetPeers(live)
+	r.pool.SetDaemons(names)
 }
 
 // publishDemand publishes each changed customer as an item of its own, so that
--- a/cowslipd/router/quarantine.go
+++ b/cowslipd/router/quarantine.go
@@ -48,19 +48,19 @@
 }
 
 // crashed takes in that an engine was lost with requests in flight.
-func (r *Router) crashed(upstream string, requests []string, now time.Time) {
+func (r *Router) crashed(upstream, run string, requests []string, now time.Time) {
 	var prints []quarantiner.Print
 	for _, id := range requests {
 		request, ok := r.admission.track.get(id)
 		switch {
 		case !ok:
-		case request.run != nil && request.run.Alone:
-			r.quarantiner.CrashAlone(now, upstream, printOf(request.Request))
+		case r.pool.IsAlone(id, upstream):
+			r.quarantiner.CrashAlone(now, run, printOf(request.Request))
 		default:
 			prints = append(prints, printOf(request.Request))
 		}
 	}
-	r.quarantiner.Crash(now, upstream, prints)
+	r.quarantiner.Crash(now, run, prints)
 	reporter.EventCrash.Log(context.Background(), r.Logger, slog.String("upstream", upstream), slog.Int("requests", len(requests)))
 	select {
 	case r.suspected <- struct{}{}:
--- a/pooler/choose.go
+++ b/pooler/choose.go
@@ -17,9 +17,31 @@
 
 // Chain implements cowslipproxy.ChainChooser.
 func (p *Pool) Chain(now time.Time, need cowslipproxy.Need) ([]cowslipproxy.Stage, error) {
-	if need.Suspect {
-		need.Avoid = append(need.Avoid[:len(need.Avoid):len(need.Avoid)], p.suspects.others(need.Request)...)
+	if !need.Suspect {
+		return p.choose(now, need, false)
 	}
+	need.Avoid = append(need.Avoid[:len(need.Avoid):len(need.Avoid)], p.suspects.others(need.Request)...)
+	alone := need
+	alone.Avoid = append(need.Avoid[:len(need.Avoid):len(need.Avoid)], p.suspects.foreign(p.Name, p.engineNames())...)
+	if stages, err := p.choose(now, alone, true); err == nil {
+		return stages, nil
+	}
+	// No upstream for these layers is left to this daemon's suspects. A crash
+	// then counts as one that another request may explain.
+	return p.choose(now, need, false)
+}
+
+func (p *Pool) engineNames() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := make([]string, 0, len(p.engines))
+	for name := range p.engines {
+		names = append(names, name)
+	}
+	return names
+}
+
+func (p *Pool) choose(now time.Time, need cowslipproxy.Need, alone bool) ([]cowslipproxy.Stage, error) {
 	var chain chooser.Chain
 	var err error
 	for range maxChoices {
@@ -29,7 +51,7 @@
 		taken := p.claim(chain, now)
 		if taken == "" {
 			p.sent(chain, now)
-			if need.Suspect {
+			if alone {
 				p.suspects.hold(need.Request, chain.Stages)
 			}
 			return chain.Stages, nil
--- a/pooler/engines.go
+++ b/pooler/engines.go
@@ -38,7 +38,7 @@
 	p.joinMu.Unlock()
 	p.changes(context.Background(), p.ejector.Broken(name, now))
 	if p.OnCrash != nil && len(requests) > 0 {
-		p.OnCrash(p.runOf(name), requests, now)
+		p.OnCrash(name, p.runOf(name), requests, now)
 	}
 }
 
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -30,9 +30,9 @@
 
 // Pool holds the upstreams of a daemon. Its exported fields are set before Run.
 type Pool struct {
-	Name    string // of this daemon
-	Centre  string // data centre of this daemon
-	OnCrash func(upstream string, requests []string, now time.Time)
+	Name    string                                                       // of this daemon
+	Centre  string                                                       // data centre of this daemon
+	OnCrash func(upstream, run string, requests []string, now time.Time) // run names the engine's run
 	Checker *checker.Checker
 	Clock   func() time.Time
 	Logger  *slog.Logger
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -154,11 +154,15 @@
 }
 
 // state returns how requests with a record's fingerprint are treated. Crashes
-// that another request explains don't count.
+// that another request explains don't count for a request that never crashed an
+// upstream alone.
 func (q *Quarantiner) state(e *entry) State {
+	if slices.ContainsFunc(e.Crashes, isAlone) {
+		return stateAfter(len(e.Crashes))
+	}
 	counted := 0
 	for _, crash := range e.Crashes {
-		if crash.Alone || !q.explained(e, crash) {
+		if !q.explained(e, crash) {
 			counted++
 		}
 	}
@@ -173,7 +177,7 @@
 		if p == e.Print || len(other.Crashes) < mostCrashes || !hasUpstream(other.Crashes, crash.Upstream) {
 			continue
 		}
-		if slices.ContainsFunc(other.Crashes, func(c Crash) bool { return c.Alone }) {
+		if slices.ContainsFunc(other.Crashes, isAlone) {
 			return true
 		}
 	}
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -113,6 +113,8 @@
 	return cmp.Or(c.Time.Compare(other.Time), cmp.Compare(c.Source, other.Source), cmp.Compare(c.Upstream, other.Upstream))
 }
 
+func isAlone(c Crash) bool { return c.Alone }
+
 func (c Crash) sameUpstream(other Crash) bool { return c.Upstream == other.Upstream }
 
 func hasUpstream(crashes []Crash, upstream string) bool {
