router: tell all daemons of a suspect before it runs again

In the second after its start a daemon knew no other daemon, so that a suspect ran again before the others held its record, and four engines were lost. The members are now looked at whenever one comes or goes and at each crash. The tests' ports now lie below those of outgoing connections, one of which had taken a daemon's port.

--- a/cowslipd/router/deployment_test.go
+++ b/cowslipd/router/deployment_test.go
@@ -13,7 +13,9 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,11 +131,23 @@
 	return s
 }
 
+// lastPort is below the ports that the system gives to outgoing connections,
+// which could take a port between its choice and its use.
+var lastPort atomic.Uint32
+
 func freeAddress(t *testing.T) netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	const first, count = 10_000, 20_000
+	for range count {
+		port := first + (uint32(os.Getpid())*97+lastPort.Add(1))%count
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+		listener, err := net.Listen("tcp", address.String())
+		if err == nil {
+			require.NoError(t, listener.Close())
+			return address
+		}
+	}
+	require.Fail(t, "no port is free")
+	return netip.AddrPort{}
 }
 
 func (d *deployment) daemon(name string) *daemon {
@@ -284,3 +298,27 @@
 	}
 	return count
 }
+
+// acquainted waits until each daemon names all of them in its address answers,
+// and returns their incarnations by name.
+func (d *deployment) acquainted(daemons ...*daemon) map[string]string {
+	incarnations := map[string]string{}
+	for _, one := range daemons {
+		require.Eventually(d.t, func() bool {
+			response, err := d.call(one, http.MethodGet, "/v1/addresses", "", nil, "")
+			var answer cowslipproxy.Addresses
+			if err != nil || json.Unmarshal(response.body, &answer) != nil {
+				return false
+			}
+			for _, other := range daemons {
+				for _, address := range answer.Addresses {
+					if address.Address == other.at.Callers {
+						incarnations[other.name] = address.Incarnation
+					}
+				}
+			}
+			return len(answer.Addresses) == len(daemons)
+		}, waitLimit, 20*time.Millisecond, "%s doesn't know the others", one.name)
+	}
+	return incarnations
+}
--- a/cowslipd/router/exchange.go
+++ b/cowslipd/router/exchange.go
@@ -24,12 +24,16 @@
 	if len(r.Settings.Seeds) > 0 {
 		r.gossiper.SetListed(seedVMs(r.Settings.Seeds)) // until the list is read
 	}
+	r.trackMembers(r.Clock())
 	ticker := time.NewTicker(exchangePeriod)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-r.joined:
+			r.trackMembers(r.Clock())
+			continue
 		case <-ticker.C:
 		}
 		now := r.Clock()
@@ -88,6 +92,13 @@
 
 // received takes in an item of another daemon.
 func (r *Router) received(item gossiper.Item) {
+	if item.Kind == gossiper.KindHello || item.Kind == gossiper.KindDown {
+		select {
+		case r.joined <- struct{}{}:
+		default: // a look at the members is due already
+		}
+		return
+	}
 	if item.Gone || item.Kind != gossiper.KindDemand {
 		return
 	}
--- a/cowslipd/router/quarantine.go
+++ b/cowslipd/router/quarantine.go
@@ -61,6 +61,7 @@
 		}
 	}
 	r.quarantiner.Crash(now, run, prints)
+	r.trackMembers(now) // a suspect runs once all daemons know, those that came within the last second too
 	reporter.EventCrash.Log(context.Background(), r.Logger, slog.String("upstream", upstream), slog.Int("requests", len(requests)))
 	select {
 	case r.suspected <- struct{}{}:
@@ -84,9 +85,6 @@
 	} else {
 		r.admission.track.setRun(job.Request, nil)
 	}
-	if failure != nil && r.quarantiner.State(now, print) == quarantiner.StateQuarantined {
-		reporter.EventQuarantined.Log(context.Background(), r.Logger, slog.String("customer", print.Customer), slog.String("fingerprint", fingerprint(print)))
-	}
 	return run.Alone, failure
 }
 
@@ -117,9 +115,13 @@
 	if whole {
 		return
 	}
+	print := printOf(request.Request)
+	if r.quarantiner.State(r.Clock(), print) == quarantiner.StateQuarantined {
+		reporter.EventQuarantined.Log(ctx, r.Logger, slog.String("customer", print.Customer), slog.String("fingerprint", fingerprint(print)))
+	}
 	ctx, cancel := context.WithTimeout(ctx, holdBack)
 	defer cancel()
-	for !r.quarantiner.Known(r.Clock(), printOf(request.Request)) && ctx.Err() == nil {
+	for !r.quarantiner.Known(r.Clock(), print) && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-time.After(holdBackPoll):
--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -67,6 +67,7 @@
 	driver    *driver.Driver
 	retrier   *retrier.Retrier
 	suspected chan struct{} // an upstream crashed
+	joined    chan struct{} // a daemon came or went
 	sending   busy
 
 	quarantiner *quarantiner.Quarantiner
@@ -177,6 +178,7 @@
 	r.limits = &limiter.Limits{Self: r.owner.Key()}
 	r.retrier = &retrier.Retrier{}
 	r.suspected = make(chan struct{}, 1)
+	r.joined = make(chan struct{}, 1)
 	r.quarantiner = &quarantiner.Quarantiner{Self: r.owner.Key()}
 	track := &tracker{requests: map[string]tracked{}}
 	r.admission = &admission{limits: r.limits, track: track, floor: s.Floor, bound: s.Queue, clock: r.Clock, ctx: ctx, gates: map[string]*limiter.Gate{}}
--- a/cowslipd/router/router_test.go
+++ b/cowslipd/router/router_test.go
@@ -132,19 +132,7 @@
 	first, second := d.daemon("entry-1"), d.daemon("entry-2")
 	d.publish()
 	d.ready(first, second)
-	incarnation := ""
-	require.Eventually(t, func() bool {
-		response, err := d.call(second, http.MethodGet, "/v1/addresses", "", nil, "")
-		require.NoError(t, err)
-		var answer cowslipproxy.Addresses
-		require.NoError(t, json.Unmarshal(response.body, &answer))
-		for _, address := range answer.Addresses {
-			if address.Address == first.at.Callers {
-				incarnation = address.Incarnation
-			}
-		}
-		return len(answer.Addresses) == 2
-	}, waitLimit, 50*time.Millisecond)
+	incarnation := d.acquainted(first, second)[first.name]
 	for i, key := range []string{"plot-17", "cow1." + incarnation + ".plot-17-0123456789"} {
 		header := map[string]string{"Idempotency-Key": key}
 		body := fmt.Sprintf(`{"plot":%d}`, i)
@@ -239,6 +227,7 @@
 	first, second := d.daemon("entry-1"), d.daemon("entry-2")
 	d.publish()
 	d.ready(first, second)
+	d.acquainted(first, second)
 	var group sync.WaitGroup
 	for i := range 12 {
 		group.Go(func() {
