--- a/cowslipd/router/quarantine.go
+++ b/cowslipd/router/quarantine.go
@@ -13,6 +13,7 @@
 	"github.com/cowslipproxy/cowslipproxy/decoder"
 	"github.com/cowslipproxy/cowslipproxy/driver"
 	"github.com/cowslipproxy/cowslipproxy/limiter"
+	"github.com/cowslipproxy/cowslipproxy/pooler"
 	"github.com/cowslipproxy/cowslipproxy/quarantiner"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
@@ -22,6 +23,7 @@
 	suspectPeriod  = 100 * time.Millisecond // between two tries to reach a daemon that lacks records
 	maxSuspects    = 64
 	holdBack       = 2 * time.Second // longest delay of a failure; a daemon that is down is noticed after 3 s
+	holdTimeout    = 200 * time.Millisecond
 	holdBackPoll   = 10 * time.Millisecond
 )
 
@@ -185,6 +187,44 @@
 	return cbor.Marshal(suspectRecords{Records: held})
 }
 
+// grantAnswer is the answer to a hold.
+type grantAnswer struct {
+	Granted bool `json:"granted"`
+}
+
+// askHold asks another daemon to grant an upstream to a suspect.
+func (r *Router) askHold(daemon string, hold pooler.Hold) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), holdTimeout)
+	defer cancel()
+	for _, member := range r.gossiper.Members() {
+		if member.Name != daemon {
+			continue
+		}
+		var answer grantAnswer
+		data, err := cbor.Marshal(hold)
+		if err == nil {
+			data, err = r.gossiper.SendHold(ctx, member.Peer.String(), data)
+		}
+		if err == nil {
+			err = decoder.CBOR(data, &answer)
+		}
+		return err == nil && answer.Granted
+	}
+	return false
+}
+
+// grantHold decides on a hold that another daemon asks for.
+func (r *Router) grantHold(data []byte) ([]byte, error) {
+	var hold pooler.Hold
+	if err := decoder.CBOR(data, &hold); err != nil {
+		return nil, err
+	}
+	if err := decoder.Check(hold); err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(grantAnswer{Granted: r.pool.Grant(r.Clock(), hold)})
+}
+
 // lift ends the quarantine of a fingerprint.
 func (r *Router) lift(text string) bool {
 	now := r.Clock()
--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -185,7 +185,7 @@
 	r.admission.quarantine = func(now time.Time, request limiter.Request) *cowslipproxy.Failure {
 		return r.quarantiner.Check(now, printOf(request))
 	}
-	r.pool.OnCrash = r.crashed
+	r.pool.OnCrash, r.pool.Ask = r.crashed, r.askHold
 	r.driver = &driver.Driver{
 		Chooser: r.pool, Observer: r.pool, Engine: r.pool.Engine, Permit: r.permit, Survived: r.survived,
 		Saving:  &driver.Saving{Every: saveEvery, Above: saveAbove, Room: semaphore.NewWeighted(saveRoom)},
@@ -199,6 +199,7 @@
 		MaxBytes: s.Body,
 		Snapshot: r.snapshot,
 		Suspects: r.takeSuspects,
+		Holds:    r.grantHold,
 		Handler:  r.caller.Handler(),
 		Changed:  r.received,
 		Logger:   r.Logger,
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -41,6 +41,7 @@
 	Dial     func(ctx context.Context, address string) (net.Conn, error)   // nil means TCP
 	Snapshot func(ctx context.Context) (at uint64, data []byte, err error) // of the configuration
 	Suspects func(data []byte) (held []byte, err error)                    // takes in records of suspects
+	Holds    func(data []byte) (answer []byte, err error)                  // decides on a suspect's hold of an upstream
 	Handler  http.Handler                                                  // serves forwarded requests
 	Changed  func(item Item)                                               // is told of items from other daemons
 	Logger   *slog.Logger                                                  // nil means the default one
--- a/gossiper/service.go
+++ b/gossiper/service.go
@@ -58,7 +58,8 @@
 		unary("Snapshot", func(g *Gossiper, ctx context.Context, _ *SnapshotRequest) (*SnapshotAnswer, error) {
 			return g.snapshot(ctx)
 		}),
-		unary("Suspects", func(g *Gossiper, _ context.Context, s *Suspects) (*Suspects, error) { return g.suspects(s) }),
+		unary("Hold", func(g *Gossiper, _ context.Context, s *Suspects) (*Suspects, error) { return g.take(g.Holds, s) }),
+		unary("Suspects", func(g *Gossiper, _ context.Context, s *Suspects) (*Suspects, error) { return g.take(g.Suspects, s) }),
 	},
 	Streams: []grpc.StreamDesc{{
 		StreamName:    "Forward",
@@ -118,11 +119,11 @@
 	return answer, err
 }
 
-func (g *Gossiper) suspects(sent *Suspects) (*Suspects, error) {
-	if g.Suspects == nil {
+func (g *Gossiper) take(hook func([]byte) ([]byte, error), sent *Suspects) (*Suspects, error) {
+	if hook == nil {
 		return nil, status.Error(codes.Unavailable, "not ready")
 	}
-	data, err := g.Suspects(sent.Data)
+	data, err := hook(sent.Data)
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
@@ -138,6 +139,14 @@
 	return held.Data, err
 }
 
+// SendHold asks another daemon for the use of an upstream by a suspect.
+func (g *Gossiper) SendHold(ctx context.Context, address string, data []byte) ([]byte, error) {
+	g.setup()
+	var answer Suspects
+	err := g.invoke(ctx, address, "Hold", &Suspects{Data: data}, &answer)
+	return answer.Data, err
+}
+
 func (g *Gossiper) invoke(ctx context.Context, address, method string, request, answer any, options ...grpc.CallOption) error {
 	var conn *grpc.ClientConn
 	var err error
--- a/pooler/choose.go
+++ b/pooler/choose.go
@@ -15,50 +15,33 @@
 // took the probe of an ejected upstream first.
 const maxChoices = 4
 
+// maxHolds bounds the same for a suspect, which other suspects may keep off
+// most of the upstreams.
+const maxHolds = 16
+
 // Chain implements cowslipproxy.ChainChooser.
 func (p *Pool) Chain(now time.Time, need cowslipproxy.Need) ([]cowslipproxy.Stage, error) {
-	if !need.Suspect {
-		return p.choose(now, need, false)
-	}
-	need.Avoid = append(need.Avoid[:len(need.Avoid):len(need.Avoid)], p.suspects.others(need.Request)...)
-	alone := need
-	alone.Avoid = append(need.Avoid[:len(need.Avoid):len(need.Avoid)], p.suspects.foreign(p.Name, p.engineNames())...)
-	if stages, err := p.choose(now, alone, true); err == nil {
-		return stages, nil
-	}
-	// No upstream for these layers is left to this daemon's suspects. A crash
-	// then counts as one that another request may explain.
-	return p.choose(now, need, false)
-}
-
-func (p *Pool) engineNames() []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	names := make([]string, 0, len(p.engines))
-	for name := range p.engines {
-		names = append(names, name)
-	}
-	return names
-}
-
-func (p *Pool) choose(now time.Time, need cowslipproxy.Need, alone bool) ([]cowslipproxy.Stage, error) {
 	var chain chooser.Chain
 	var err error
-	for range maxChoices {
+	tries := maxChoices
+	if need.Suspect {
+		tries = maxHolds
+	}
+	for range tries {
 		if chain, err = p.chooser.Chain(now, need); err != nil {
 			return nil, err
 		}
 		taken := p.claim(chain, now)
+		if taken == "" && need.Suspect {
+			taken = p.acquire(now, need.Request, chain.Stages)
+		}
 		if taken == "" {
 			p.sent(chain, now)
-			if alone {
-				p.suspects.hold(need.Request, chain.Stages)
-			}
 			return chain.Stages, nil
 		}
 		need.Avoid = append(need.Avoid[:len(need.Avoid):len(need.Avoid)], taken)
 	}
-	return nil, cowslipproxy.Refuse(cowslipproxy.ReasonNoChain, "all engines for the layers %v are being probed", need.Range).After(time.Second)
+	return nil, cowslipproxy.Refuse(cowslipproxy.ReasonNoChain, "all engines for the layers %v are being probed or held", need.Range).After(time.Second)
 }
 
 // Explain says how a chain would be chosen now.
@@ -92,12 +75,9 @@
 // End implements cowslipproxy.ChainChooser.
 func (p *Pool) End(upstream, request string) {
 	p.chooser.End(upstream)
-	p.suspects.release(upstream, request)
+	p.releaseHold(upstream, request)
 }
 
-// Clear implements cowslipproxy.ChainChooser.
-func (p *Pool) Clear(request string) { p.suspects.clear(request) }
-
 // Timeout implements cowslipproxy.StepObserver.
 func (p *Pool) Timeout(_ time.Time, stage cowslipproxy.Stage, step cowslipproxy.Step, _ int) time.Duration {
 	expected := stage.Decode
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -33,6 +33,7 @@
 	Name    string                                                       // of this daemon
 	Centre  string                                                       // data centre of this daemon
 	OnCrash func(upstream, run string, requests []string, now time.Time) // run names the engine's run
+	Ask     func(daemon string, hold Hold) bool                          // asks another daemon for a hold; nil when there is none
 	Checker *checker.Checker
 	Clock   func() time.Time
 	Logger  *slog.Logger
