standin: add the open-loop load tool

Throughput and latency of a deployment could only be seen through tests. standin load sends Poisson arrivals for a weighted mix of customers, keeps address answers for their lifetime and compares each token with the emulator.

--- /dev/null
+++ b/standin/load.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy/standin/driller"
+)
+
+// loadFlags are the flags of the load subcommand.
+type loadFlags struct {
+	driller   driller.Driller
+	seeds     string
+	customers string
+	json      bool
+}
+
+func loadCommand() *ffcli.Command {
+	var f loadFlags
+	d := &f.driller
+	flags := flag.NewFlagSet("standin load", flag.ContinueOnError)
+	flags.StringVar(&f.seeds, "daemons", "127.0.0.1:7200", "IP numbers and ports of daemons that are asked for addresses; a comma stands between two")
+	flags.StringVar(&f.customers, "customers", "", "customers as name:key:weight; a comma stands between two")
+	flags.StringVar(&d.Model.Name, "model", "scribe", "name of the model")
+	flags.StringVar(&d.Model.Version, "version", "1", "version of the model, for the expected answers")
+	flags.IntVar(&d.Model.Layers, "layers", 24, "layers of the model, for the expected answers")
+	flags.StringVar(&d.Adapter, "adapter", "", "adapter of the model; none if empty")
+	flags.Float64Var(&d.Rate, "rate", 10, "requests per second, with Poisson arrivals")
+	flags.DurationVar(&d.Duration, "duration", 10*time.Second, "sending time, at most 1h")
+	flags.DurationVar(&d.Warm, "warm", 0, "beginning of the sending time that is not reported")
+	flags.IntVar(&d.Count, "count", 100_000, "most requests, at most 1000000")
+	flags.IntVar(&d.Prompt, "prompt", 64, "tokens of a prompt")
+	flags.IntVar(&d.Answer, "answer", 32, "tokens of an answer")
+	flags.Float64Var(&d.Streamed, "streamed", 0.5, "part of the requests whose answers are streamed")
+	flags.DurationVar(&d.Deadline, "deadline", 10*time.Second, "deadline of a request from its arrival")
+	flags.IntVar(&d.Resend, "resend", 0, "most times that a request is sent again after a broken connection")
+	flags.IntVar(&d.Callers, "callers", 30, "callers, each with its own answer to the question for addresses")
+	flags.IntVar(&d.InFlight, "inflight", 4096, "most requests in flight; more are skipped")
+	flags.Uint64Var(&d.Seed, "seed", 1, "seed of arrivals and prompts")
+	flags.BoolVar(&f.json, "json", false, "write the report as JSON")
+	return &ffcli.Command{
+		Name:       "load",
+		ShortUsage: "standin load [flags]",
+		ShortHelp:  "Sends completions at a given rate and checks the answers.",
+		FlagSet:    flags,
+		Options:    []ff.Option{ff.WithEnvVarPrefix("STANDIN")},
+		Exec:       func(ctx context.Context, _ []string) error { return f.run(ctx) },
+	}
+}
+
+func (f *loadFlags) run(ctx context.Context) error {
+	if err := f.parse(); err != nil {
+		return err
+	}
+	report, err := f.driller.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if f.json {
+		err = errors.WithStack(json.NewEncoder(os.Stdout).Encode(report))
+	} else {
+		err = errors.WithStack(report.Text(os.Stdout))
+	}
+	if err == nil && report.All.Wrong > 0 {
+		return errors.Errorf("%d answers are wrong", report.All.Wrong)
+	}
+	return err
+}
+
+func (f *loadFlags) parse() error {
+	for _, text := range strings.Split(f.seeds, ",") {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return errors.Errorf("daemons: found %q, accepted is an IP number and port", text)
+		}
+		f.driller.Seeds = append(f.driller.Seeds, address)
+	}
+	if f.customers == "" {
+		return nil // Run reports that there are none
+	}
+	for _, text := range strings.Split(f.customers, ",") {
+		parts := strings.Split(text, ":")
+		if len(parts) != 3 {
+			return errors.Errorf("customers: found %q, accepted is name:key:weight", text)
+		}
+		weight, err := strconv.ParseFloat(parts[2], 64)
+		if err != nil {
+			return errors.Errorf("customers: found weight %q, accepted is a number", parts[2])
+		}
+		f.driller.Customers = append(f.driller.Customers, driller.Customer{Name: parts[0], Key: parts[1], Weight: weight})
+	}
+	return nil
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -19,6 +19,7 @@
 	return []*ffcli.Command{
 		engineCommand(),
 		listCommand(),
+		loadCommand(),
 		logCommand(),
 		serviceCommand(),
 	}
