--- /dev/null
+++ b/standin/demo.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/standin/visitor"
+)
+
+// demoTime bounds the whole demo, which is to end within a minute.
+const demoTime = 50 * time.Second
+
+// demoFlags are the flags of the demo subcommand.
+type demoFlags struct {
+	visitor       visitor.Visitor
+	daemons       string
+	engines       string
+	service       string
+	configuration string
+}
+
+func demoCommand() *ffcli.Command {
+	var f demoFlags
+	flags := flag.NewFlagSet("standin demo", flag.ContinueOnError)
+	flags.StringVar(&f.daemons, "daemons", "", "IP numbers and ports of the entry daemons; a comma stands between two")
+	flags.StringVar(&f.engines, "engines", "", "control endpoints of the engines as name=address; a comma stands between two")
+	flags.StringVar(&f.service, "service", "", "IP number and port of the plain service")
+	flags.StringVar(&f.configuration, "configuration", "demo/configuration.json", "configuration that was published")
+	flags.StringVar(&f.visitor.Key, "key", "officer-key", "bearer key")
+	return &ffcli.Command{
+		Name:       "demo",
+		ShortUsage: "standin demo [flags]",
+		ShortHelp:  "Shows a running deployment's answers, recovery and refusals to a usual client.",
+		FlagSet:    flags,
+		Exec:       func(ctx context.Context, _ []string) error { return f.run(ctx) },
+	}
+}
+
+func (f *demoFlags) run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, demoTime)
+	defer cancel()
+	if err := f.parse(); err != nil {
+		return err
+	}
+	return f.visitor.Run(ctx, func(line string) { fmt.Println(line) })
+}
+
+func (f *demoFlags) parse() error {
+	var configuration cowslipproxy.Configuration
+	var err error
+	if configuration, err = readConfiguration(f.configuration); err != nil {
+		return err
+	}
+	f.visitor.Models = configuration.Models
+	for _, text := range strings.Split(f.daemons, ",") {
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return errors.Errorf("daemons: found %q, accepted is an IP number and port", text)
+		}
+		f.visitor.Daemons = append(f.visitor.Daemons, address)
+	}
+	f.visitor.Controls = map[string]netip.AddrPort{}
+	for _, text := range strings.Split(f.engines, ",") {
+		name, control, _ := strings.Cut(text, "=")
+		if f.visitor.Controls[name], err = netip.ParseAddrPort(control); err != nil {
+			return errors.Errorf("engines: found %q, accepted is name=address", text)
+		}
+	}
+	if f.visitor.Service, err = netip.ParseAddrPort(f.service); err != nil {
+		return errors.Errorf("service: found %q, accepted is an IP number and port", f.service)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/emulator/faults_test.go
@@ -0,0 +1,20 @@
+package emulator_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy/decoder"
+	"github.com/cowslipproxy/cowslipproxy/standin/emulator"
+)
+
+// Guards against a check that panics on each decoded value, as a limit of a
+// whole number in the form 1e9 does, so that the control endpoint sets nothing.
+func TestFaultsDecode(t *testing.T) {
+	var faults emulator.Faults
+	require.NoError(t, decoder.StrictJSON([]byte(`{"after":1,"slow":2.5}`), &faults))
+	require.Equal(t, emulator.Faults{After: 1, Slow: 2.5}, faults)
+	require.Error(t, decoder.StrictJSON([]byte(`{"after":-1}`), &faults))
+	require.Error(t, decoder.StrictJSON([]byte(`{"after":1000000001}`), &faults))
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -17,10 +17,12 @@
 // commands returns the subcommands, one from each file.
 func commands() []*ffcli.Command {
 	return []*ffcli.Command{
+		demoCommand(),
 		engineCommand(),
 		listCommand(),
 		loadCommand(),
 		logCommand(),
+		publishCommand(),
 		serviceCommand(),
 	}
 }
