--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PACKAGES = ./... ./cowslipd/... ./cowslipctl/... ./standin/...
 TOOL = cd tools && GOWORK=off go build -o ../bin/
 
-.PHONY: build test lint tools demo
+.PHONY: build test lint tools demo measure
 
 build:
 	go build -o bin/ ./cowslipd ./cowslipctl ./standin
@@ -18,3 +18,9 @@
 	go vet $(PACKAGES)
 	bin/revive -config revive.toml -set_exit_status $(PACKAGES)
 	bin/staticcheck $(PACKAGES)
+
+demo: build
+	COWSLIPCTL=bin/standin demo/run
+
+measure: build
+	bin/standin measure -out docs
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -64,6 +64,7 @@
 		message.Near = g.store.Hash(ReachCentre)
 	}
 	if p.acked != 0 {
+		message.Base = p.acked
 		message.Items, message.Seq = g.store.Since(p.acked, name, near)
 	}
 	return message
@@ -78,8 +79,11 @@
 	if first {
 		*p = peer{owner: message.From, busy: p.busy, again: p.again}
 	}
-	p.seen, p.acked = message.Seq, message.Ack
+	p.acked = message.Ack
 	fresh := g.store.Apply(message.Items, message.From.Name, now)
+	if g.reaches(p, message) {
+		p.seen = max(p.seen, message.Seq)
+	}
 	g.heard(message.From, now)
 	if slices.ContainsFunc(fresh, func(i Item) bool { return i.Urgent }) {
 		g.signal()
@@ -94,11 +98,24 @@
 	return due
 }
 
+// reaches reports whether everything up to the message's position is held. A
+// position must not be acknowledged before: the peer would go on with a later
+// item, whose version hides the earlier items of its owner for good.
+func (g *Gossiper) reaches(p *peer, message Exchange) bool {
+	runs := message.Base != 0 && message.Base <= p.seen
+	return runs || len(message.Slots) > 0 || g.equals(message)
+}
+
+// equals reports whether a peer's version vector is the one held.
+func (g *Gossiper) equals(message Exchange) bool {
+	near := message.Centre == g.Hello.Centre
+	return message.All == g.store.Hash(ReachAll) && (!near || message.Near == g.store.Hash(ReachCentre))
+}
+
 // differs reports whether the peer's version vector differs for longer than
 // news takes to pass, or for the first time.
 func (g *Gossiper) differs(p *peer, message Exchange, first bool) bool {
-	near := message.Centre == g.Hello.Centre
-	if message.All == g.store.Hash(ReachAll) && (!near || message.Near == g.store.Hash(ReachCentre)) {
+	if g.equals(message) {
 		p.unequal = 0
 		return false
 	}
@@ -132,6 +149,7 @@
 func (g *Gossiper) compare(ctx context.Context, contact Contact, last Exchange) error {
 	near := last.Centre == g.Hello.Centre
 	g.mu.Lock()
+	before := g.store.seq
 	question := Compare{From: g.Self, Centre: g.Hello.Centre, Hashes: packHashes(g.store.Slots(near))}
 	g.mu.Unlock()
 	var difference Difference
@@ -143,17 +161,18 @@
 	}
 	g.mu.Lock()
 	request := g.message(last.From.Name, near)
-	request.Seq = g.peer(last.From.Name).acked // the items below are not a run of the journal
 	request.Items = g.store.Newer(difference.Slots, difference.Vector, near)
-	request.Slots, request.Wants = difference.Slots, g.store.Vector(difference.Slots, near)
-	if request.Seq == 0 {
-		request.Seq = g.store.seq
+	request.Base, request.Seq = 0, whole(request.Items, before)
+	if difference.Seq == 0 {
+		request.Seq = 0
 	}
+	request.Slots, request.Wants = difference.Slots, g.store.Vector(difference.Slots, near)
 	g.mu.Unlock()
 	var answer Exchange
 	if err := g.invoke(ctx, contact.Address, "Exchange", &request, &answer); err != nil {
 		return err
 	}
+	answer.Seq, answer.Slots = whole(answer.Items, difference.Seq), difference.Slots
 	g.absorb(answer, time.Now())
 	if len(request.Items) > 0 || len(answer.Items) > 0 {
 		g.soon(last.From.Name)
@@ -161,6 +180,20 @@
 	return nil
 }
 
+// whole returns the position that the items of a comparison reach, or 0 when
+// some may have been cut off.
+func whole(items []Item, position uint64) uint64 {
+	const room = maxData + 1024 // of the largest item
+	size := 0
+	for _, item := range items {
+		size += item.size()
+	}
+	if size+room > maxBytes {
+		return 0
+	}
+	return position
+}
+
 // soon makes the next difference of the hashes lead to a comparison, since the
 // last one may not have passed everything.
 func (g *Gossiper) soon(name string) {
@@ -181,11 +214,8 @@
 	near := request.Centre == g.Hello.Centre
 	message := g.message(request.From.Name, near)
 	if len(request.Slots) > 0 {
-		message.Seq = g.peer(request.From.Name).acked
+		message.Base = 0 // the items are no run of the journal
 		message.Items = g.store.Newer(request.Slots, request.Wants, near)
-		if message.Seq == 0 {
-			message.Seq = g.store.seq
-		}
 	}
 	return &message, nil
 }
@@ -205,7 +235,10 @@
 			result.Slots = append(result.Slots, i)
 		}
 	}
-	result.Slots, result.Vector = g.fit(result.Slots, near)
+	differing := len(result.Slots)
+	if result.Slots, result.Vector = g.fit(result.Slots, near); len(result.Slots) == differing {
+		result.Seq = g.store.seq
+	}
 	return &result, nil
 }
 
--- /dev/null
+++ b/gossiper/exchange_test.go
@@ -0,0 +1,66 @@
+package gossiper_test
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/decoder"
+	"github.com/cowslipproxy/cowslipproxy/gossiper"
+)
+
+// Guards against acknowledging a position of a peer's journal before the items
+// up to it were received: the peer goes on with a later item, and the hello
+// before it is lost for good, so that addresses never name the daemon.
+func TestPositionIsAcknowledgedOnlyWithItsItems(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	here := netip.MustParseAddrPort(listener.Addr().String())
+	g := &gossiper.Gossiper{
+		Self: cowslipproxy.Owner{Name: "entry-1", Incarnation: 1}, Listener: listener, Logger: slog.New(slog.DiscardHandler),
+		Hello: cowslipproxy.Hello{Caller: here, Peer: here, Centre: "oyo-a"},
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	conn, err := grpc.NewClient("passthrough:///"+here.String(), grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(decoder.CodecName), grpc.WaitForReady(true)))
+	require.NoError(t, err)
+	defer conn.Close()
+
+	peer := cowslipproxy.Owner{Name: "entry-2", Incarnation: 1}
+	hello, err := gossiper.Encode(cowslipproxy.Hello{Caller: here, Peer: here, Centre: "oyo-b"})
+	require.NoError(t, err)
+	first := gossiper.Item{Owner: peer, Reach: gossiper.ReachAll, Kind: gossiper.KindHello, Version: 1, Data: hello}
+	second := gossiper.Item{Owner: peer, Reach: gossiper.ReachAll, Kind: gossiper.KindDemand, Key: "officers", Version: 2}
+	for _, step := range []struct {
+		name    string
+		message gossiper.Exchange
+		ack     uint64
+	}{
+		{"heartbeat without items", gossiper.Exchange{Seq: 5, All: 1}, 0},
+		{"comparison that was cut", gossiper.Exchange{Seq: 0, All: 1, Slots: []int{1}}, 0},
+		{"comparison", gossiper.Exchange{Seq: 5, All: 1, Slots: []int{1}, Items: []gossiper.Item{first}}, 5},
+		{"late heartbeat without items", gossiper.Exchange{Seq: 7, All: 1}, 5},
+		{"run", gossiper.Exchange{Base: 5, Seq: 6, All: 1, Items: []gossiper.Item{second}}, 6},
+	} {
+		step.message.From, step.message.Centre = peer, "oyo-b"
+		var answer gossiper.Exchange
+		require.NoError(t, conn.Invoke(ctx, "/cowslip.Peers/Exchange", &step.message, &answer), step.name)
+		require.Equal(t, step.ack, answer.Ack, step.name)
+	}
+	members := g.Members()
+	require.Len(t, members, 2)
+	require.Equal(t, peer, members[1].Owner)
+	cancel()
+	require.NoError(t, <-ended)
+}
--- a/gossiper/item.go
+++ b/gossiper/item.go
@@ -83,6 +83,7 @@
 type Exchange struct {
 	From   cowslipproxy.Owner `json:"from"`
 	Centre string             `json:"centre"`
+	Base   uint64             `json:"base,omitempty"` // position in the sender's journal from which the items run; 0 for no run
 	Seq    uint64             `json:"seq"`            // position in the sender's journal that the items reach
 	Ack    uint64             `json:"ack,omitempty"`  // position in the receiver's journal that the sender has
 	All    uint64             `json:"all"`            // hash of the version vector of items for all
@@ -122,6 +123,7 @@
 
 // Difference answers a Compare with the versions in the slots that differ.
 type Difference struct {
+	Seq    uint64  `json:"seq,omitempty"` // position in the answering daemon's journal; 0 when slots were left out
 	Slots  []int   `json:"slots,omitempty"`
 	Vector []Known `json:"vector,omitempty"`
 }
