standin: measure throughput against the bound and recovery time

standin measure runs a deployment in one process, with one entry daemon as a process of its own that can be killed, and writes tables and a plot. The bound follows from the engines' set speeds; the baselines are engines that take turns without a daemon, direct calls for the added latency, and a run without a fault.

--- a/standin/main.go
+++ b/standin/main.go
@@ -22,6 +22,7 @@
 		listCommand(),
 		loadCommand(),
 		logCommand(),
+		measureCommand(),
 		publishCommand(),
 		serviceCommand(),
 	}
--- /dev/null
+++ b/standin/measure.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy/standin/measurer"
+)
+
+// measureTime bounds all measurements.
+const measureTime = 5 * time.Minute
+
+func measureCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("standin measure", flag.ContinueOnError)
+	out := flags.String("out", "docs", "directory for MEASURES.md and measures.svg")
+	program := flags.String("cowslipd", "bin/cowslipd", "entry daemon, for those that run as processes of their own")
+	return &ffcli.Command{
+		Name:       "measure",
+		ShortUsage: "standin measure [flags]",
+		ShortHelp:  "Measures throughput against the bound and recovery time.",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			ctx, cancel := context.WithTimeout(ctx, measureTime)
+			defer cancel()
+			m := &measurer.Measurer{Program: *program, Tell: func(line string) { fmt.Println(line) }}
+			result, err := m.Run(ctx)
+			if err != nil {
+				return err
+			}
+			if err := writeFile(filepath.Join(*out, "MEASURES.md"), func(w io.Writer) error {
+				return result.WritePage(w, "make measure", "measures.svg")
+			}); err != nil {
+				return err
+			}
+			return writeFile(filepath.Join(*out, "measures.svg"), result.WritePlot)
+		},
+	}
+}
+
+func writeFile(name string, write func(io.Writer) error) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if err := write(file); err != nil {
+		_ = file.Close() // the first error is reported
+		return err
+	}
+	return errors.WithStack(file.Close())
+}
--- /dev/null
+++ b/standin/measurer/page.go
@@ -0,0 +1,139 @@
+package measurer
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/standin/driller"
+)
+
+// Targets of section 1.3 of the design.
+const (
+	targetBound   = 0.95
+	targetTimely  = 0.999
+	targetRestore = 3 * time.Second
+	targetPause   = 2 * time.Second
+)
+
+// verdict says whether a target is met.
+func verdict(met bool) string {
+	if met {
+		return "met"
+	}
+	return "**missed**"
+}
+
+// WritePage writes the measurements as a page in Markdown.
+func (r *Result) WritePage(w io.Writer, command, plot string) error {
+	var page strings.Builder
+	fmt.Fprintf(&page, "# Measures\n\nMade by `%s` on %s: %d cores, %s, %s/%s, all processes and the load on loopback of one shared machine. ",
+		command, time.Now().UTC().Format("2006-01-02 15:04 UTC"), runtime.NumCPU(), runtime.Version(), runtime.GOOS, runtime.GOARCH)
+	fmt.Fprintf(&page, "Timings are noisy; compare them as ratios within one run.\n\n")
+	fmt.Fprintf(&page, "The deployment holds %d layers in 2 ranges with %d engines of different speeds each (a full batch of 8 takes 5 to 10 ms), 3 entry daemons, a log, a list and a service. "+
+		"Requests have %d prompt and %d answer tokens, Poisson arrivals with seed 1 and a deadline of %v. "+
+		"The bound is %.0f tokens/s: what the slower range can compute by the engines' set speeds, with full batches and no time between two batches.\n\n",
+		model.Layers, len(paces), promptTokens, answerTokens, deadline, r.Bound)
+	r.throughputTable(&page)
+	r.costTable(&page)
+	r.recoveryTable(&page)
+	fmt.Fprintf(&page, "![Tokens in each 250 ms around a fault](%s)\n", plot)
+	_, err := io.WriteString(w, page.String())
+	return err
+}
+
+func (r *Result) throughputTable(page *strings.Builder) {
+	fmt.Fprintf(page, "## Throughput against the bound\n\nParts of the bound; the baseline drives the engines in turns without a daemon or admission.\n\n"+
+		"| load | offered | whole | in time | critical in time (of sent) | normal in time (of sent) | refused | unknown | wrong | target |\n|--:|--:|--:|--:|--:|--:|--:|--:|--:|---|\n")
+	for _, t := range r.Throughputs {
+		critical, normal := share(t.Report.Customers[0]), share(t.Report.Customers[1])
+		all, target := t.Report.All, "none"
+		switch t.Load {
+		case 1.0:
+			target = "whole 0.95: " + verdict(all.Whole/r.Bound >= targetBound)
+		case 1.5:
+			target = "critical in time 0.999: " + verdict(critical >= targetTimely)
+		}
+		fmt.Fprintf(page, "| %.1f | %.3f | %.3f | %.3f | %.4f | %.4f | %s | %d | %d | %s |\n", t.Load, t.Report.Offered/r.Bound,
+			all.Whole/r.Bound, all.Timely/r.Bound, critical, normal, refusals(all.Refused), all.Unknown, all.Wrong, target)
+	}
+	fmt.Fprintf(page, "| 1.0, in turns | | %.3f | %.3f | | | | | | baseline |\n\n", r.TurnWhole/r.Bound, r.TurnTimely/r.Bound)
+	fmt.Fprintf(page, "| load | customer | first token p50, p95, p99 (ms) | between tokens p50, p95, p99 (ms) |\n|--:|---|--:|--:|\n")
+	for _, t := range r.Throughputs {
+		for _, a := range t.Report.Customers {
+			fmt.Fprintf(page, "| %.1f | %s | %s | %s |\n", t.Load, a.Customer, latency(a.First), latency(a.Between))
+		}
+	}
+	fmt.Fprintln(page)
+}
+
+func share(a driller.Account) float64 { return float64(a.InTime) / float64(max(1, a.Sent)) }
+
+func refusals(refused map[cowslipproxy.Reason]int) string {
+	var parts []string
+	for _, reason := range []cowslipproxy.Reason{cowslipproxy.ReasonDeadline, cowslipproxy.ReasonOverloaded, cowslipproxy.ReasonNoChain, cowslipproxy.ReasonOverLimit} {
+		if refused[reason] > 0 {
+			parts = append(parts, fmt.Sprintf("%s %d", reason, refused[reason]))
+		}
+	}
+	if len(parts) == 0 {
+		return "0"
+	}
+	return strings.Join(parts, ", ")
+}
+
+func latency(l driller.Latency) string {
+	return fmt.Sprintf("%s, %s, %s", ms(time.Duration(l.Median)), ms(time.Duration(l.P95)), ms(time.Duration(l.P99)))
+}
+
+func ms(d time.Duration) string { return fmt.Sprintf("%.2f", float64(d)/float64(time.Millisecond)) }
+
+func (r *Result) costTable(page *strings.Builder) {
+	fmt.Fprintf(page, "## Cost of a daemon\n\n| measure | through a daemon | direct | ratio |\n|---|--:|--:|--:|\n")
+	for _, percent := range []float64{50, 99} {
+		through, straight := at(r.Daemon, percent), at(r.Direct, percent)
+		fmt.Fprintf(page, "| answer of %d tokens, percentile %.0f (ms) | %s | %s | %.3f |\n", shortCount, percent, ms(through), ms(straight), float64(through)/float64(straight))
+	}
+	seconds := r.OneProcessor.Seconds()
+	requests := float64(r.OneRequests)
+	fmt.Fprintf(page, "\nOne daemon process before engines %.0f times as fast, at a load that leaves them mostly idle:\n\n", 1/oneScale)
+	fmt.Fprintf(page, "| measure | value |\n|---|--:|\n| requests done (1/s) | %.1f |\n| tokens in whole answers (1/s) | %.0f |\n| processor time for a request (ms, getrusage) | %.2f |\n| processor time for a token (us) | %.0f |\n\n",
+		r.One.All.Whole/answerTokens, r.One.All.Whole, seconds/requests*1e3, seconds/requests/answerTokens*1e6)
+	fmt.Fprintf(page, "%d requests were sent, %d were refused and %d had an unknown outcome. The processor time includes the start and all background work.\n\n", r.One.All.Sent, sum(r.One.All.Refused), r.One.All.Unknown)
+}
+
+func sum(refused map[cowslipproxy.Reason]int) int {
+	total := 0
+	for _, count := range refused {
+		total += count
+	}
+	return total
+}
+
+func at(h *hdrhistogram.Histogram, percent float64) time.Duration {
+	return time.Duration(h.ValueAtPercentile(percent))
+}
+
+func (r *Result) recoveryTable(page *strings.Builder) {
+	fmt.Fprintf(page, "## Recovery\n\nLoad %.1f of the bound, all answers streamed; the fault happens after %v. Restored is the time to the end of the first 250 ms window at 95 %% of the mean throughput before, lasting the same for the first second whose mean reaches it; no sign of it by the end of the run is shown as none. "+
+		"Arrivals are random, so the row of no fault shows what of this is noise. Served is the time until the last request in flight that was done got its next token.\n\n", faultLoad, faultAt)
+	fmt.Fprintf(page, "| fault | restored (s) | lasting (s) | last caller served (s) | longest pause (s) | in flight | of these not done | wrong | restored within 3 s | pause below 2 s |\n|---|--:|--:|--:|--:|--:|--:|--:|---|---|\n")
+	for _, x := range r.Recoveries {
+		fmt.Fprintf(page, "| %s | %s | %s | %.3f | %.3f | %d | %d | %d | %s | %s |\n", x.Fault, seconds(x.First), seconds(x.Lasting),
+			x.Served.Seconds(), x.Pause.Seconds(), x.Affected, x.Unserved, x.Report.All.Wrong,
+			verdict(x.First >= 0 && x.First <= targetRestore), verdict(x.Pause < targetPause && x.Unserved == 0))
+	}
+	fmt.Fprintln(page)
+}
+
+func seconds(d time.Duration) string {
+	if d < 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%.2f", d.Seconds())
+}
