limiter: measure the time between tokens without prompt tokens

Units in flight grew while a token took less than 42 ms, but prompt tokens counted too: with 64 for an answer of 32 the limit was 126 ms. Prompt tokens still count as work. The test fails when they count as tokens of answers.

--- a/cowslipd/router/admit.go
+++ b/cowslipd/router/admit.go
@@ -130,7 +130,7 @@
 	}
 	usage, err := m.driver.Run(ctx, job, counted)
 	if ok {
-		request.gate.Token(usage.Prompt)
+		request.gate.Prompt(usage.Prompt)
 	}
 	return usage, err
 }
--- a/limiter/gate.go
+++ b/limiter/gate.go
@@ -69,9 +69,12 @@
 	return cowslipproxy.Refuse(cowslipproxy.ReasonCancelled, "the caller gave up while the request waited")
 }
 
-// Token observes tokens that the deployment computed.
+// Token observes tokens of answers that the deployment computed.
 func (g *Gate) Token(tokens int) { g.Limiter.Token(g.now(), tokens) }
 
+// Prompt observes prompt tokens that the deployment computed.
+func (g *Gate) Prompt(tokens int) { g.Limiter.Prompt(g.now(), tokens) }
+
 // Leave ends a request that Wait returned.
 func (g *Gate) Leave(ticket *Ticket, used int) {
 	g.mutex.Lock()
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -35,9 +35,12 @@
 	return ticket, running, failure
 }
 
-// Token observes tokens that the deployment computed.
+// Token observes tokens of answers that the deployment computed.
 func (l *Limiter) Token(now time.Time, tokens int) { l.Queue.Token(now, tokens) }
 
+// Prompt observes prompt tokens that the deployment computed.
+func (l *Limiter) Prompt(now time.Time, tokens int) { l.Queue.Prompt(now, tokens) }
+
 // Leave ends a request that ran or waits, settles it with the used tokens and
 // returns what changed for others.
 func (l *Limiter) Leave(now time.Time, ticket *Ticket, used int) []Change {
--- a/limiter/meter.go
+++ b/limiter/meter.go
@@ -19,10 +19,12 @@
 type meter struct {
 	units  float64 // units of work that may be in flight
 	flight float64 // units in flight
-	tokens float64 // tokens in this period
+	tokens float64 // tokens in this period, prompt tokens included
+	made   float64 // tokens of answers in this period
 	held   float64 // unit-seconds in flight in this period
 	rate   float64 // tokens per second at full use
-	pace   float64 // seconds in flight for one token
+	pace   float64 // seconds in flight for one token, prompt tokens included
+	step   float64 // seconds in flight for one token of an answer
 	used   float64 // used tokens for each estimated one
 	start  time.Time
 	at     time.Time
@@ -65,16 +67,23 @@
 	if m.tokens == 0 {
 		return
 	}
-	pace := m.held / m.tokens
-	m.held = 0
+	pace, step := m.held/m.tokens, m.step
+	if m.made > 0 {
+		step = m.held / m.made
+	}
+	m.held, m.made = 0, 0
 	if m.pace == 0 {
 		m.pace = pace
 	}
+	if m.step == 0 {
+		m.step = step
+	}
 	m.pace += part * (pace - m.pace)
+	m.step += part * (step - m.step)
 	if q.Pace == 0 {
 		return
 	}
-	if m.pace > q.Pace.Seconds() {
+	if m.step > q.Pace.Seconds() {
 		m.units = math.Max(m.units*cut, or(q.Least, 1))
 		return
 	}
--- /dev/null
+++ b/limiter/pace_test.go
@@ -0,0 +1,43 @@
+package limiter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/limiter"
+)
+
+// Guards against prompt tokens that hide a slow pace: with two of them for each
+// token of an answer, units grew until a token took three times the pace, and
+// answers came behind their deadlines.
+func TestPromptsDontHideTheTimeBetweenTokens(t *testing.T) {
+	const count, step = 16, 60 * time.Millisecond
+	q := &limiter.Queue{Units: count, Least: 1, Most: 100, Pace: 42 * time.Millisecond}
+	now := time.Unix(1000, 0)
+	enter := func() (running []*limiter.Ticket) {
+		for range count {
+			ticket, runs, failure := q.Enter(now, limiter.Request{Customer: cowslipproxy.Customer{Class: cowslipproxy.ClassCritical}, Tokens: 96, Deadline: now.Add(time.Hour)})
+			require.Nil(t, failure)
+			if runs {
+				running = append(running, ticket)
+			}
+		}
+		return running
+	}
+	running := enter()
+	require.Len(t, running, count)
+	for i := range 100 {
+		now = now.Add(step)
+		q.Token(now, count)
+		if i%32 == 0 {
+			q.Prompt(now, 64*count)
+		}
+	}
+	for _, ticket := range running {
+		q.Leave(now, ticket, 96)
+	}
+	require.Less(t, len(enter()), count)
+}
--- a/limiter/queue.go
+++ b/limiter/queue.go
@@ -46,7 +46,7 @@
 	Units float64       // units in flight at the start
 	Least float64       // fewest units
 	Most  float64       // most units
-	Pace  time.Duration // time in flight for one token up to which units grow; zero keeps units fixed
+	Pace  time.Duration // time in flight for one token of an answer up to which units grow; zero keeps units fixed
 	Rate  float64       // tokens per second at the start; zero when unknown
 	Floor float64       // part of the work for the classes below
 	Bound int           // waiting requests in each class
@@ -86,12 +86,22 @@
 	return t, false, nil
 }
 
-// Token observes tokens that the deployment computed, prompt tokens included.
+// Token observes tokens of answers that the deployment computed.
 func (q *Queue) Token(now time.Time, tokens int) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.advance(now)
 	q.meter.tokens += float64(tokens)
+	q.meter.made += float64(tokens)
+}
+
+// Prompt observes prompt tokens that the deployment computed. They count as work
+// but not towards Pace, since a prompt's tokens are computed together.
+func (q *Queue) Prompt(now time.Time, tokens int) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.advance(now)
+	q.meter.tokens += float64(tokens)
 }
 
 // Leave ends a request, whether it ran or still waits, and returns what changed
--- a/standin/measurer/direct.go
+++ b/standin/measurer/direct.go
@@ -26,11 +26,19 @@
 	driver  driver.Driver
 	engines map[string]*runner.Engine
 	turn    atomic.Uint64
+	order   []int // of the engines of a range
 }
 
+// evenly lets all engines take the same number of turns, bySpeed lets them take
+// turns in proportion to their set speeds.
+var (
+	evenly  = []int{0, 1, 2, 3}
+	bySpeed = []int{0, 1, 2, 0, 1, 3, 0, 1, 2, 0, 1, 3, 0, 1, 2, 0, 1, 2, 3}
+)
+
 func (d *deployment) direct() (*direct, error) {
 	logger, registry := slog.New(slog.DiscardHandler), metrics.NewRegistry()
-	r := &direct{engines: map[string]*runner.Engine{}}
+	r := &direct{order: evenly, engines: map[string]*runner.Engine{}}
 	up := make(chan struct{}, len(d.vms))
 	for _, vm := range d.vms {
 		e := &runner.Engine{
@@ -60,7 +68,7 @@
 
 // Chain implements cowslipproxy.ChainChooser.
 func (r *direct) Chain(_ time.Time, need cowslipproxy.Need) ([]cowslipproxy.Stage, error) {
-	turn, half := r.turn.Add(1)%uint64(len(paces)), model.Layers/2
+	turn, half := r.order[r.turn.Add(1)%uint64(len(r.order))], model.Layers/2
 	return []cowslipproxy.Stage{
 		{Upstream: fmt.Sprint("a", turn), Range: cowslipproxy.LayerRange{First: 0, End: half}},
 		{Upstream: fmt.Sprint("b", turn), Range: cowslipproxy.LayerRange{First: half, End: need.Layers.End}},
--- a/standin/measurer/measurer.go
+++ b/standin/measurer/measurer.go
@@ -44,6 +44,8 @@
 	Throughputs  []Throughput
 	TurnWhole    float64 // tokens per second of the baseline at the bound
 	TurnTimely   float64
+	SpeedWhole   float64 // the same with turns by speed
+	SpeedTimely  float64
 	Daemon       *hdrhistogram.Histogram // times of short answers through a daemon
 	Direct       *hdrhistogram.Histogram // the same from the engines
 	One          *driller.Report         // load through one daemon
@@ -124,7 +126,10 @@
 		}
 	}
 	r.TurnWhole, r.TurnTimely = turns.throughput(ctx, r.Bound/answerTokens, loadWarm, loadEnd)
-	m.Tell(fmt.Sprintf("engines in turns at load 1.0: whole %.2f, in time %.2f of the bound", r.TurnWhole/r.Bound, r.TurnTimely/r.Bound))
+	turns.order = bySpeed
+	r.SpeedWhole, r.SpeedTimely = turns.throughput(ctx, r.Bound/answerTokens, loadWarm, loadEnd)
+	m.Tell(fmt.Sprintf("engines in turns at load 1.0: whole %.2f, in time %.2f of the bound; turns by speed: %.2f, %.2f",
+		r.TurnWhole/r.Bound, r.TurnTimely/r.Bound, r.SpeedWhole/r.Bound, r.SpeedTimely/r.Bound))
 	return nil
 }
 
--- a/standin/measurer/page.go
+++ b/standin/measurer/page.go
@@ -48,7 +48,7 @@
 }
 
 func (r *Result) throughputTable(page *strings.Builder) {
-	fmt.Fprintf(page, "## Throughput against the bound\n\nParts of the bound; the baseline drives the engines in turns without a daemon or admission.\n\n"+
+	fmt.Fprintf(page, "## Throughput against the bound\n\nParts of the bound; the baselines drive the engines in turns without a daemon or admission, once evenly and once in proportion to their set speeds.\n\n"+
 		"| load | offered | whole | in time | critical in time (of sent) | normal in time (of sent) | refused | unknown | wrong | target |\n|--:|--:|--:|--:|--:|--:|--:|--:|--:|---|\n")
 	for _, t := range r.Throughputs {
 		critical, normal := share(t.Report.Customers[0]), share(t.Report.Customers[1])
@@ -62,7 +62,8 @@
 		fmt.Fprintf(page, "| %.1f | %.3f | %.3f | %.3f | %.4f | %.4f | %s | %d | %d | %s |\n", t.Load, t.Report.Offered/r.Bound,
 			all.Whole/r.Bound, all.Timely/r.Bound, critical, normal, refusals(all.Refused), all.Unknown, all.Wrong, target)
 	}
-	fmt.Fprintf(page, "| 1.0, in turns | | %.3f | %.3f | | | | | | baseline |\n\n", r.TurnWhole/r.Bound, r.TurnTimely/r.Bound)
+	fmt.Fprintf(page, "| 1.0, in turns | | %.3f | %.3f | | | | | | baseline |\n", r.TurnWhole/r.Bound, r.TurnTimely/r.Bound)
+	fmt.Fprintf(page, "| 1.0, in turns by speed | | %.3f | %.3f | | | | | | baseline |\n\n", r.SpeedWhole/r.Bound, r.SpeedTimely/r.Bound)
 	fmt.Fprintf(page, "| load | customer | first token p50, p95, p99 (ms) | between tokens p50, p95, p99 (ms) |\n|--:|---|--:|--:|\n")
 	for _, t := range r.Throughputs {
 		for _, a := range t.Report.Customers {
