--- a/cowslipd/router/admit.go
+++ b/cowslipd/router/admit.go
@@ -143,7 +143,7 @@
 	usage, err := m.driver.Run(ctx, job, counted)
 	m.ended(ctx, job.Request, err == nil)
 	if ok {
-		request.gate.Token(usage.Prompt)
+		request.gate.Prompt(usage.Prompt)
 	}
 	return usage, err
 }
--- a/gossiper/item.go
+++ b/gossiper/item.go
@@ -85,6 +85,7 @@
 	From   cowslipproxy.Owner `json:"from"`
 	Centre string             `json:"centre"`
 	To     uint64             `json:"to,omitempty"`   // incarnation of the receiver whose journal Ack speaks of
+	Base   uint64             `json:"base,omitempty"` // position in the sender's journal from which the items run; 0 for no run
 	Seq    uint64             `json:"seq"`            // position in the sender's journal that the items reach
 	Ack    uint64             `json:"ack,omitempty"`  // position in the receiver's journal that the sender has
 	All    uint64             `json:"all"`            // hash of the version vector of items for all
@@ -124,6 +125,7 @@
 
 // Difference answers a Compare with the versions in the slots that differ.
 type Difference struct {
+	Seq    uint64  `json:"seq,omitempty"` // position in the answering daemon's journal; 0 when slots were left out
 	Slots  []int   `json:"slots,omitempty"`
 	Vector []Known `json:"vector,omitempty"`
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -17,9 +17,13 @@
 // commands returns the subcommands, one from each file.
 func commands() []*ffcli.Command {
 	return []*ffcli.Command{
+		demoCommand(),
 		engineCommand(),
 		listCommand(),
+		loadCommand(),
 		logCommand(),
+		measureCommand(),
+		publishCommand(),
 		serviceCommand(),
 	}
 }
