cowslipctl: add dump, explain, drain and lift

Operators could not reach a daemon's state and orders except by curl. The dump now names each suspect's fingerprint in the form that lift takes, and its state: the raw number is decimal there and loses digits in most JSON tools.

A lost answer to an order exits with 4, as a lost verdict does.

--- /dev/null
+++ b/cowslipctl/daemon_test.go
@@ -0,0 +1,136 @@
+package main_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/chooser"
+	"github.com/cowslipproxy/cowslipproxy/cowslipd/router"
+	"github.com/cowslipproxy/cowslipproxy/operator"
+	"github.com/cowslipproxy/cowslipproxy/pooler"
+	"github.com/cowslipproxy/cowslipproxy/quarantiner"
+)
+
+// fakeDaemon answers as a daemon's operator address and records the orders.
+type fakeDaemon struct {
+	mu     sync.Mutex
+	orders []string
+	drop   atomic.Bool // the connection breaks after an order
+}
+
+func (f *fakeDaemon) record(order string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, order)
+}
+
+// take returns the orders since the last call.
+func (f *fakeDaemon) take() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	orders := strings.Join(f.orders, ";")
+	f.orders = nil
+	return orders
+}
+
+func (f *fakeDaemon) serve(t *testing.T) string {
+	server := &operator.Server{
+		Metrics: metrics.NewRegistry(),
+		Dump: func() any {
+			return router.Dump{
+				Health: operator.Health{Name: "entry-1-abc", Ready: true, Phase: "serving", Offset: 7}, Centre: "oyo-a",
+				Upstreams: pooler.Dump{Engines: []pooler.EngineState{{VM: cowslipproxy.VM{Name: "engine-1"}, Reason: "drained"}}},
+				Suspects: []router.Suspect{{Record: quarantiner.Record{Print: quarantiner.Print{Customer: "clerks", Content: 0xfeed}},
+					Fingerprint: "feed", State: quarantiner.StateQuarantined}},
+			}
+		},
+		Explain: func(q operator.Question) (any, error) {
+			f.record(q.Customer + " " + q.Model + q.Service + " " + q.Method + " " + q.Path + " " + q.Prompt)
+			chain := chooser.Explanation{Candidates: []chooser.Candidate{{Name: "engine-1", Verdict: chooser.VerdictUnusable, Cost: time.Second}}}
+			if q.Prompt == "no" {
+				chain.Failure = "no_chain: gap"
+			}
+			return router.Explanation{Offset: 7, Effect: "repeat", Tokens: q.Max, Chain: &chain}, nil
+		},
+		Drain: func(order operator.Drain) {
+			f.record(order.Upstream + map[bool]string{true: " on", false: " off"}[order.On])
+			if f.drop.Load() {
+				panic(http.ErrAbortHandler)
+			}
+		},
+		Stop: func() { f.record("stop") },
+		Lift: func(fingerprint string) bool { return fingerprint == "feed" },
+	}
+	at := httptest.NewUnstartedServer(server.Handler())
+	at.Config.ErrorLog = nil
+	at.Start()
+	t.Cleanup(at.Close)
+	return strings.TrimPrefix(at.URL, "http://")
+}
+
+// Guards against orders that reach the daemon changed, and against exit codes
+// that tell a script the wrong end of an order.
+func TestDaemonCommands(t *testing.T) {
+	p := build(t)
+	f := &fakeDaemon{}
+	at := f.serve(t)
+	t.Setenv("COWSLIP_OPERATOR", at)
+	for _, c := range []struct {
+		args  []string
+		code  int
+		want  string
+		order string
+	}{
+		{[]string{"dump"}, 0, "feed         clerks    quarantined", ""},
+		{[]string{"dump"}, 0, "drained", ""},
+		{[]string{"dump", "--json"}, 0, `"name": "entry-1-abc"`, ""},
+		{[]string{"dump", "--operator", "localhost"}, 2, "accepted is an IP number", ""},
+		{[]string{"dump", "--operator", "127.0.0.1:1"}, 1, "refused", ""},
+		{[]string{"dump", "more"}, 2, "accepted is none", ""},
+		{[]string{"explain", "--customer", "clerks", "--model", "scribe", "--prompt", "hello", "--max", "9"}, 0, "unusable", "clerks scribe GET / hello"},
+		{[]string{"explain", "--customer", "clerks", "--service", "ledger", "--method", "POST", "--path", "/fees", "--json"}, 0, `"offset": 7`, "clerks ledger POST /fees "},
+		{[]string{"explain", "--customer", "clerks", "--model", "scribe", "--prompt", "no"}, 1, "no_chain: gap", "clerks scribe GET / no"},
+		{[]string{"explain", "--model", "scribe"}, 2, "customer: found nothing", ""},
+		{[]string{"explain", "--customer", "clerks"}, 2, "accepted is one of them", ""},
+		{[]string{"drain", "engine-1"}, 0, "gets no new work", "engine-1 on"},
+		{[]string{"drain", "--off", "engine-1"}, 0, "drain ended", "engine-1 off"},
+		{[]string{"drain", "--daemon"}, 0, "planned stop begun", "stop"},
+		{[]string{"drain", "--daemon", "engine-1"}, 2, "accepted is --daemon alone", ""},
+		{[]string{"drain"}, 2, "accepted is one UPSTREAM", ""},
+		{[]string{"drain", strings.Repeat("x", 65)}, 1, "upstream: found", ""},
+		{[]string{"drain", "--operator", "127.0.0.1:1", "engine-1"}, 1, "refused", ""},
+		{[]string{"lift", "feed"}, 0, "feed: lifted", ""},
+		{[]string{"lift", "beef"}, 1, "no such fingerprint", ""},
+		{[]string{"lift", "../dump"}, 2, "hexadecimal", ""},
+	} {
+		code, out := p.run("", c.args...)
+		require.Equal(t, c.code, code, "%v: %s", c.args, out)
+		require.Contains(t, out, c.want, "%v", c.args)
+		require.Equal(t, c.order, f.take(), "%v", c.args)
+	}
+	f.drop.Store(true)
+	code, out := p.run("", "drain", "engine-1")
+	require.Equal(t, 4, code, out)
+	require.Contains(t, out, "run the command again")
+}
+
+// Guards against a broken answer that passes for a whole one.
+func TestBrokenAnswer(t *testing.T) {
+	p := build(t)
+	at := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"name":`) }))
+	t.Cleanup(at.Close)
+	for _, args := range [][]string{{"dump"}, {"dump", "--json"}} {
+		code, out := p.run("", append(args, "--operator", strings.TrimPrefix(at.URL, "http://"))...)
+		require.Equal(t, 1, code, out)
+	}
+}
--- /dev/null
+++ b/cowslipctl/lift.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"regexp"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+var fingerprintPattern = regexp.MustCompile(`^[0-9a-f]{1,16}$`)
+
+func liftCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("cowslipctl lift", flag.ContinueOnError)
+	target := newDaemonFlags(flags)
+	return &ffcli.Command{
+		Name:       "lift",
+		ShortUsage: "cowslipctl lift --operator ADDRESS [flags] FINGERPRINT",
+		ShortHelp:  "Ends the quarantine of a fingerprint.",
+		LongHelp: "FINGERPRINT is the hexadecimal number that event 706 and \"cowslipctl dump\" name.\n" +
+			"The daemon tells the other daemons. Requests with the fingerprint run again\n" +
+			"beside others, so repair their cause first.\n\n" +
+			"Exit codes: 0 lifted, 1 not held or other error, 2 usage, 4 no answer.",
+		FlagSet: flags,
+		Options: []ff.Option{ff.WithEnvVarPrefix("COWSLIP")},
+		Exec: func(ctx context.Context, args []string) error {
+			if len(args) != 1 || !fingerprintPattern.MatchString(args[0]) {
+				return usageError("found arguments %q, accepted is one FINGERPRINT of 1 to 16 hexadecimal digits", args)
+			}
+			d, err := target.daemon()
+			if err != nil {
+				return err
+			}
+			if _, err := d.call(ctx, http.MethodDelete, "/v1/quarantine/"+args[0], nil); err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(os.Stdout, "%s: lifted\n", args[0])
+			return err
+		},
+	}
+}
--- a/cowslipctl/main.go
+++ b/cowslipctl/main.go
@@ -17,6 +17,10 @@
 func commands() []*ffcli.Command {
 	return []*ffcli.Command{
 		checkCommand(),
+		drainCommand(),
+		dumpCommand(),
+		explainCommand(),
+		liftCommand(),
 		publishCommand(),
 		showCommand(),
 		versionCommand(),
--- a/cowslipd/router/operators.go
+++ b/cowslipd/router/operators.go
@@ -61,7 +61,14 @@
 	Claims     claimer.Counts        `json:"claims"`
 	Appends    committer.Counts      `json:"appends"`
 	Upstreams  pooler.Dump           `json:"upstreams"`
-	Suspects   []quarantiner.Record  `json:"suspects"`
+	Suspects   []Suspect             `json:"suspects"`
+}
+
+// Suspect is a request that may be poison.
+type Suspect struct {
+	quarantiner.Record
+	Fingerprint string            `json:"fingerprint"` // in the form that lifts it
+	State       quarantiner.State `json:"state"`
 }
 
 // Holding is what a daemon holds of a customer's limit.
@@ -86,7 +93,7 @@
 		Claims:     r.claimer.Counts(),
 		Appends:    r.committer.Counts(),
 		Upstreams:  r.pool.Dump(),
-		Suspects:   r.quarantiner.Held(r.Clock()),
+		Suspects:   r.suspects(r.Clock()),
 	}
 	for _, service := range settled.Services {
 		dump.Services = append(dump.Services, service.Name)
@@ -97,6 +104,14 @@
 	return dump
 }
 
+func (r *Router) suspects(now time.Time) []Suspect {
+	var suspects []Suspect
+	for _, record := range r.quarantiner.Held(now) {
+		suspects = append(suspects, Suspect{Record: record, Fingerprint: fingerprint(record.Print), State: r.quarantiner.State(now, record.Print)})
+	}
+	return suspects
+}
+
 // Explanation says what a daemon would decide for a request.
 type Explanation struct {
 	Offset   uint64               `json:"offset"` // log offset of the configuration
