reporter: measure requests, tokens, queues, failures and ages

Operators saw dropped replies, replaced stages and violations only. The metrics now hold requests by outcome and reason, times to the first token, between tokens and of requests, queues, in flight, retries, ejections, suspects and quarantines, claims, ages of log and list, the configuration's offset and members. Gauges of state are set when /metrics is read. Labels stand in the registry's names; times are held in nanoseconds and written in seconds, since go-metrics takes whole numbers only.

Events 302 to 305 were in the catalogue and never written; they are now, 302 to 304 every 10 s at most. Events 300 and 301 said the same as 703 and 704 and are gone; their numbers stay unused.

Measured: TestMetrics reads /metrics of a running daemon with expfmt and finds each count as expected.

--- a/caller/complete.go
+++ b/caller/complete.go
@@ -9,6 +9,7 @@
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/decoder"
 	"github.com/cowslipproxy/cowslipproxy/driver"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
 
 // completion is a parsed request to a model.
@@ -121,11 +122,26 @@
 		Priority: c.customer.Class.Priority(),
 		Deadline: c.deadline,
 		Prefixes: cowslipproxy.PrefixHashes(c.model.Name, c.prompt),
-	}, out.token)
+	}, c.timed(out.token))
 	done(usage.Prompt + usage.Tokens)
 	out.end(usage, err)
 }
 
+// timed measures the times to the first token and between two tokens.
+func (c *completion) timed(emit func(driver.Token) error) func(driver.Token) error {
+	before := c.began
+	times := reporter.Times(c.server.Metrics, reporter.MetricFirst)
+	return func(token driver.Token) error {
+		now := c.server.Clock()
+		times.Update(int64(now.Sub(before)))
+		if token.Index == 0 {
+			times = reporter.Times(c.server.Metrics, reporter.MetricBetween)
+		}
+		before = now
+		return emit(token)
+	}
+}
+
 // answerWriter writes the tokens of an answer.
 type answerWriter interface {
 	token(token driver.Token) error
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -27,6 +27,7 @@
 	customer cowslipproxy.Customer
 	deadline time.Time
 	body     []byte
+	began    time.Time
 }
 
 const maxDeadline = time.Hour
@@ -38,7 +39,7 @@
 // begin identifies the customer and reads the deadline. The request is decided
 // under the configuration that is in force now.
 func (s *Server) begin(w http.ResponseWriter, r *http.Request) (*exchange, error) {
-	e := &exchange{server: s, request: s.newID(), w: w, r: r}
+	e := &exchange{server: s, request: s.newID(), w: w, r: r, began: s.Clock()}
 	w.Header().Set(HeaderRequest, e.request)
 	var ready bool
 	if e.settled, ready = s.Settled(); !ready || len(e.settled.Customers) == 0 {
--- a/caller/server.go
+++ b/caller/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/driver"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
 
 // Headers of the protocol towards callers.
@@ -108,10 +109,28 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.inflight.Add(1)
 		defer s.inflight.Add(-1)
+		whole, began := false, s.Clock()
+		defer func() { s.ended(w.Header(), whole, s.Clock().Sub(began)) }()
 		next.ServeHTTP(w, r)
+		whole = true
 	})
 }
 
+// ended counts a request. The handler of an answer that broke off panics.
+func (s *Server) ended(header http.Header, whole bool, took time.Duration) {
+	outcome, reason := cowslipproxy.Outcome(header.Get(HeaderOutcome)), header.Get(HeaderReason)
+	switch {
+	case !whole:
+		outcome, reason = cowslipproxy.OutcomeUnknown, string(cowslipproxy.ReasonAnswerLost)
+	case outcome == "":
+		return // a question for addresses or models
+	case outcome == cowslipproxy.OutcomeDone:
+		reason = ""
+	}
+	reporter.Count(s.Metrics, reporter.Labelled(reporter.MetricRequests, "outcome", string(outcome), "reason", reason))
+	reporter.Times(s.Metrics, reporter.MetricDuration).Update(int64(took))
+}
+
 func (s *Server) addresses(w http.ResponseWriter, r *http.Request) {
 	var from netip.AddrPort
 	var err error
--- a/cowslipd/router/admit.go
+++ b/cowslipd/router/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -84,6 +85,13 @@
 	return gate
 }
 
+// all returns the gates by kind.
+func (a *admission) all() map[string]*limiter.Gate {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return maps.Clone(a.gates)
+}
+
 // tracker knows the requests in flight.
 type tracker struct {
 	mu       sync.Mutex
@@ -129,6 +137,8 @@
 	driver *driver.Driver
 	track  *tracker
 	ended  func(ctx context.Context, request string, whole bool)
+
+	refused func(ctx context.Context, name string, err error)
 }
 
 // Run implements caller.ModelRunner.
@@ -142,6 +152,7 @@
 	}
 	usage, err := m.driver.Run(ctx, job, counted)
 	m.ended(ctx, job.Request, err == nil)
+	m.refused(ctx, job.Model.Name, err)
 	if ok {
 		request.gate.Token(usage.Prompt)
 	}
--- a/cowslipd/router/operators.go
+++ b/cowslipd/router/operators.go
@@ -30,6 +30,7 @@
 		Lift:    r.lift,
 		Version: func() any { return versions{Version: Version, Go: runtime.Version()} },
 		Metrics: r.Metrics,
+		Refresh: r.refreshGauges,
 	}
 	return server.Handler()
 }
--- a/cowslipd/router/quarantine.go
+++ b/cowslipd/router/quarantine.go
@@ -61,6 +61,7 @@
 		}
 	}
 	r.quarantiner.Crash(now, run, prints)
+	reporter.Count(r.Metrics, reporter.MetricCrashes)
 	reporter.EventCrash.Log(context.Background(), r.Logger, slog.String("upstream", upstream), slog.Int("requests", len(requests)))
 	select {
 	case r.suspected <- struct{}{}:
--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -68,6 +68,8 @@
 	retrier   *retrier.Retrier
 	suspected chan struct{} // an upstream crashed
 	sending   busy
+	notices   notices
+	gaugesMu  sync.Mutex // held while the gauges are set
 
 	quarantiner *quarantiner.Quarantiner
 	started     time.Time
@@ -211,10 +213,10 @@
 	r.caller = &caller.Server{
 		Settled:  r.follower.Current,
 		Admitter: r.admission,
-		Models:   &meteredDriver{driver: r.driver, track: track, ended: r.completed},
+		Models:   &meteredDriver{driver: r.driver, track: track, ended: r.completed, refused: r.noteRefusal},
 		Services: &serviceRunner{
 			forwarder: forwarder.Forwarder{Picker: r.pool, MaxBody: r.Settings.Body, Observe: r.pool.ObserveCall, Retry: r.mayRetry},
-			clock:     r.Clock, retrier: r.retrier,
+			clock:     r.Clock, retrier: r.retrier, refused: r.noteRefusal,
 		},
 		Addresses:   r.addresses,
 		Incarnation: r.owner.Key(),
--- a/cowslipd/router/services.go
+++ b/cowslipd/router/services.go
@@ -7,6 +7,7 @@
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/forwarder"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/retrier"
 )
 
@@ -15,6 +16,7 @@
 	forwarder forwarder.Forwarder
 	retrier   *retrier.Retrier
 	clock     func() time.Time
+	refused   func(ctx context.Context, name string, err error)
 }
 
 // Call implements caller.ServiceRunner.
@@ -23,6 +25,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	answer, err := s.forwarder.Forward(ctx, service, call)
 	if err != nil {
+		s.refused(ctx, service.Name, err)
 		cancel()
 		return nil, err
 	}
@@ -33,5 +36,14 @@
 // mayRetry spends the retry budget on another attempt of a call. The forwarder
 // has decided that the call may be sent again.
 func (r *Router) mayRetry(now time.Time) bool {
-	return r.retrier.Retry(now, retrier.Attempt{Effect: cowslipproxy.EffectRepeat, Tries: 1, Left: time.Minute}).Again
+	decision := r.retrier.Retry(now, retrier.Attempt{Effect: cowslipproxy.EffectRepeat, Tries: 1, Left: time.Minute})
+	if decision.Again {
+		reporter.Count(r.Metrics, reporter.MetricRetries)
+		return true
+	}
+	reporter.Count(r.Metrics, reporter.MetricRetriesDenied)
+	if r.notices.due(reporter.EventRetryDenied, "", now) {
+		reporter.EventRetryDenied.Log(context.Background(), r.Logger)
+	}
+	return false
 }
--- a/driver/job.go
+++ b/driver/job.go
@@ -11,6 +11,7 @@
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/checker"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
 
 // Job is one request to a model.
@@ -70,6 +71,7 @@
 	if err := r.begin(); err != nil {
 		return r.usage, r.failure(ctx, err)
 	}
+	tokens := metrics.GetOrRegisterCounter(reporter.MetricTokens, d.Metrics)
 	for index := range job.Max {
 		var reply cowslipproxy.Reply
 		var err error
@@ -78,6 +80,7 @@
 		}
 		r.given = append(r.given, reply.Next)
 		r.usage.Tokens++
+		tokens.Inc(1)
 		if err := emit(Token{Index: index, ID: reply.Next, Text: reply.Text}); err != nil {
 			return r.usage, cowslipproxy.Unknown(cowslipproxy.ReasonCancelled, "the caller went away: %v", err)
 		}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -40,6 +40,7 @@
 	resolver resolver.Resolver
 	current  atomic.Pointer[view]
 	timer    snapshotTimer
+	read     atomic.Int64 // when the log was read last, in Unix nanoseconds
 }
 
 // view is what readers on the request path see.
@@ -57,6 +58,14 @@
 	return cowslipproxy.Settled{}, false
 }
 
+// LastRead returns when the log was read last, or the zero time.
+func (f *Follower) LastRead() time.Time {
+	if at := f.read.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
 // Verdict returns the verdict on a change, if it was folded and is still remembered.
 func (f *Follower) Verdict(id string) (resolver.Verdict, bool) {
 	f.mu.Lock()
@@ -120,6 +129,7 @@
 	if batch, err = f.Log.Read(ctx, cowslipproxy.StreamConfig, next, wait); err != nil {
 		return false, err
 	}
+	f.read.Store(time.Now().UnixNano())
 	return len(batch.Entries) == 0, f.fold(ctx, batch)
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -50,6 +50,7 @@
 	Lift    func(fingerprint string) bool
 	Version func() any
 	Metrics metrics.Registry
+	Refresh func() // sets the gauges that show state, before they are written; may be nil
 }
 
 // Handler returns the handler of the operators' listener.
@@ -118,6 +119,9 @@
 }
 
 func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	if s.Refresh != nil {
+		s.Refresh()
+	}
 	w.Header().Set("Content-Type", reporter.TextFormat)
 	_ = reporter.WriteText(w, s.Metrics) // a scraper that is gone can't be told
 }
--- a/pooler/engines.go
+++ b/pooler/engines.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"time"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
 
 // Engine returns a connected engine.
@@ -62,5 +64,7 @@
 }
 
 func (p *Pool) event(name string, event cowslipproxy.CacheEvent, _ time.Time) {
-	p.chooser.Cache(name, event)
+	if p.chooser.Cache(name, event) {
+		reporter.EventCacheGap.Log(context.Background(), p.Logger, slog.String("engine", name), slog.Uint64("seq", event.Seq))
+	}
 }
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -193,6 +193,7 @@
 func (p *Pool) changes(ctx context.Context, changes []ejector.Change) {
 	for _, change := range changes {
 		if change.Ejected {
+			reporter.Count(p.Metrics, reporter.MetricEjections)
 			reporter.EventEjected.Log(ctx, p.Logger, slog.String("upstream", change.Name), slog.String("cause", string(change.Cause)), slog.Time("until", change.Until))
 			continue
 		}
--- a/reporter/text.go
+++ b/reporter/text.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
-	"sort"
+	"maps"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	dto "github.com/prometheus/client_model/go"
@@ -20,51 +22,70 @@
 
 // WriteText writes the metrics in the text format that scrapers read.
 func WriteText(w io.Writer, registry metrics.Registry) error {
-	var families []*dto.MetricFamily
-	registry.Each(func(name string, metric any) {
-		if family := family(name, metric); family != nil {
-			families = append(families, family)
-		}
-	})
-	sort.Slice(families, func(i, j int) bool { return families[i].GetName() < families[j].GetName() })
-	for _, family := range families {
-		if _, err := expfmt.MetricFamilyToText(w, family); err != nil {
-			return errors.Wrapf(err, "metric %s", family.GetName())
+	families := map[string]*dto.MetricFamily{}
+	registry.Each(func(name string, metric any) { addTo(families, name, metric) })
+	for _, name := range slices.Sorted(maps.Keys(families)) {
+		slices.SortFunc(families[name].Metric, func(a, b *dto.Metric) int {
+			return slices.CompareFunc(a.Label, b.Label, func(a, b *dto.LabelPair) int { return strings.Compare(a.GetValue(), b.GetValue()) })
+		})
+		if _, err := expfmt.MetricFamilyToText(w, families[name]); err != nil {
+			return errors.Wrapf(err, "metric %s", name)
 		}
 	}
 	return nil
 }
 
-func family(name string, metric any) *dto.MetricFamily {
-	out := &dto.MetricFamily{
-		Name: proto.String("cowslip_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)),
+// TextName returns the name that a metric has in the text format.
+func TextName(name string) string {
+	return "cowslip_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+}
+
+func addTo(families map[string]*dto.MetricFamily, key string, metric any) {
+	name, labels, _ := strings.Cut(strings.TrimSuffix(key, "}"), "{")
+	unit := 1.0
+	if strings.HasSuffix(name, ".seconds") {
+		unit = float64(time.Second)
 	}
-	value := &dto.Metric{}
-	out.Metric = []*dto.Metric{value}
+	value := &dto.Metric{Label: pairs(labels)}
+	var kind dto.MetricType
 	switch m := metric.(type) {
 	case metrics.Counter:
-		out.Type = dto.MetricType_COUNTER.Enum()
-		value.Counter = &dto.Counter{Value: proto.Float64(float64(m.Count()))}
+		kind, value.Counter = dto.MetricType_COUNTER, &dto.Counter{Value: proto.Float64(float64(m.Count()))}
 	case metrics.Gauge:
-		out.Type = dto.MetricType_GAUGE.Enum()
-		value.Gauge = &dto.Gauge{Value: proto.Float64(float64(m.Value()))}
+		kind, value.Gauge = dto.MetricType_GAUGE, &dto.Gauge{Value: proto.Float64(float64(m.Value()) / unit)}
 	case metrics.Histogram:
-		out.Type = dto.MetricType_SUMMARY.Enum()
-		value.Summary = summary(m.Snapshot())
+		kind, value.Summary = dto.MetricType_SUMMARY, summary(m.Snapshot(), unit)
 	default:
+		return
+	}
+	family := families[name]
+	if family == nil {
+		family = &dto.MetricFamily{Name: proto.String(TextName(name)), Type: kind.Enum(), Help: proto.String(fmt.Sprintf("See docs/metrics.md, %s.", name))}
+		families[name] = family
+	}
+	family.Metric = append(family.Metric, value)
+}
+
+func pairs(labels string) []*dto.LabelPair {
+	if labels == "" {
 		return nil
 	}
-	out.Help = proto.String(fmt.Sprintf("See docs/metrics.md, %s.", name))
+	var out []*dto.LabelPair
+	for _, pair := range strings.Split(labels, ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		out = append(out, &dto.LabelPair{Name: proto.String(name), Value: proto.String(value)})
+	}
 	return out
 }
 
-func summary(h metrics.Histogram) *dto.Summary {
+// summary has the count of all values; the sum is estimated from the sample.
+func summary(h metrics.Histogram, unit float64) *dto.Summary {
 	out := &dto.Summary{
 		SampleCount: proto.Uint64(uint64(h.Count())),
-		SampleSum:   proto.Float64(h.Mean() * float64(h.Count())),
+		SampleSum:   proto.Float64(h.Mean() * float64(h.Count()) / unit),
 	}
 	for i, value := range h.Percentiles(quantiles) {
-		out.Quantile = append(out.Quantile, &dto.Quantile{Quantile: proto.Float64(quantiles[i]), Value: proto.Float64(value)})
+		out.Quantile = append(out.Quantile, &dto.Quantile{Quantile: proto.Float64(quantiles[i]), Value: proto.Float64(value / unit)})
 	}
 	return out
 }
