--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PACKAGES = ./... ./cowslipd/... ./cowslipctl/... ./standin/...
 TOOL = cd tools && GOWORK=off go build -o ../bin/
 
-.PHONY: build test lint tools demo
+.PHONY: build test lint tools demo docs
 
 build:
 	go build -o bin/ ./cowslipd ./cowslipctl ./standin
@@ -18,3 +18,7 @@
 	go vet $(PACKAGES)
 	bin/revive -config revive.toml -set_exit_status $(PACKAGES)
 	bin/staticcheck $(PACKAGES)
+
+# Writes the pages that are made from the code.
+docs:
+	COWSLIP_DOCS=write go test -count 1 -run 'Test(Events|Settings|Metrics)Page' .
--- /dev/null
+++ b/pages_test.go
@@ -0,0 +1,224 @@
+package cowslipproxy_test
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/loader"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+)
+
+// holdPage compares a page with its rendering, or writes it when COWSLIP_DOCS is
+// "write", as "make docs" sets it.
+func holdPage(t *testing.T, name, want string) {
+	path := filepath.Join("docs", name)
+	if os.Getenv("COWSLIP_DOCS") == "write" {
+		require.NoError(t, os.WriteFile(path, []byte(want), 0o644))
+	}
+	got, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, want, string(got), "%s is behind the code; run make docs", path)
+}
+
+// cell writes a text that may stand in a table.
+func cell(text string) string { return strings.ReplaceAll(text, "|", `\|`) }
+
+// Guards against an event catalogue that tells operators of other events than
+// the program writes, and against numbers with two meanings.
+func TestEventsPage(t *testing.T) {
+	var page strings.Builder
+	page.WriteString("# Log events\n\n" +
+		"For operators. Made from package `reporter` by `make docs`. Daemons write events to\n" +
+		"standard error, one JSON object a line, with the number in the field `event`. A\n" +
+		"number never changes its meaning. The setting `level` leaves out lower levels.\n\n" +
+		"| event | level | text | meaning, and what to do |\n|---|---|---|---|\n")
+	seen := map[int]bool{}
+	for _, event := range reporter.Catalogue() {
+		require.False(t, seen[event.Number], "event %d stands twice", event.Number)
+		seen[event.Number] = true
+		fmt.Fprintf(&page, "| %d | %s | %s | %s |\n", event.Number, event.Level, cell(event.Text), cell(event.Meaning))
+	}
+	holdPage(t, "events.md", page.String())
+	requireUsed(t, "Event")
+}
+
+// Guards against a settings page with missing settings, wrong ranges or other
+// values where none is given than the program takes.
+func TestSettingsPage(t *testing.T) {
+	needed := []string{"-name=a", "-centre=b", "-callers=127.0.0.1:1", "-peers=127.0.0.1:2", "-operator=127.0.0.1:3", "-log=127.0.0.1:4", "-list=127.0.0.1:5"}
+	plain, err := loader.Load(needed)
+	require.NoError(t, err)
+	given := needed
+	var page strings.Builder
+	page.WriteString("# Settings of cowslipd\n\n" +
+		"For operators. Made from package `loader` by `make docs`. Each setting is a flag\n" +
+		"(`--wait 30s`), an environment variable (`COWSLIPD_WAIT=30s`) or a key of the YAML\n" +
+		"file that `--settings FILE` or `COWSLIPD_SETTINGS` names. Flags go before the\n" +
+		"environment, and the environment before the file. An empty value counts as not\n" +
+		"given. Unknown and duplicate keys are errors. Settings are read once, at the start.\n\n" +
+		"| name | variable | accepted | when not given | meaning |\n|---|---|---|---|---|\n")
+	for _, field := range loader.Fields() {
+		usual := "`" + field.Usual + "`"
+		if field.Usual == "" {
+			usual = "an error"
+			if field.Name == "seeds" {
+				usual = "none"
+			}
+		} else {
+			given = append(given, "-"+field.Name+"="+field.Usual)
+		}
+		fmt.Fprintf(&page, "| `%s` | `COWSLIPD_%s` | %s | %s | %s |\n", field.Name, strings.ToUpper(field.Name), accepted(t, field.Name), usual, cell(field.Meaning))
+	}
+	page.WriteString("\nIn the file `seeds` is a list. The addresses are IP numbers with ports, since a\n" +
+		"daemon looks up no names. Example:\n\n" +
+		"```yaml\nname: entry-1\ncentre: oyo-a\ncallers: 10.0.0.11:7001\npeers: 10.0.0.11:7002\noperator: 10.0.0.11:7003\n" +
+		"log: 10.0.0.5:7100\nlist: 10.0.0.6:7300\nseeds: [\"10.0.0.12:7002\", \"10.0.0.13:7002\"]\nwait: 30s\n```\n")
+	spelled, err := loader.Load(given)
+	require.NoError(t, err)
+	require.Equal(t, plain, spelled, "a field's usual value differs from loader.Usual")
+	require.Equal(t, reflect.TypeFor[loader.Settings]().NumField(), len(loader.Fields()), "each setting has a field")
+	holdPage(t, "settings.md", page.String())
+}
+
+// accepted describes the check in a setting's tag.
+func accepted(t *testing.T, name string) string {
+	kind := reflect.TypeFor[loader.Settings]()
+	for i := range kind.NumField() {
+		field := kind.Field(i)
+		if field.Tag.Get("json") != name {
+			continue
+		}
+		var parts []string
+		for _, rule := range strings.Split(field.Tag.Get("validate"), ",") {
+			key, value, _ := strings.Cut(rule, "=")
+			if field.Type == reflect.TypeFor[cowslipproxy.Duration]() && key != "gt" {
+				spent, err := strconv.ParseInt(value, 10, 64)
+				require.NoError(t, err)
+				value = time.Duration(spent).String()
+			}
+			words := map[string]string{"gt": "more than " + value, "gte": "at least " + value, "lte": "at most " + value, "max": "at most " + value + " " + map[reflect.Kind]string{reflect.String: "characters", reflect.Slice: "addresses"}[field.Type.Kind()],
+				"label": "small letters, digits and hyphens", "oneof": "one of " + strings.ReplaceAll(value, " ", ", "), "required": ""}
+			text, ok := words[key]
+			require.True(t, ok, "%s: rule %q has no description", name, rule)
+			if text != "" {
+				parts = append(parts, text)
+			}
+		}
+		if len(parts) == 0 {
+			return "an IP number and port"
+		}
+		return strings.Join(parts, ", ")
+	}
+	require.Fail(t, "unknown setting", name)
+	return ""
+}
+
+// Guards against metrics that the page doesn't name, and against names that
+// nothing counts under.
+func TestMetricsPage(t *testing.T) {
+	var page strings.Builder
+	page.WriteString("# Metrics\n\n" +
+		"For operators. Made from package `reporter` by `make docs`. A daemon answers\n" +
+		"`GET /metrics` on its operator address in the Prometheus text format. Metrics that\n" +
+		"counted nothing yet are absent. Times are summaries in seconds with the quantiles\n" +
+		"0.5, 0.95 and 0.99 over about the last five minutes; their count is exact and their\n" +
+		"sum is estimated. Labels are `outcome` and `reason` (see `callers.md`), `model` and\n" +
+		"`class`. Counters start from 0 with the daemon.\n\n" +
+		"| metric | name in the code | meaning |\n|---|---|---|\n")
+	for _, metric := range constants(t, "reporter", "Metric") {
+		fmt.Fprintf(&page, "| `%s` | `%s` | %s |\n", reporter.TextName(metric.value), metric.value, cell(metric.comment))
+	}
+	page.WriteString("\n`operations.md` says which ones to watch.\n")
+	holdPage(t, "metrics.md", page.String())
+	requireUsed(t, "Metric")
+}
+
+// Guards against a page for callers that leaves out a header, an outcome, a
+// reason or its status, or a path.
+func TestCallersPage(t *testing.T) {
+	data, err := os.ReadFile(filepath.Join("docs", "callers.md"))
+	require.NoError(t, err)
+	page := string(data)
+	for _, header := range constants(t, "caller", "Header") {
+		require.Contains(t, page, "`"+header.value+"`")
+	}
+	for _, outcome := range constants(t, ".", "Outcome") {
+		require.Contains(t, page, "`"+outcome.value+"`")
+	}
+	for _, reason := range constants(t, ".", "Reason") {
+		status := cowslipproxy.Refuse(cowslipproxy.Reason(reason.value), "").Status()
+		require.Regexp(t, fmt.Sprintf("(?m)^\\| `%s` \\| %d ", reason.value, status), page)
+	}
+	server, err := os.ReadFile(filepath.Join("caller", "server.go"))
+	require.NoError(t, err)
+	for _, path := range regexp.MustCompile(`HandleFunc\("(/[^"{]*)`).FindAllStringSubmatch(string(server), -1) {
+		require.Contains(t, page, path[1])
+	}
+}
+
+type constant struct{ name, value, comment string }
+
+// constants returns the text constants of a package whose names have a prefix.
+func constants(t *testing.T, directory, prefix string) []constant {
+	var found []constant
+	files, err := filepath.Glob(filepath.Join(directory, "*.go"))
+	require.NoError(t, err)
+	for _, path := range files {
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ParseComments)
+		require.NoError(t, err)
+		ast.Inspect(file, func(node ast.Node) bool {
+			spec, ok := node.(*ast.ValueSpec)
+			if !ok || !strings.HasPrefix(spec.Names[0].Name, prefix) || len(spec.Values) != 1 {
+				return true
+			}
+			if literal, ok := spec.Values[0].(*ast.BasicLit); ok && literal.Kind == token.STRING {
+				value, err := strconv.Unquote(literal.Value)
+				require.NoError(t, err)
+				found = append(found, constant{spec.Names[0].Name, value, strings.TrimSpace(spec.Comment.Text())})
+			}
+			return true
+		})
+	}
+	require.NotEmpty(t, found)
+	return found
+}
+
+var declared = regexp.MustCompile(`(?m)^\t((?:Event|Metric)\w+)\s+=`)
+
+// requireUsed fails for names of reporter that no other package's code uses.
+func requireUsed(t *testing.T, prefix string) {
+	used := map[string]bool{}
+	names := map[string]bool{}
+	require.NoError(t, filepath.WalkDir(".", func(path string, _ os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		if filepath.Dir(path) == "reporter" {
+			for _, match := range declared.FindAllStringSubmatch(string(data), -1) {
+				names[match[1]] = strings.HasPrefix(match[1], prefix)
+			}
+			return err
+		}
+		for _, match := range regexp.MustCompile(`reporter\.(\w+)`).FindAllStringSubmatch(string(data), -1) {
+			used[match[1]] = true
+		}
+		return err
+	}))
+	for name, wanted := range names {
+		require.True(t, !wanted || used[name], "nothing uses reporter.%s", name)
+	}
+}
