--- /dev/null
+++ b/cowslipctl/page_test.go
@@ -0,0 +1,38 @@
+package main_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a manual that leaves out a subcommand or a flag, or names a
+// flag that no subcommand takes.
+func TestPageNamesCommandsAndFlags(t *testing.T) {
+	p := build(t)
+	data, err := os.ReadFile(filepath.Join("..", "docs", "cowslipctl.md"))
+	require.NoError(t, err)
+	page := string(data)
+	_, help := p.run("", "--help")
+	_, list, _ := strings.Cut(help, "SUBCOMMANDS\n")
+	flags := map[string]bool{}
+	commands := regexp.MustCompile(`(?m)^  (\w+) `).FindAllStringSubmatch(list, -1)
+	require.GreaterOrEqual(t, len(commands), 8)
+	for _, command := range commands {
+		require.Contains(t, page, "**"+command[1]+"** ")
+		require.Contains(t, page, "    cowslipctl "+command[1])
+		_, help := p.run("", command[1], "--help")
+		_, list, _ := strings.Cut(help, "FLAGS\n")
+		for _, flag := range regexp.MustCompile(`(?m)^  -([\w-]+)`).FindAllStringSubmatch(list, -1) {
+			flags[flag[1]] = true
+			require.Regexp(t, "(?m)^`--.*--"+flag[1]+"[ `]|^`--"+flag[1]+"[ `]", page, "%s --%s", command[1], flag[1])
+		}
+	}
+	for _, flag := range regexp.MustCompile("`--([\\w-]+)").FindAllStringSubmatch(page, -1) {
+		require.True(t, flags[flag[1]], "no subcommand takes --%s", flag[1])
+	}
+}
