--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PACKAGES = ./... ./cowslipd/... ./cowslipctl/... ./standin/...
 TOOL = cd tools && GOWORK=off go build -o ../bin/
 
-.PHONY: build test lint tools demo measure
+.PHONY: build test lint tools demo measure docs
 
 build:
 	go build -o bin/ ./cowslipd ./cowslipctl ./standin
@@ -20,7 +20,11 @@
 	bin/staticcheck $(PACKAGES)
 
 demo: build
-	COWSLIPCTL=bin/standin demo/run
+	demo/run
 
 measure: build
 	bin/standin measure -out docs
+
+# Writes the pages that are made from the code.
+docs:
+	COWSLIP_DOCS=write go test -count 1 -run 'Test(Events|Settings|Metrics)Page' .
--- a/cowslipd/router/quarantine.go
+++ b/cowslipd/router/quarantine.go
@@ -64,6 +64,7 @@
 	}
 	r.quarantiner.Crash(now, run, prints)
 	r.trackMembers(now) // a suspect runs once all daemons know, those that came within the last second too
+	reporter.Count(r.Metrics, reporter.MetricCrashes)
 	reporter.EventCrash.Log(context.Background(), r.Logger, slog.String("upstream", upstream), slog.Int("requests", len(requests)))
 	select {
 	case r.suspected <- struct{}{}:
--- a/standin/main.go
+++ b/standin/main.go
@@ -23,7 +23,6 @@
 		loadCommand(),
 		logCommand(),
 		measureCommand(),
-		publishCommand(),
 		serviceCommand(),
 	}
 }
