router: test the layers, answer and refused promises under failure

Cause: the daemon was only tested with one failure at a time. An engine that lost a context is asked to compute it again, a stop drains forwarded requests and outcomes, and a daemon that finishes refuses new requests with stopping. Not yet covered: once, leaving, stop and config.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -40,6 +40,11 @@
 func (s *Server) begin(w http.ResponseWriter, r *http.Request) (*exchange, error) {
 	e := &exchange{server: s, request: s.newID(), w: w, r: r}
 	w.Header().Set(HeaderRequest, e.request)
+	if s.Stopping != nil && s.Stopping() && r.Header.Get(HeaderKey) == "" {
+		// A request with a key may repeat one that ran, so its key decides.
+		w.Header().Set("Connection", "close")
+		return e, cowslipproxy.Refuse(cowslipproxy.ReasonStopping, "this daemon stops; ask for another address").After(time.Second)
+	}
 	var ready bool
 	if e.settled, ready = s.Settled(); !ready || len(e.settled.Customers) == 0 {
 		return e, cowslipproxy.Refuse(cowslipproxy.ReasonNotReady, "this daemon has no configuration yet").After(time.Second)
--- a/caller/server.go
+++ b/caller/server.go
@@ -77,6 +77,7 @@
 	Services    ServiceRunner
 	Guard       Guard
 	Addresses   func(now time.Time, from netip.Addr) cowslipproxy.Addresses
+	Stopping    func() bool // true once no address answer names this daemon; may be nil
 	Incarnation string
 	BodyLimit   int64         // bytes of a request's body
 	Wait        time.Duration // deadline of requests that name none
--- a/caller/service.go
+++ b/caller/service.go
@@ -93,7 +93,7 @@
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
 			if _, err := e.w.Write(buffer[:n]); err != nil {
-				return
+				panic(http.ErrAbortHandler) // the guard must not record a part as the whole answer
 			}
 			_ = controller.Flush() // a writer that can't flush sends the bytes at the end
 		}
--- a/cowslipd/router/deployment_test.go
+++ b/cowslipd/router/deployment_test.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -70,6 +71,8 @@
 	ledgers []*server.Server
 	account *server.Account
 	daemons []*daemon
+	mu      sync.Mutex // guards calls of answered
+	refused []string   // ids of the requests whose callers were told that they did not run
 }
 
 type daemon struct {
@@ -79,6 +82,8 @@
 	stop    context.CancelFunc
 	ended   chan error
 	metrics metrics.Registry
+	process *os.Process // nil for a daemon in this process
+	logLink *relay
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -96,7 +101,7 @@
 
 func (d *deployment) engine(name string, first, end int) *emulator.Engine {
 	engine := &emulator.Engine{Model: scribe, Range: cowslipproxy.LayerRange{First: first, End: end}, Kind: "small",
-		Pace: 100 * time.Microsecond, Share: 0.05, Batch: 16, Memory: 100_000, Prefixes: 100, Lag: 50 * time.Millisecond}
+		Pace: 100 * time.Microsecond, Share: 0.05, Batch: 16, Memory: 100_000, Prefixes: 100, Lag: 50 * time.Millisecond, Link: 20 * time.Microsecond, Trace: true}
 	engine.Init()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(d.t, err)
@@ -107,8 +112,11 @@
 	go func() { _ = serving.Serve(listener) }()
 	go func() { _ = engine.Run(ctx) }()
 	go func() { <-engine.Crashed(); serving.Stop() }()
+	d.mu.Lock()
 	d.engines[name] = engine
-	d.list.Put(cowslipproxy.VM{Name: name, Role: cowslipproxy.VMEngine, Address: netip.MustParseAddrPort(listener.Addr().String()), Centre: "oyo-a", State: cowslipproxy.VMLive})
+	d.mu.Unlock()
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	d.list.Put(cowslipproxy.VM{Name: name, Role: cowslipproxy.VMEngine, Address: address, Centre: "oyo-a", State: cowslipproxy.VMLive})
 	return engine
 }
 
@@ -136,12 +144,19 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
-func (d *deployment) daemon(name string) *daemon {
+func (d *deployment) settings(name string) loader.Settings {
 	settings := loader.Usual()
 	settings.Name, settings.Centre = name, "oyo-a"
 	settings.Callers, settings.Peers, settings.Operator = freeAddress(d.t), freeAddress(d.t), freeAddress(d.t)
 	settings.Log, settings.List = d.logAt, d.listAt
 	settings.Lifetime = cowslipproxy.Duration(time.Second)
+	return settings
+}
+
+func (d *deployment) daemon(name string) *daemon { return d.start(d.settings(name)) }
+
+func (d *deployment) start(settings loader.Settings) *daemon {
+	name := settings.Name
 	one := &daemon{name: name, at: settings, ended: make(chan error, 1), metrics: metrics.NewRegistry()}
 	one.router = &router.Router{Settings: settings, Clock: time.Now, Logger: slog.New(slog.DiscardHandler), Metrics: one.metrics}
 	d.list.Put(cowslipproxy.VM{Name: name, Role: cowslipproxy.VMEntry, Address: settings.Peers, Centre: "oyo-a", State: cowslipproxy.VMLive})
@@ -162,9 +177,13 @@
 // ready waits until a daemon has the configuration and can serve the model.
 func (d *deployment) ready(daemons ...*daemon) {
 	for _, one := range daemons {
-		require.Eventually(d.t, func() bool {
+		var last string
+		ready := func() bool {
 			response, _ := d.complete(one, officerKey, "ready?", 1)
 			if response == nil || response.StatusCode != http.StatusOK {
+				if response != nil {
+					last = string(response.body)
+				}
 				return false
 			}
 			if len(d.ledgers) == 0 {
@@ -172,7 +191,12 @@
 			}
 			response, err := d.call(one, http.MethodGet, "/v1/services/ledger/tenancies/1", officerKey, nil, "")
 			return err == nil && response.StatusCode == http.StatusOK
-		}, waitLimit, 20*time.Millisecond, "%s is not ready", one.name)
+		}
+		began := time.Now()
+		for !ready() {
+			require.Less(d.t, time.Since(began), waitLimit, "%s is not ready: %s", one.name, last)
+			time.Sleep(20 * time.Millisecond)
+		}
 	}
 }
 
@@ -182,6 +206,13 @@
 	body []byte
 }
 
+func (r *reply) String() string {
+	if r == nil {
+		return "no answer"
+	}
+	return fmt.Sprint(r.StatusCode, " ", r.outcome(), " ", r.reason(), " ", string(r.body))
+}
+
 func (r *reply) outcome() string { return r.Header.Get("Cowslip-Outcome") }
 func (r *reply) reason() string  { return r.Header.Get("Cowslip-Reason") }
 
@@ -198,6 +229,11 @@
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
+	if response.Header.Get("Cowslip-Outcome") == "refused" {
+		d.mu.Lock()
+		d.refused = append(d.refused, response.Header.Get("Cowslip-Request"))
+		d.mu.Unlock()
+	}
 	return &reply{Response: response, body: data}, err
 }
 
@@ -263,11 +299,11 @@
 
 // killOne crashes the first of two engines that runs so many steps.
 func (d *deployment) killOne(after int, one, other string) {
-	for _, pair := range [][2]string{{one, other}, {other, one}} {
-		d.engines[pair[0]].SetFaults(emulator.Faults{After: after})
+	for _, pair := range [][2]*emulator.Engine{{d.engines[one], d.engines[other]}, {d.engines[other], d.engines[one]}} {
+		pair[0].SetFaults(emulator.Faults{After: after})
 		go func() {
-			<-d.engines[pair[0]].Crashed()
-			d.engines[pair[1]].SetFaults(emulator.Faults{})
+			<-pair[0].Crashed()
+			pair[1].SetFaults(emulator.Faults{})
 		}()
 	}
 }
--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -41,6 +41,7 @@
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 64 << 10
 	stopPoll      = 50 * time.Millisecond
+	flushLimit    = 5 * time.Second        // for outcomes to get into the log at a stop
 	saveEvery     = 64                     // tokens
 	saveAbove     = 500 * time.Millisecond // a recomputation below this leaves most of the 2 s that a stage's death may cost
 	saveRoom      = 64 << 20               // bytes, a quarter of the daemon's memory
@@ -109,7 +110,8 @@
 	reporter.EventStarted.Log(ctx, r.Logger, slog.String("name", r.owner.Key()), slog.String("callers", sockets.callers.Addr().String()))
 	group.Go(func() error {
 		r.awaitStop(ctx, work)
-		_ = server.Shutdown(work)    // only the end of work ends it early, which the group reports
+		_ = server.Shutdown(work) // only the end of work ends it early, which the group reports
+		r.finish(work)
 		_ = operators.Shutdown(work) // as above
 		cancel()
 		return nil
@@ -217,6 +219,7 @@
 			clock:     r.Clock, retrier: r.retrier,
 		},
 		Addresses:   r.addresses,
+		Stopping:    r.isFinishing,
 		Incarnation: r.owner.Key(),
 		BodyLimit:   r.Settings.Body,
 		Wait:        time.Duration(r.Settings.Wait),
--- a/cowslipd/router/stop.go
+++ b/cowslipd/router/stop.go
@@ -37,6 +37,23 @@
 	}
 }
 
+// finish lets the requests that other daemons forwarded end, and the outcomes
+// that wait for the log get into it.
+func (r *Router) finish(ctx context.Context) {
+	r.gossiper.Drain(ctx)
+	ctx, cancel := context.WithTimeout(ctx, flushLimit)
+	defer cancel()
+	r.committer.Flush(ctx)
+}
+
+// isFinishing reports whether no address answer names this daemon any more.
+func (r *Router) isFinishing() bool {
+	r.stopMu.Lock()
+	defer r.stopMu.Unlock()
+	phase := r.stopper.Phase()
+	return phase == advertiser.PhaseFinishing || phase == advertiser.PhaseEnded
+}
+
 // beginStop starts a planned stop and tells the other daemons.
 func (r *Router) beginStop() {
 	r.stopMu.Lock()
--- a/driver/replace.go
+++ b/driver/replace.go
@@ -33,6 +33,11 @@
 		return errors.Wrapf(failed.err, "gave up after %d replacements", maxRecoveries)
 	}
 	lost := r.stages[failed.index]
+	if errors.Is(failed.err, errContextLost) && !lost.fresh {
+		// The engine works; only the context has to be computed again.
+		r.stages[failed.index].fresh, r.resume = true, resumption{}
+		return nil
+	}
 	r.avoid = append(r.avoid, lost.Upstream)
 	if err := r.permit(ctx); err != nil {
 		return err
--- a/driver/run.go
+++ b/driver/run.go
@@ -40,6 +40,10 @@
 	ran   []cowslipproxy.LayerRange
 }
 
+// errContextLost is the error of a step whose engine no longer holds the
+// request's context.
+var errContextLost = errors.Wrapf(cowslipproxy.ErrNotStarted, "fault %s", cowslipproxy.FaultContext)
+
 // stageError is the error of the step of one stage.
 type stageError struct {
 	index int
@@ -224,7 +228,9 @@
 	}
 	switch reply.Fault {
 	case cowslipproxy.FaultNone:
-	case cowslipproxy.FaultFull, cowslipproxy.FaultLeaving, cowslipproxy.FaultModel, cowslipproxy.FaultContext:
+	case cowslipproxy.FaultContext:
+		return errors.WithStack(errContextLost)
+	case cowslipproxy.FaultFull, cowslipproxy.FaultLeaving, cowslipproxy.FaultModel:
 		return errors.Wrapf(cowslipproxy.ErrNotStarted, "fault %s", reply.Fault)
 	default:
 		return errors.Errorf("fault %s", reply.Fault)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -58,6 +58,7 @@
 	hellos   map[cowslipproxy.Owner]knownHello
 	superior bool // a later incarnation of this daemon is known
 	rounds   int
+	server   *grpc.Server
 	comparer string // peer with which versions are being compared
 }
 
@@ -110,6 +111,9 @@
 	}
 	server := grpc.NewServer(serverOptions()...)
 	g.Register(server)
+	g.mu.Lock()
+	g.server = server
+	g.mu.Unlock()
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(newLimitListener(g.Listener, maxConns)) }()
 	err := g.loop(ctx, served)
@@ -117,6 +121,26 @@
 	return err
 }
 
+// Drain takes no more calls of other daemons and waits until those that run
+// have ended, or until ctx ends. It is called while Run runs.
+func (g *Gossiper) Drain(ctx context.Context) {
+	g.mu.Lock()
+	server := g.server
+	g.mu.Unlock()
+	if server == nil {
+		return
+	}
+	drained := make(chan struct{})
+	go func() {
+		defer close(drained)
+		server.GracefulStop()
+	}()
+	select {
+	case <-drained:
+	case <-ctx.Done():
+	}
+}
+
 func (g *Gossiper) loop(ctx context.Context, served <-chan error) error {
 	var calls sync.WaitGroup
 	defer calls.Wait()
@@ -129,7 +153,10 @@
 		case <-ctx.Done():
 			return nil
 		case err := <-served:
-			return errors.Wrap(err, "serve daemons")
+			if err != nil {
+				return errors.Wrap(err, "serve daemons")
+			}
+			served = nil // after Drain
 		case <-timer.C:
 			if g.isSuperseded() {
 				reporter.EventSuperseded.Log(ctx, g.Logger, slog.String("name", g.Self.Name))
--- a/standin/emulator/engine.go
+++ b/standin/emulator/engine.go
@@ -26,6 +26,7 @@
 	Copy     time.Duration // time to export or import one layer of one position
 	Link     time.Duration // one-way time of the link to the daemons
 	Width    int           // bytes of activations per position, 8 at least
+	Trace    bool          // counts the steps of each request, for tests
 
 	mu        sync.Mutex
 	faults    Faults
@@ -35,7 +36,8 @@
 	used      int
 	prefixes  *prefixCache
 	running   int
-	ran       int64 // tokens that left this stage
+	ran       int64          // tokens that left this stage
+	traced    map[string]int // steps by request
 	fence     uint64
 	role      cowslipproxy.Role
 	leaving   bool
@@ -55,6 +57,7 @@
 	Crash   string  `json:"crash" validate:"max=256"`       // crashes when a prompt contains this text
 	After   int     `json:"after" validate:"gte=0,lte=1e9"` // crashes in the middle of this many-th step from now; 0 is never
 	Leaving bool    `json:"leaving"`                        // reports that it leaves
+	Forget  bool    `json:"forget"`                         // drops the contexts that it holds now
 }
 
 // SetFaults replaces the engine's faults.
@@ -63,6 +66,9 @@
 	defer e.mu.Unlock()
 	e.faults = faults
 	e.leaving = faults.Leaving
+	if faults.Forget {
+		e.contexts, e.used = map[contextKey]*sequence{}, 0
+	}
 	e.signal()
 }
 
@@ -87,6 +93,7 @@
 	e.boot = uuid.NewString()
 	e.crashed = make(chan struct{})
 	e.contexts = map[contextKey]*sequence{}
+	e.traced = map[string]int{}
 	e.prefixes = newPrefixCache(e.Prefixes)
 	e.role = cowslipproxy.RoleServe
 	if e.Range.Len() == 0 {
@@ -108,6 +115,13 @@
 	return Account{Steps: e.ran, Contexts: len(e.contexts), Used: e.used}
 }
 
+// Ran returns the number of steps that the engine began for a request. It needs Trace.
+func (e *Engine) Ran(request string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.traced[request]
+}
+
 func (e *Engine) loadReport() cowslipproxy.Report {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/emulator/schedule.go
+++ b/standin/emulator/schedule.go
@@ -136,6 +136,9 @@
 		return reply, 0
 	}
 	e.ran++
+	if e.Trace {
+		e.traced[j.step.Request]++
+	}
 	key := contextKey{request: j.step.Request, attempt: j.step.Attempt}
 	if j.step.Kind == cowslipproxy.StepDecode {
 		var outputs []uint64
