--- a/cowslipd/router/deployment_test.go
+++ b/cowslipd/router/deployment_test.go
@@ -8,10 +8,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
 	"log/slog"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"os"
 	"sync"
@@ -94,9 +94,12 @@
 }
 
 func (d *deployment) serve(handler http.Handler) netip.AddrPort {
-	s := httptest.NewServer(handler)
-	d.t.Cleanup(func() { s.CloseClientConnections(); s.Close() })
-	return netip.MustParseAddrPort(s.Listener.Addr().String())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(d.t, err)
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, ErrorLog: log.New(io.Discard, "", 0)}
+	d.t.Cleanup(func() { _ = s.Close() })
+	go func() { _ = s.Serve(listener) }()
+	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
 func (d *deployment) engine(name string, first, end int) *emulator.Engine {
--- a/cowslipd/router/refused_test.go
+++ b/cowslipd/router/refused_test.go
@@ -61,6 +61,9 @@
 	each(300, 150, func(i int) {
 		send("/v1/completions", clerkKey, map[string]string{"Cowslip-Deadline": "900ms"}, prompt(100+i, 400))
 	})
+	each(200, 200, func(i int) {
+		send("/v1/completions", clerkKey, map[string]string{"Cowslip-Deadline": "20s"}, prompt(1000+i, 20))
+	})
 	each(40, 40, func(i int) {
 		send("/v1/services/ledger/fees", clerkKey, map[string]string{"Cowslip-Deadline": "1ms"}, fmt.Sprintf(`{"plot":%d}`, i))
 	})
