--- a/standin/measurer/direct.go
+++ b/standin/measurer/direct.go
@@ -71,15 +71,18 @@
 	turn, half := r.order[r.turn.Add(1)%uint64(len(r.order))], model.Layers/2
 	return []cowslipproxy.Stage{
 		{Upstream: fmt.Sprint("a", turn), Range: cowslipproxy.LayerRange{First: 0, End: half}},
-		{Upstream: fmt.Sprint("b", turn), Range: cowslipproxy.LayerRange{First: half, End: need.Layers.End}},
+		{Upstream: fmt.Sprint("b", turn), Range: cowslipproxy.LayerRange{First: half, End: need.Range.End}},
 	}, nil
 }
 
 // Begin implements cowslipproxy.ChainChooser.
-func (r *direct) Begin(string) {}
+func (r *direct) Begin(string, string) {}
 
 // End implements cowslipproxy.ChainChooser.
-func (r *direct) End(string) {}
+func (r *direct) End(string, string) {}
+
+// Clear implements cowslipproxy.ChainChooser.
+func (r *direct) Clear(string) {}
 
 // Timeout implements cowslipproxy.StepObserver.
 func (r *direct) Timeout(time.Time, cowslipproxy.Stage, cowslipproxy.Step, int) time.Duration {
