--- a/standin/demo.go
+++ b/standin/demo.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"net/netip"
+	"os"
 	"strings"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/decoder"
 	"github.com/cowslipproxy/cowslipproxy/standin/visitor"
 )
 
@@ -53,6 +55,16 @@
 	return f.visitor.Run(ctx, func(line string) { fmt.Println(line) })
 }
 
+func readConfiguration(file string) (cowslipproxy.Configuration, error) {
+	var configuration cowslipproxy.Configuration
+	var data []byte
+	var err error
+	if data, err = os.ReadFile(file); err != nil {
+		return configuration, errors.WithStack(err)
+	}
+	return configuration, errors.Wrap(decoder.YAML(data, &configuration), file)
+}
+
 func (f *demoFlags) parse() error {
 	var configuration cowslipproxy.Configuration
 	var err error
