decoder: name the path of each wrong value and refuse duplicate keys

Type errors in YAML named a line and no path, and those of durations and addresses neither. Whole numbers took 1.5 as 1 without an error: the library cuts off the fraction. Strict JSON took the last of two values of a key, and ignored a closing bracket after the value. Limits of durations were shown in nanoseconds.

A value's shape is now checked against its field before the library decodes it. Anchors, aliases and tags are left to the library.

--- a/decoder/check.go
+++ b/decoder/check.go
@@ -3,9 +3,11 @@
 package decoder
 
 import (
+	"encoding"
 	"fmt"
 	"reflect"
 	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -66,7 +68,11 @@
 	}
 	field := fields[0]
 	_, path, _ := strings.Cut(field.Namespace(), ".")
-	return errors.Errorf("%s: found %s, accepted is %s", path, found(field.Value()), accepted(field))
+	value := found(field.Value())
+	if field.Tag() == "required" {
+		value = "nothing"
+	}
+	return errors.Errorf("%s: found %s, accepted is %s", path, value, accepted(field))
 }
 
 func found(value any) string {
@@ -74,32 +80,63 @@
 		return "nothing"
 	}
 	text := fmt.Sprintf("%#v", value)
+	if number, ok := asText(reflect.ValueOf(value)); ok {
+		text = number
+	}
 	if len(text) > 80 {
 		text = text[:80] + "..."
 	}
 	return text
 }
 
+// asText returns a number in the notation that it is given in, such as a
+// duration's, if it has one.
+func asText(number reflect.Value) (string, bool) {
+	if !number.CanInt() {
+		return "", false
+	}
+	marshaler, ok := number.Interface().(encoding.TextMarshaler)
+	if !ok {
+		return "", false
+	}
+	text, err := marshaler.MarshalText()
+	return string(text), err == nil
+}
+
+// param returns a rule's parameter in the notation of the field's values.
+func param(field validator.FieldError) string {
+	limit, err := strconv.ParseInt(field.Param(), 10, 64)
+	number := reflect.New(field.Type()).Elem()
+	if err != nil || !number.CanInt() {
+		return field.Param()
+	}
+	number.SetInt(limit)
+	if text, ok := asText(number); ok {
+		return text
+	}
+	return field.Param()
+}
+
 func accepted(field validator.FieldError) string {
-	param := field.Param()
+	limit := param(field)
 	switch field.Tag() {
 	case "required":
 		return "a value"
 	case "oneof":
-		return "one of " + param
+		return "one of " + limit
 	case "label":
 		return "a name of small letters, digits and hyphens"
 	case "gt":
-		return "more than " + param
+		return "more than " + limit
 	case "gte", "min":
-		return "at least " + param
+		return "at least " + limit
 	case "lte", "max":
-		return "at most " + param
+		return "at most " + limit
 	case "len":
-		return "a length of " + param
+		return "a length of " + limit
 	case "startswith":
-		return "a text that starts with " + param
+		return "a text that starts with " + limit
 	default:
-		return strings.TrimSpace(field.Tag() + " " + param)
+		return strings.TrimSpace(field.Tag() + " " + limit)
 	}
 }
--- a/decoder/decode_test.go
+++ b/decoder/decode_test.go
@@ -1,7 +1,9 @@
 package decoder_test
 
 import (
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -14,11 +16,69 @@
 	for _, c := range []struct{ text, want string }{
 		{"models:\n- name: scribe\n  version: '1'\n  layers: 0\n  window: 10\n  effect: repeat\n  replicas: 1\n", "models[0].layers: found 0, accepted is at least 1"},
 		{"models:\n- name: Scribe\n", `models[0].name: found "Scribe", accepted is a name of small letters`},
-		{"modells: []\n", `unknown field "modells"`},
-		{"models: []\nmodels: []\n", `"models" already defined`},
-		{"services:\n- timeout: soon\n", `found "soon", accepted is a duration`},
+		{"modells: []\n", `modells: found unknown field "modells", accepted are bases, customers, models, services`},
+		{"models:\n- {name: a, nam: 3}\n", `models[0].nam: found unknown field "nam", accepted are adapters,`},
+		{"models: []\nmodels: []\n", `models: found twice, "models" already defined`},
+		{"models:\n- name: a\n- name: b\n  name: c\n", `models[1].name: found twice`},
+		{"services:\n- timeout: soon\n", `services[0].timeout: found "soon", accepted is a duration`},
+		{"services:\n- rules: {method: GET}\n", `services[0].rules: found a mapping, accepted is a list`},
+		{"models:\n- layers: many\n", `models[0].layers: found "many", accepted is a whole number`},
+		{"models:\n- layers: 1.5\n", `models[0].layers: found 1.5, accepted is a whole number`},
+		{"models:\n- layers: 99999999999999999999\n", `models[0].layers: found "99999999999999999999", accepted is a whole number`},
+		{"models:\n- name: [x]\n", `models[0].name: found a list, accepted is a text`},
+		{"models:\n- fenced: perhaps\n", `models[0].fenced: found "perhaps", accepted is true or false`},
+		{"customers:\n- rate: fast\n", `customers[0].rate: found "fast", accepted is a number`},
+		{"bases: {model/a: -1}\n", `bases.model/a: found -1, accepted is a whole number from 0`},
+		{"[]\n", `document: found a list, accepted is a mapping`},
+		{"models: []\n---\nmodels: []\n", `another document on line 3, accepted is one`},
+		{"models: [\n", `yaml`},
 	} {
 		var configuration cowslipproxy.Configuration
 		require.ErrorContains(t, decoder.YAML([]byte(c.text), &configuration), c.want)
 	}
 }
+
+// Guards against orders of which a part is ignored: of two values of a key the
+// last would win, and what follows the value would be dropped.
+func TestStrictJSON(t *testing.T) {
+	type inner struct {
+		A int            `json:"a"`
+		B []inner        `json:"b"`
+		C map[string]int `json:"c"`
+	}
+	for _, c := range []struct{ text, want string }{
+		{`{"a":1,"a":2}`, "a: found twice, accepted is once"},
+		{`{"b":[{},{"a":1,"a":1}]}`, "b[1].a: found twice, accepted is once"},
+		{`{"c":{"x":1,"y":2,"x":3}}`, "c.x: found twice, accepted is once"},
+		{`{"a":1}{"a":2}`, "found more data after byte 7"},
+		{`{"a":1}}`, "found more data after byte 7"},
+		{`{"a":1} ]`, "found more data after byte 7"},
+		{`{"a":1} x`, "found more data after byte 7"},
+		{`{"a":"x"}`, "a: found string, accepted is int"},
+		{`{"a":1.5}`, "a: found number 1.5, accepted is int"},
+		{`{"d":1}`, `unknown field "d"`},
+		{`[]`, "json"},
+		{``, "json"},
+	} {
+		require.ErrorContains(t, decoder.StrictJSON([]byte(c.text), new(inner)), c.want, c.text)
+	}
+	var value inner
+	require.NoError(t, decoder.StrictJSON([]byte(` {"a":1,"b":[{"a":2},{"a":3}],"c":{"a":1}} `+"\n"), &value))
+	require.Equal(t, inner{A: 1, B: []inner{{A: 2}, {A: 3}}, C: map[string]int{"a": 1}}, value)
+}
+
+// Guards against refusing files in other notations of YAML than the one that
+// declarations are printed in.
+func TestYAMLNotations(t *testing.T) {
+	text := "---\n# comment\ncustomers:\n" +
+		"- {name: a, keys: [" + strings.Repeat("a", 64) + "], class: high, rate: 1e9, burst: 2.5}\n" +
+		"models:\n- name: scribe\n  version: 1.10\n  layers: 0x10\n  window: 16_384\n  effect: repeat\n  replicas: 1\n  fenced: true\n  adapters: null\n" +
+		"services:\n- name: ledger\n  effect: once\n  timeout: &limit 1m30s\n  rules:\n- {name: desk, effect: repeat, timeout: *limit}\n"
+	var configuration cowslipproxy.Configuration
+	require.NoError(t, decoder.YAML([]byte(text), &configuration))
+	require.InDelta(t, 1e9, configuration.Customers[0].Rate, 0)
+	require.Equal(t, 16, configuration.Models[0].Layers)
+	require.Equal(t, 16384, configuration.Models[0].Window)
+	require.Equal(t, cowslipproxy.Duration(90*time.Second), configuration.Services[1].Timeout)
+	require.NoError(t, decoder.YAML(nil, new(cowslipproxy.Configuration)))
+}
--- /dev/null
+++ b/decoder/yaml.go
@@ -0,0 +1,199 @@
+package decoder
+
+import (
+	"encoding"
+	"fmt"
+	"maps"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/pkg/errors"
+)
+
+// checkYAML reports the path of the first value that doesn't fit its field. The
+// library's own errors name a line and no path, those of text fields neither, and
+// it cuts off the fraction of a number for a whole one.
+func checkYAML(data []byte, t reflect.Type) error {
+	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		return nil // the library's own error shows the place in the text
+	}
+	documents := 0
+	for _, document := range file.Docs {
+		if document.Body == nil || document.Body.Type() == ast.CommentType {
+			continue
+		}
+		if documents++; documents > 1 {
+			return errors.Errorf("found another document on line %d, accepted is one", document.Body.GetToken().Position.Line)
+		}
+		if err := checkNode("", document.Body, t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkNode checks a value and those in it. Anchors, aliases and tags are left to
+// the library.
+func checkNode(path string, node ast.Node, t reflect.Type) error {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	switch node.Type() {
+	case ast.NullType, ast.AnchorType, ast.AliasType, ast.TagType, ast.MergeKeyType:
+		return nil
+	}
+	if text, ok := reflect.New(t).Interface().(encoding.TextUnmarshaler); ok {
+		return checkText(path, node, text)
+	}
+	switch t.Kind() {
+	case reflect.Struct, reflect.Map:
+		return checkMapping(path, node, t)
+	case reflect.Slice:
+		return checkSequence(path, node, t)
+	default:
+		return checkScalar(path, node, t)
+	}
+}
+
+func wrong(path string, node ast.Node, accepted string) error {
+	return errors.Errorf("%s: found %s, accepted is %s", orBody(path), foundNode(node), accepted)
+}
+
+func orBody(path string) string {
+	if path == "" {
+		return "document"
+	}
+	return path
+}
+
+func foundNode(node ast.Node) string {
+	switch node.Type() {
+	case ast.MappingType, ast.MappingValueType:
+		return "a mapping"
+	case ast.SequenceType:
+		return "a list"
+	case ast.StringType, ast.LiteralType:
+		return found(scalar(node))
+	default:
+		return node.GetToken().Value
+	}
+}
+
+func scalar(node ast.Node) string {
+	if value, ok := node.(ast.ScalarNode); ok {
+		return fmt.Sprint(value.GetValue())
+	}
+	return node.GetToken().Value
+}
+
+func checkText(path string, node ast.Node, text encoding.TextUnmarshaler) error {
+	accepted := "a text"
+	if _, ok := text.(*netip.AddrPort); ok {
+		accepted = "an IP number and port"
+	}
+	if _, ok := node.(ast.ScalarNode); !ok {
+		return wrong(path, node, accepted)
+	}
+	err := text.UnmarshalText([]byte(scalar(node)))
+	switch {
+	case err == nil:
+		return nil
+	case strings.HasPrefix(err.Error(), "found "):
+		return errors.Wrap(err, orBody(path))
+	default:
+		return wrong(path, node, accepted)
+	}
+}
+
+func checkMapping(path string, node ast.Node, t reflect.Type) error {
+	mapping, ok := node.(ast.MapNode)
+	if !ok {
+		return wrong(path, node, "a mapping")
+	}
+	lines := map[string]int{}
+	for entries := mapping.MapRange(); entries.Next(); {
+		key, value := entries.Key(), entries.Value()
+		if key.Type() == ast.MergeKeyType {
+			continue
+		}
+		name := scalar(key)
+		at := name
+		if path != "" {
+			at = path + "." + name
+		}
+		if line, ok := lines[name]; ok {
+			return errors.Errorf("%s: found twice, %q already defined on line %d, accepted is once", at, name, line)
+		}
+		lines[name] = key.GetToken().Position.Line
+		inner := t
+		if t.Kind() == reflect.Map {
+			inner = t.Elem()
+		} else if inner, ok = fieldsOf(t)[name]; !ok {
+			return errors.Errorf("%s: found unknown field %q, accepted are %s", at, name, strings.Join(slices.Sorted(maps.Keys(fieldsOf(t))), ", "))
+		}
+		if err := checkNode(at, value, inner); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// fieldsOf returns the types of a struct's fields by the names in their tags.
+func fieldsOf(t reflect.Type) map[string]reflect.Type {
+	fields := map[string]reflect.Type{}
+	for i := range t.NumField() {
+		field := t.Field(i)
+		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		if field.IsExported() && name != "" && name != "-" {
+			fields[name] = field.Type
+		}
+	}
+	return fields
+}
+
+func checkSequence(path string, node ast.Node, t reflect.Type) error {
+	sequence, ok := node.(*ast.SequenceNode)
+	if !ok {
+		return wrong(path, node, "a list")
+	}
+	for i, value := range sequence.Values {
+		if err := checkNode(fmt.Sprintf("%s[%d]", path, i), value, t.Elem()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkScalar(path string, node ast.Node, t reflect.Type) error {
+	kind := node.Type()
+	switch t.Kind() {
+	case reflect.String:
+		if _, ok := node.(ast.ScalarNode); !ok {
+			return wrong(path, node, "a text")
+		}
+	case reflect.Bool:
+		if kind != ast.BoolType {
+			return wrong(path, node, "true or false")
+		}
+	case reflect.Int, reflect.Int32, reflect.Int64:
+		if _, err := strconv.ParseInt(scalar(node), 0, t.Bits()); kind != ast.IntegerType || err != nil {
+			return wrong(path, node, fmt.Sprintf("a whole number of %d bits", t.Bits()))
+		}
+	case reflect.Uint, reflect.Uint32, reflect.Uint64:
+		if _, err := strconv.ParseUint(scalar(node), 0, t.Bits()); kind != ast.IntegerType || err != nil {
+			return wrong(path, node, fmt.Sprintf("a whole number from 0 of %d bits", t.Bits()))
+		}
+	case reflect.Float32, reflect.Float64:
+		// The library takes 1e9 for a text first.
+		if _, err := strconv.ParseFloat(scalar(node), t.Bits()); kind != ast.IntegerType && kind != ast.FloatType && err != nil {
+			return wrong(path, node, "a number")
+		}
+	}
+	return nil
+}
