commander: order engines by a plan under a lease in the log

Nothing gave engines their layers. The holder of the lease now plans from the engines' reports once a second and gives orders with the lease's fencing number. The test found that a daemon counted a dead engine as usable until a second probe that never came: a failed connection attempt now counts as a failed probe.

--- a/config.go
+++ b/config.go
@@ -56,7 +56,8 @@
 	Adapters []string `json:"adapters,omitempty" validate:"max=100,dive,required,max=64"`
 	Effect   Effect   `json:"effect" validate:"oneof=repeat once"`
 	Replicas int      `json:"replicas" validate:"gte=1,lte=1000"`
-	Fenced   bool     `json:"fenced"` // engines refuse orders with an old fencing number
+	Stage    int      `json:"stage,omitempty" validate:"gte=0,lte=1000"` // layers of one stage for placement by the system; 0 leaves placement to operators
+	Fenced   bool     `json:"fenced"`                                    // engines refuse orders with an old fencing number
 }
 
 // Service is a plain service.
--- a/cowslipd/router/deployment_test.go
+++ b/cowslipd/router/deployment_test.go
@@ -105,7 +105,8 @@
 
 func (d *deployment) engine(name string, first, end int) *emulator.Engine {
 	engine := &emulator.Engine{Model: scribe, Range: cowslipproxy.LayerRange{First: first, End: end}, Kind: "small",
-		Pace: 100 * time.Microsecond, Share: 0.05, Batch: 16, Memory: 100_000, Prefixes: 100, Lag: 50 * time.Millisecond, Link: 20 * time.Microsecond, Trace: true}
+		Pace: 100 * time.Microsecond, Share: 0.05, Batch: 16, Memory: 100_000, Prefixes: 100, Lag: 50 * time.Millisecond,
+		Room: 3, Fenced: len(d.engines)%2 == 0, Link: 20 * time.Microsecond, Trace: true}
 	engine.Init()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(d.t, err)
@@ -184,9 +185,11 @@
 	return one
 }
 
-func (d *deployment) publish() {
+func (d *deployment) publish() { d.publishThis(configuration()) }
+
+func (d *deployment) publishThis(configuration cowslipproxy.Configuration) {
 	publisher := &follower.Publisher{Log: d.log}
-	_, err := publisher.Publish(context.Background(), configuration())
+	_, err := publisher.Publish(context.Background(), configuration)
 	require.NoError(d.t, err)
 }
 
--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -22,11 +22,15 @@
 	"github.com/cowslipproxy/cowslipproxy/caller"
 	"github.com/cowslipproxy/cowslipproxy/checker"
 	"github.com/cowslipproxy/cowslipproxy/claimer"
+	"github.com/cowslipproxy/cowslipproxy/commander"
 	"github.com/cowslipproxy/cowslipproxy/committer"
 	"github.com/cowslipproxy/cowslipproxy/driver"
+	"github.com/cowslipproxy/cowslipproxy/fetcher"
 	"github.com/cowslipproxy/cowslipproxy/follower"
 	"github.com/cowslipproxy/cowslipproxy/forwarder"
 	"github.com/cowslipproxy/cowslipproxy/gossiper"
+	"github.com/cowslipproxy/cowslipproxy/joiner"
+	"github.com/cowslipproxy/cowslipproxy/leaser"
 	"github.com/cowslipproxy/cowslipproxy/limiter"
 	"github.com/cowslipproxy/cowslipproxy/lister"
 	"github.com/cowslipproxy/cowslipproxy/loader"
@@ -74,6 +78,7 @@
 	gaugesMu  sync.Mutex // held while the gauges are set
 
 	quarantiner *quarantiner.Quarantiner
+	commander   *commander.Commander
 	started     time.Time
 
 	stopMu     sync.Mutex
@@ -108,6 +113,7 @@
 	group.Go(func() error { return ignoreEnd(work, r.committer.Run(work)) })
 	group.Go(func() error { return r.exchange(work) })
 	group.Go(func() error { return r.spreadSuspects(work) })
+	group.Go(func() error { return r.commander.Run(work) })
 	group.Go(func() error { return serve(server, netutil.LimitListener(sockets.callers, r.Settings.Sockets)) })
 	group.Go(func() error { return serve(operators, sockets.operator) })
 	reporter.EventStarted.Log(ctx, r.Logger, slog.String("name", r.owner.Key()), slog.String("callers", sockets.callers.Addr().String()))
@@ -181,6 +187,7 @@
 	r.committer = &committer.Committer{Log: log, Claimer: r.claimer, Logger: r.Logger}
 	r.limits = &limiter.Limits{Self: r.owner.Key()}
 	r.retrier = &retrier.Retrier{}
+	r.buildCommander(log)
 	r.suspected = make(chan struct{}, 1)
 	r.joined = make(chan struct{}, 1)
 	r.quarantiner = &quarantiner.Quarantiner{Self: r.owner.Key()}
@@ -214,6 +221,32 @@
 	r.advertiser = advertiser.Advertiser{Centre: s.Centre, Lifetime: time.Duration(s.Lifetime), Random: rand.New(rand.NewPCG(r.owner.Incarnation, 1))}
 }
 
+func (r *Router) buildCommander(log cowslipproxy.Log) {
+	r.commander = &commander.Commander{
+		Log:     log,
+		Leaser:  &leaser.Leaser{Name: "placement", Self: r.owner.Key()},
+		Settled: r.follower.Current,
+		Engines: r.usableEngines,
+		Engine:  r.pool.Engine,
+		Clock:   r.Clock,
+		Logger:  r.Logger,
+	}
+	if r.Settings.Weights.IsValid() {
+		r.commander.Weights = &fetcher.Store{Address: r.Settings.Weights}
+	}
+}
+
+// usableEngines returns the engines that can be given orders.
+func (r *Router) usableEngines() []commander.Engine {
+	var engines []commander.Engine
+	for _, state := range r.pool.Dump().Engines {
+		if state.Reason == joiner.ReasonNone && !state.Reported.IsZero() {
+			engines = append(engines, commander.Engine{VM: state.Name, Centre: state.Centre, Report: state.Report})
+		}
+	}
+	return engines
+}
+
 func (r *Router) buildCallers(track *tracker) {
 	r.caller = &caller.Server{
 		Settled:  r.follower.Current,
--- /dev/null
+++ b/fetcher/store.go
@@ -0,0 +1,86 @@
+// Package fetcher talks to the platform's store of model weights.
+package fetcher
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/decoder"
+)
+
+const (
+	callTimeout = 2 * time.Second
+	maxAnswer   = 64 << 10
+)
+
+// Store is a client of the weight store. It implements cowslipproxy.WeightStore.
+type Store struct {
+	Address netip.AddrPort
+	Client  *http.Client // nil means http.DefaultClient
+}
+
+var _ cowslipproxy.WeightStore = (*Store)(nil)
+
+type rateAnswer struct {
+	Rate float64 `json:"rate" validate:"gte=0"` // bytes per second
+}
+
+type sizeAnswer struct {
+	Bytes int64 `json:"bytes" validate:"gte=0"`
+}
+
+// Rate implements cowslipproxy.WeightStore.
+func (s *Store) Rate(ctx context.Context) (float64, error) {
+	var answer rateAnswer
+	err := s.get(ctx, "/v1/rate", nil, &answer)
+	return answer.Rate, err
+}
+
+// Size implements cowslipproxy.WeightStore.
+func (s *Store) Size(ctx context.Context, model, version string, layers cowslipproxy.LayerRange) (int64, error) {
+	query := url.Values{
+		"model":   {model},
+		"version": {version},
+		"first":   {strconv.Itoa(layers.First)},
+		"end":     {strconv.Itoa(layers.End)},
+	}
+	var answer sizeAnswer
+	err := s.get(ctx, "/v1/sizes", query, &answer)
+	return answer.Bytes, err
+}
+
+func (s *Store) get(ctx context.Context, path string, query url.Values, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	target := url.URL{Scheme: "http", Host: s.Address.String(), Path: path, RawQuery: query.Encode()}
+	var request *http.Request
+	var err error
+	if request, err = http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil); err != nil {
+		return errors.Wrap(err, "weight store")
+	}
+	client := s.Client
+	if client == nil {
+		client = http.DefaultClient
+	}
+	var response *http.Response
+	if response, err = client.Do(request); err != nil {
+		return errors.Wrap(err, "weight store")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Errorf("weight store: found status %d, accepted is 200", response.StatusCode)
+	}
+	var data []byte
+	if data, err = io.ReadAll(io.LimitReader(response.Body, maxAnswer)); err != nil {
+		return errors.Wrap(err, "weight store")
+	}
+	return errors.Wrap(decoder.JSON(data, answer), "weight store")
+}
--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -159,6 +159,13 @@
 	return !now.Before(l.holder.start) && now.Before(l.holder.start.Add(length-length/10))
 }
 
+// Offset returns the offset to read from.
+func (l *Leaser) Offset() uint64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.next
+}
+
 // Next returns when to claim next: a third into an own lease, which leaves time
 // for a second try, or once another daemon's lease can't be in force.
 func (l *Leaser) Next(now time.Time) time.Time {
--- a/loader/fields.go
+++ b/loader/fields.go
@@ -19,6 +19,7 @@
 	{"operator", "", "IP number and port for operators", address(func(s *Settings) *netip.AddrPort { return &s.Operator })},
 	{"log", "", "IP number and port of the log service", address(func(s *Settings) *netip.AddrPort { return &s.Log })},
 	{"list", "", "IP number and port of the list of VMs", address(func(s *Settings) *netip.AddrPort { return &s.List })},
+	{"weights", "", "IP number and port of the weight store; loads are not limited if empty", address(func(s *Settings) *netip.AddrPort { return &s.Weights })},
 	{"seeds", "", "addresses of other entry daemons that a new daemon asks first; a comma stands between two", addresses(func(s *Settings) *[]netip.AddrPort { return &s.Seeds })},
 	{"body", "8388608", "largest body of a caller's request, in bytes", number(func(s *Settings, n int64) { s.Body = n })},
 	{"wait", "1m0s", "deadline of requests that name none", duration(func(s *Settings) *cowslipproxy.Duration { return &s.Wait })},
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -88,6 +88,6 @@
 	}
 	return Move{VM: e.VM, Bytes: int64(loaded) * m.Bytes, Order: cowslipproxy.Order{
 		ID:    fmt.Sprintf("%s/%s/%s/%d-%d", e.VM, m.Name, m.Version, r.First, r.End),
-		Model: m.Name, Version: m.Version, Adapters: m.Adapters, Range: r, Role: cowslipproxy.RoleServe,
+		Model: m.Name, Version: m.Version, Adapters: m.Adapters, Layers: m.Layers, Range: r, Role: cowslipproxy.RoleServe,
 	}}
 }
--- a/pooler/engines.go
+++ b/pooler/engines.go
@@ -34,10 +34,13 @@
 	p.changes(context.Background(), p.ejector.Connected(name, now))
 }
 
-func (p *Pool) down(name string, requests []string, now time.Time) {
+func (p *Pool) failed(name string, now time.Time) {
 	p.joinMu.Lock()
+	defer p.joinMu.Unlock()
 	p.joiner.Probe(name, false, now)
-	p.joinMu.Unlock()
+}
+
+func (p *Pool) down(name string, requests []string, now time.Time) {
 	p.changes(context.Background(), p.ejector.Broken(name, now))
 	if p.OnCrash != nil && len(requests) > 0 {
 		p.OnCrash(name, p.runOf(name), requests, now)
--- a/runner/engine.go
+++ b/runner/engine.go
@@ -35,6 +35,7 @@
 	Clock    func() time.Time
 	OnUp     func(name string, now time.Time)
 	OnDown   func(name string, requests []string, now time.Time) // requests in flight when the connection broke
+	OnFail   func(name string, now time.Time)                    // a connection broke or could not be made
 	OnReport func(name string, report cowslipproxy.Report, now time.Time)
 	OnEvent  func(name string, event cowslipproxy.CacheEvent, now time.Time)
 
@@ -72,6 +73,7 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		e.OnFail(e.VM.Name, e.Clock())
 		reporter.EventEngineLost.Log(ctx, e.Logger, slog.String("engine", e.VM.Name), slog.Any("error", err))
 		if e.Clock().Sub(began) > longestReconnect {
 			wait = firstReconnect
--- a/standin/emulator/engine.go
+++ b/standin/emulator/engine.go
@@ -25,7 +25,7 @@
 	Loading  time.Duration // time to load a layer for an order
 	Copy     time.Duration // time to export or import one layer of one position
 	Link     time.Duration // one-way time of the link to the daemons
-	Width    int           // bytes of activations per position, 8 at least
+	Room     int           // layers that the engine can hold
 	Trace    bool          // counts the steps of each request, for tests
 
 	mu        sync.Mutex
@@ -42,6 +42,7 @@
 	role      cowslipproxy.Role
 	leaving   bool
 	boot      string
+	orders    int64
 	crashed   chan struct{}
 	crashOnce sync.Once
 }
@@ -105,14 +106,15 @@
 type Account struct {
 	Steps    int64 `json:"steps"`
 	Contexts int   `json:"contexts"`
-	Used     int   `json:"used"` // cache memory in use, in tokens
+	Used     int   `json:"used"`   // cache memory in use, in tokens
+	Orders   int64 `json:"orders"` // orders that changed what the engine holds
 }
 
 // Account returns the engine's own count of its work.
 func (e *Engine) Account() Account {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return Account{Steps: e.ran, Contexts: len(e.contexts), Used: e.used}
+	return Account{Steps: e.ran, Contexts: len(e.contexts), Used: e.used, Orders: e.orders}
 }
 
 // Ran returns the number of steps that the engine began for a request. It needs Trace.
@@ -138,6 +140,7 @@
 		Free:     max(0, e.Memory-e.used),
 		Leaving:  e.leaving,
 		Boot:     e.boot,
+		Room:     e.Room,
 	}
 	return report
 }
@@ -149,3 +152,10 @@
 	}
 	return d
 }
+
+// Held returns the layers that the engine holds.
+func (e *Engine) Held() cowslipproxy.LayerRange {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Range
+}
--- a/standin/emulator/pipeline_test.go
+++ b/standin/emulator/pipeline_test.go
@@ -88,6 +88,7 @@
 			p.down[name] = true
 			p.lost = append(p.lost, requests...)
 		},
+		OnFail:   func(string, time.Time) {},
 		OnReport: func(string, cowslipproxy.Report, time.Time) {},
 		OnEvent:  func(string, cowslipproxy.CacheEvent, time.Time) {},
 	}
--- a/standin/emulator/serve.go
+++ b/standin/emulator/serve.go
@@ -217,6 +217,7 @@
 	defer e.mu.Unlock()
 	e.Model = cowslipproxy.Model{Name: order.Model, Version: order.Version, Adapters: order.Adapters, Layers: order.Layers}
 	e.Range, e.role = order.Range, order.Role
+	e.orders++
 	e.contexts, e.used = map[contextKey]*sequence{}, 0
 	e.prefixes = newPrefixCache(e.Prefixes)
 	return &runner.Empty{}, nil
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -49,6 +49,7 @@
 	flags.DurationVar(&f.engine.Lag, "lag", 200*time.Millisecond, "lag of load reports and cache events")
 	flags.DurationVar(&f.engine.Link, "link", 0, "one-way time of the link to the daemons")
 	flags.DurationVar(&f.engine.Loading, "loading", 10*time.Millisecond, "time to load one layer")
+	flags.IntVar(&f.engine.Room, "room", 0, "layers that the engine can hold")
 	flags.BoolVar(&f.engine.Fenced, "fenced", false, "refuse orders with an old fencing number")
 	return &ffcli.Command{
 		Name:       "engine",
--- a/standin/main.go
+++ b/standin/main.go
@@ -24,6 +24,7 @@
 		logCommand(),
 		measureCommand(),
 		serviceCommand(),
+		weightsCommand(),
 	}
 }
 
--- a/standin/measurer/direct.go
+++ b/standin/measurer/direct.go
@@ -45,6 +45,7 @@
 			VM: vm, Logger: logger, Metrics: registry, Clock: time.Now,
 			OnUp:     func(string, time.Time) { up <- struct{}{} },
 			OnDown:   func(string, []string, time.Time) {},
+			OnFail:   func(string, time.Time) {},
 			OnReport: func(string, cowslipproxy.Report, time.Time) {},
 			OnEvent:  func(string, cowslipproxy.CacheEvent, time.Time) {},
 		}
--- a/steps.go
+++ b/steps.go
@@ -110,10 +110,11 @@
 	Range    LayerRange    `json:"range"`
 	Kind     string        `json:"kind"` // kind of accelerator
 	Role     Role          `json:"role"`
-	Queue    int           `json:"queue"`   // steps that wait
-	Running  int           `json:"running"` // steps in the current batch
-	Pace     time.Duration `json:"pace"`    // recent time for one layer of one decode step
-	Free     int           `json:"free"`    // free cache memory, in tokens
+	Queue    int           `json:"queue"`          // steps that wait
+	Running  int           `json:"running"`        // steps in the current batch
+	Pace     time.Duration `json:"pace"`           // recent time for one layer of one decode step
+	Free     int           `json:"free"`           // free cache memory, in tokens
+	Room     int           `json:"room,omitempty"` // layers that the engine can hold
 	Leaving  bool          `json:"leaving,omitempty"`
 	Boot     string        `json:"boot,omitempty"` // names this run of the engine
 }
