--- a/loader/settings.go
+++ b/loader/settings.go
@@ -25,7 +25,7 @@
 	Operator netip.AddrPort        `json:"operator" validate:"required"`
 	Log      netip.AddrPort        `json:"log" validate:"required"`
 	List     netip.AddrPort        `json:"list" validate:"required"`
-	Weights  netip.AddrPort        `json:"weights"`
+	Weights  netip.AddrPort        `json:"weights" validate:"omitempty"`
 	Seeds    []netip.AddrPort      `json:"seeds" validate:"max=100"`
 	Body     int64                 `json:"body" validate:"gte=1024,lte=1073741824"`
 	Wait     cowslipproxy.Duration `json:"wait" validate:"gt=0,lte=3600000000000"`
--- a/pages_test.go
+++ b/pages_test.go
@@ -110,7 +110,7 @@
 				value = time.Duration(spent).String()
 			}
 			words := map[string]string{"gt": "more than " + value, "gte": "at least " + value, "lte": "at most " + value, "max": "at most " + value + " " + map[reflect.Kind]string{reflect.String: "characters", reflect.Slice: "addresses"}[field.Type.Kind()],
-				"label": "small letters, digits and hyphens", "oneof": "one of " + strings.ReplaceAll(value, " ", ", "), "required": ""}
+				"label": "small letters, digits and hyphens", "oneof": "one of " + strings.ReplaceAll(value, " ", ", "), "required": "", "omitempty": ""}
 			text, ok := words[key]
 			require.True(t, ok, "%s: rule %q has no description", name, rule)
 			if text != "" {
