--- a/cowslipd/router/quarantine.go
+++ b/cowslipd/router/quarantine.go
@@ -78,11 +78,11 @@
 	if !ok {
 		return false, nil
 	}
-	print := printOf(request.Request)
+	mark := printOf(request.Request)
 	if request.run != nil {
 		r.quarantiner.End(now, *request.run, false) // the run that crashed
 	}
-	run, failure := r.quarantiner.Begin(now, print)
+	run, failure := r.quarantiner.Begin(now, mark)
 	if failure == nil {
 		r.admission.track.setRun(job.Request, &run)
 	} else {
@@ -91,7 +91,7 @@
 	return run.Alone, failure
 }
 
-func fingerprint(print quarantiner.Print) string { return strconv.FormatUint(print.Content, 16) }
+func fingerprint(of quarantiner.Print) string { return strconv.FormatUint(of.Content, 16) }
 
 // survived takes in that a suspect got past the token at which an upstream
 // crashed. It may share its upstreams with other suspects from now on.
@@ -118,13 +118,13 @@
 	if whole {
 		return
 	}
-	print := printOf(request.Request)
-	if r.quarantiner.State(r.Clock(), print) == quarantiner.StateQuarantined {
-		reporter.EventQuarantined.Log(ctx, r.Logger, slog.String("customer", print.Customer), slog.String("fingerprint", fingerprint(print)))
+	mark := printOf(request.Request)
+	if r.quarantiner.State(r.Clock(), mark) == quarantiner.StateQuarantined {
+		reporter.EventQuarantined.Log(ctx, r.Logger, slog.String("customer", mark.Customer), slog.String("fingerprint", fingerprint(mark)))
 	}
 	ctx, cancel := context.WithTimeout(ctx, holdBack)
 	defer cancel()
-	for !r.quarantiner.Known(r.Clock(), print) && ctx.Err() == nil {
+	for !r.quarantiner.Known(r.Clock(), mark) && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-time.After(holdBackPoll):
