--- a/limiter/pace_test.go
+++ b/limiter/pace_test.go
@@ -29,12 +29,10 @@
 	}
 	running := enter()
 	require.Len(t, running, count)
-	for i := range 100 {
+	for range 100 {
 		now = now.Add(step)
 		q.Token(now, count)
-		if i%32 == 0 {
-			q.Prompt(now, 64*count)
-		}
+		q.Prompt(now, 2*count)
 	}
 	for _, ticket := range running {
 		q.Leave(now, ticket, 96)
