--- a/operator/operator.go
+++ b/operator/operator.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/pprof"
+	"path"
 
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
@@ -63,6 +65,7 @@
 	router.HandleFunc("/v1/drain", s.drain).Methods(http.MethodPut)
 	router.HandleFunc("/v1/stop", s.stop).Methods(http.MethodPost)
 	router.HandleFunc("/v1/quarantine/{fingerprint}", s.lift).Methods(http.MethodDelete)
+	router.PathPrefix("/debug/pprof/").HandlerFunc(profile).Methods(http.MethodGet)
 	router.HandleFunc("/metrics", s.metrics).Methods(http.MethodGet)
 	return router
 }
@@ -126,6 +129,18 @@
 	_ = reporter.WriteText(w, s.Metrics) // a scraper that is gone can't be told
 }
 
+// profile serves the runtime's profiles. They hold no content of requests.
+func profile(w http.ResponseWriter, r *http.Request) {
+	switch path.Base(r.URL.Path) {
+	case "profile":
+		pprof.Profile(w, r)
+	case "trace":
+		pprof.Trace(w, r)
+	default:
+		pprof.Index(w, r)
+	}
+}
+
 type fault struct {
 	Error string `json:"error"`
 }
--- a/standin/emulator/engine.go
+++ b/standin/emulator/engine.go
@@ -36,6 +36,8 @@
 	used      int
 	prefixes  *prefixCache
 	running   int
+	ends      time.Time      // when the newest batch ends
+	pressed   bool           // steps waited when the newest batch began
 	ran       int64          // tokens that left this stage
 	traced    map[string]int // steps by request
 	fence     uint64
--- a/standin/emulator/schedule.go
+++ b/standin/emulator/schedule.go
@@ -9,6 +9,9 @@
 	"github.com/cowslipproxy/cowslipproxy"
 )
 
+// maxLate is the lateness of a timer that the next batch makes up for.
+const maxLate = 5 * time.Millisecond
+
 // job is a step that waits for a place in a batch.
 type job struct {
 	step    cowslipproxy.Step
@@ -98,13 +101,16 @@
 		factor := 1 + e.Share*float64(decodes-1)
 		spent += time.Duration(float64(e.scaled(e.Pace)) * float64(e.Range.Len()) * factor)
 	}
+	end := e.busyUntil(spent)
 	e.mu.Unlock()
+	timer := time.NewTimer(time.Until(end))
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
 	case <-e.crashed:
 		return false
-	case <-time.After(spent):
+	case <-timer.C:
 	}
 	e.mu.Lock()
 	e.running = 0
@@ -116,6 +122,20 @@
 	return true
 }
 
+// busyUntil returns when a batch ends that takes the given time. A batch that
+// follows another at once begins when that one was to end: a timer that fires
+// late would otherwise make the accelerator slower than it is set. The caller
+// holds the mutex.
+func (e *Engine) busyUntil(spent time.Duration) time.Time {
+	begin := time.Now()
+	if e.pressed && begin.Sub(e.ends) < maxLate {
+		begin = e.ends
+	}
+	e.ends = begin.Add(spent)
+	e.pressed = len(e.queue) > 0
+	return e.ends
+}
+
 // crashes decides whether a step crashes the engine; the caller holds the mutex.
 func (e *Engine) crashes(step cowslipproxy.Step) bool {
 	if e.faults.Crash != "" && strings.Contains(step.Prompt, e.faults.Crash) {
