--- a/cowslipd/router/deployment_test.go
+++ b/cowslipd/router/deployment_test.go
@@ -167,7 +167,9 @@
 	ctx, one.stop = context.WithCancel(context.Background())
 	go func() { one.ended <- one.router.Run(ctx) }()
 	d.t.Cleanup(one.stop)
+	d.mu.Lock()
 	d.daemons = append(d.daemons, one)
+	d.mu.Unlock()
 	return one
 }
 
--- a/cowslipd/router/faults_test.go
+++ b/cowslipd/router/faults_test.go
@@ -162,7 +162,9 @@
 	done := make(chan struct{})
 	go func() { one.ended <- command.Wait(); close(done) }()
 	d.t.Cleanup(func() { one.kill(); <-done })
+	d.mu.Lock()
 	d.daemons = append(d.daemons, one)
+	d.mu.Unlock()
 	return one
 }
 
