ejector: don't count leaving upstreams as stand-ins

Cause: with one of two holders leaving, the other one could be ejected for time, since half of the holders were left. TestLeavingEngineFinishesItsWork/list then got refused no_chain. A leaving upstream takes no work, so it is no stand-in. Before: no_chain while a slow holder was usable. After: the last one stays. Also splits the long tests and gives the daemons ports outside of the range of connections, since a port taken in between made daemons fail to start.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
@@ -177,7 +178,10 @@
 // giveUp ends a send that was neither settled in time nor dispatched.
 func (c *Committer) giveUp(ctx context.Context, l *lane, send claimer.Send, it *item) claimer.Decision {
 	reason := cowslipproxy.ReasonLogUnavailable
-	if ctx.Err() != nil {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason = cowslipproxy.ReasonDeadline
+	case ctx.Err() != nil:
 		reason = cowslipproxy.ReasonCancelled
 	}
 	never := it == nil || l.withdraw(it)
--- a/cowslipd/router/answer_test.go
+++ b/cowslipd/router/answer_test.go
@@ -75,6 +75,27 @@
 	d.check(one)
 }
 
+// Guards against a reply of the attempt before a replacement that is taken for
+// the same step of the next attempt. Each reply comes a second time while the
+// stages before the replaced one compute the context again.
+func TestAnswersSurviveRepliesOfTheAttemptBefore(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	slow := d.serveEngine("a1", &emulator.Engine{Model: scribe, Range: cowslipproxy.LayerRange{First: 0, End: 3}, Kind: "small",
+		Pace: 100 * time.Microsecond, Prefill: 500 * time.Microsecond, Batch: 16, Memory: 100_000, Lag: 50 * time.Millisecond, Trace: true})
+	for _, name := range []string{"b1", "b2", "b3"} {
+		d.engine(name, 3, 6)
+	}
+	one := d.daemon("entry-1")
+	d.publish()
+	d.ready(one)
+	slow.SetFaults(emulator.Faults{Late: cowslipproxy.Duration(10 * time.Millisecond)})
+	d.killOne(60, "b1", "b2")
+	d.answers("a prompt that is long enough for its computation to take longer than the second reply needs", 12, 12, 40, func(int) *daemon { return one })
+	require.Equal(t, 1, d.crashed())
+	d.check(one)
+}
+
 // Guards against a part of a service's answer that is recorded as the whole one
 // when the caller leaves in the middle, and is then given to the next send.
 func TestAnswerIsNotRecordedInPart(t *testing.T) {
--- a/cowslipd/router/config_test.go
+++ b/cowslipd/router/config_test.go
@@ -73,6 +73,57 @@
 	return accepted[0]
 }
 
+// watch requires that a daemon's configuration never goes back.
+func (d *deployment) watch(one *daemon, stop <-chan struct{}) {
+	var offset uint64
+	var last float64
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		dump, ok := one.dump()
+		if !ok || !dump.Ready {
+			continue
+		}
+		if dump.Offset < offset {
+			d.t.Errorf("%s went back from offset %d to %d", one.name, offset, dump.Offset)
+		}
+		// The rates of later rounds are higher.
+		now := one.rate()
+		if now < last {
+			d.t.Errorf("%s went back from rate %v to %v", one.name, last, now)
+		}
+		offset, last = dump.Offset, now
+	}
+}
+
+// everywhere requires that a rate comes into force on daemons in time.
+func (d *deployment) everywhere(rate float64, daemons ...*daemon) {
+	began := time.Now()
+	for _, one := range daemons {
+		for one.rate() != rate {
+			require.Less(d.t, time.Since(began), inForce, "%s has rate %v instead of %v", one.name, one.rate(), rate)
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+}
+
+// same requires that daemons hold the same configuration.
+func (d *deployment) same(daemons ...*daemon) {
+	first, ok := daemons[0].dump()
+	require.True(d.t, ok)
+	for _, one := range daemons[1:] {
+		dump, ok := one.dump()
+		require.True(d.t, ok)
+		require.Equal(d.t, first.Models, dump.Models)
+		require.Equal(d.t, first.Services, dump.Services)
+		require.Equal(d.t, names(first.Customers), names(dump.Customers), one.name)
+		require.Equal(d.t, first.Offset, dump.Offset, one.name)
+	}
+}
+
 // Guards against daemons that differ, a change that is in force late, an older
 // configuration that comes back, and two winners of a race, while a daemon is
 // held, the log is out and loses answers, and its records are truncated before
@@ -88,53 +139,21 @@
 	stop := make(chan struct{})
 	var watching sync.WaitGroup
 	for _, one := range daemons {
-		watching.Go(func() {
-			var offset uint64
-			var rate float64
-			for {
-				select {
-				case <-stop:
-					return
-				case <-time.After(10 * time.Millisecond):
-				}
-				dump, ok := one.dump()
-				if !ok || !dump.Ready {
-					continue
-				}
-				if dump.Offset < offset {
-					t.Errorf("%s went back from offset %d to %d", one.name, offset, dump.Offset)
-				}
-				// The rates of later rounds are higher.
-				now := one.rate()
-				if now < rate {
-					t.Errorf("%s went back from rate %v to %v", one.name, rate, now)
-				}
-				offset, rate = dump.Offset, now
-			}
-		})
-	}
-	everywhere := func(rate float64, among ...*daemon) {
-		began := time.Now()
-		for _, one := range among {
-			for one.rate() != rate {
-				require.Less(t, time.Since(began), inForce, "%s has rate %v instead of %v", one.name, one.rate(), rate)
-				time.Sleep(5 * time.Millisecond)
-			}
-		}
+		watching.Go(func() { d.watch(one, stop) })
 	}
 	round := 1
 	for ; round <= 4; round++ {
-		everywhere(d.race(3, round), daemons...)
+		d.everywhere(d.race(3, round), daemons...)
 	}
 	d.log.SetFaults(appender.Faults{LoseEach: 2, Delay: cowslipproxy.Duration(5 * time.Millisecond)})
 	for ; round <= 7; round++ {
-		everywhere(d.race(3, round), daemons...)
+		d.everywhere(d.race(3, round), daemons...)
 	}
 	daemons[2].logLink.hold()
 	var last float64
 	for ; round <= 9; round++ {
 		last = d.race(2, round)
-		everywhere(last, daemons[:2]...)
+		d.everywhere(last, daemons[:2]...)
 	}
 	outage := time.AfterFunc(50*time.Millisecond, func() {
 		d.log.SetFaults(appender.Faults{Down: true})
@@ -146,7 +165,7 @@
 		last = d.race(3, round)
 	}
 	time.Sleep(500 * time.Millisecond)
-	everywhere(last, daemons[:2]...)
+	d.everywhere(last, daemons[:2]...)
 	batch, err := d.log.Read(t.Context(), cowslipproxy.StreamConfig, 0, 0)
 	require.NoError(t, err)
 	d.log.Truncate(cowslipproxy.StreamConfig, batch.Next)
@@ -157,16 +176,7 @@
 	require.Equal(t, last, fresh.rate())
 	close(stop)
 	watching.Wait()
-	first, ok := daemons[0].dump()
-	require.True(t, ok)
-	for _, one := range append(daemons[1:], fresh) {
-		dump, ok := one.dump()
-		require.True(t, ok)
-		require.Equal(t, first.Models, dump.Models)
-		require.Equal(t, first.Services, dump.Services)
-		require.Equal(t, names(first.Customers), names(dump.Customers), one.name)
-		require.Equal(t, first.Offset, dump.Offset, one.name)
-	}
+	d.same(append(daemons, fresh)...)
 	d.check(append(daemons, fresh)...)
 }
 
--- a/cowslipd/router/deployment_test.go
+++ b/cowslipd/router/deployment_test.go
@@ -15,6 +15,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,8 +104,11 @@
 }
 
 func (d *deployment) engine(name string, first, end int) *emulator.Engine {
-	engine := &emulator.Engine{Model: scribe, Range: cowslipproxy.LayerRange{First: first, End: end}, Kind: "small",
-		Pace: 100 * time.Microsecond, Share: 0.05, Batch: 16, Memory: 100_000, Prefixes: 100, Lag: 50 * time.Millisecond, Link: 20 * time.Microsecond, Trace: true}
+	return d.serveEngine(name, &emulator.Engine{Model: scribe, Range: cowslipproxy.LayerRange{First: first, End: end}, Kind: "small",
+		Pace: 100 * time.Microsecond, Share: 0.05, Batch: 16, Memory: 100_000, Prefixes: 100, Lag: 50 * time.Millisecond, Link: 20 * time.Microsecond, Trace: true})
+}
+
+func (d *deployment) serveEngine(name string, engine *emulator.Engine) *emulator.Engine {
 	engine.Init()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(d.t, err)
@@ -140,11 +144,23 @@
 	return s
 }
 
+// nextPort is the port that freeAddress tries next. The ports lie below those
+// that the system gives to connections, so that none is taken between the
+// choice and the daemon's start.
+var nextPort atomic.Uint32
+
 func freeAddress(t *testing.T) netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	const first, count = 12_000, 18_000
+	nextPort.CompareAndSwap(0, uint32(os.Getpid())*64)
+	for range count {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(first+nextPort.Add(1)%count))
+		if listener, err := net.Listen("tcp", address.String()); err == nil {
+			require.NoError(t, listener.Close())
+			return address
+		}
+	}
+	require.Fail(t, "no port is free")
+	return netip.AddrPort{}
 }
 
 func (d *deployment) settings(name string) loader.Settings {
--- a/cowslipd/router/leaving_test.go
+++ b/cowslipd/router/leaving_test.go
@@ -28,47 +28,51 @@
 	for name, mark := range marks {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			d := newDeployment(t)
-			d.chains()
-			one := d.daemon("entry-1")
-			d.publish()
-			d.ready(one)
-			leaving := d.engines["a1"]
-			for _, engine := range []string{"a1", "a2"} {
-				d.engines[engine].SetFaults(emulator.Faults{Slow: 100})
-			}
-			const tokens = 200 // 30 ms each, so that the requests outlast the 3 s
-			ended := make(chan string, 8)
-			for i := range 8 {
-				go func() {
-					prompt := fmt.Sprint("kept ", i)
-					response, text := d.complete(one, officerKey, prompt, tokens)
-					if text != expected(prompt, tokens) {
-						ended <- response.String()
-						return
-					}
-					ended <- ""
-				}()
-			}
-			require.Eventually(t, func() bool { return leaving.Account().Contexts > 0 && d.engines["a2"].Account().Contexts > 0 }, waitLimit, time.Millisecond)
-			time.Sleep(100 * time.Millisecond)
-			mark(d, one)
-			time.Sleep(3 * time.Second)
-			require.Positive(t, leaving.Account().Contexts, "the work that the engine has was cut off")
-			each(10, 5, func(i int) {
-				prompt := fmt.Sprint("new ", i)
-				response, text := d.complete(one, clerkKey, prompt, 2)
-				require.Equal(t, expected(prompt, 2), text, "%v", response)
-				require.Zero(t, leaving.Ran(response.Header.Get("Cowslip-Request")), "new work on the leaving engine")
-			})
-			for range 8 {
-				require.Empty(t, <-ended)
-			}
-			d.check(one)
+			leaveEngine(t, mark)
 		})
 	}
 }
 
+func leaveEngine(t *testing.T, mark func(d *deployment, one *daemon)) {
+	d := newDeployment(t)
+	d.chains()
+	one := d.daemon("entry-1")
+	d.publish()
+	d.ready(one)
+	leaving := d.engines["a1"]
+	for _, engine := range []string{"a1", "a2"} {
+		d.engines[engine].SetFaults(emulator.Faults{Slow: 100})
+	}
+	const tokens = 200 // 30 ms each, so that the requests outlast the 3 s
+	ended := make(chan string, 8)
+	for i := range 8 {
+		go func() {
+			prompt := fmt.Sprint("kept ", i)
+			response, text := d.complete(one, officerKey, prompt, tokens)
+			if text != expected(prompt, tokens) {
+				ended <- response.String()
+				return
+			}
+			ended <- ""
+		}()
+	}
+	require.Eventually(t, func() bool { return leaving.Account().Contexts > 0 && d.engines["a2"].Account().Contexts > 0 }, waitLimit, time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	mark(d, one)
+	time.Sleep(3 * time.Second)
+	require.Positive(t, leaving.Account().Contexts, "the work that the engine has was cut off")
+	each(10, 5, func(i int) {
+		prompt := fmt.Sprint("new ", i)
+		response, text := d.complete(one, clerkKey, prompt, 2)
+		require.Equal(t, expected(prompt, 2), text, "%v", response)
+		require.Zero(t, leaving.Ran(response.Header.Get("Cowslip-Request")), "new work on the leaving engine")
+	})
+	for range 8 {
+		require.Empty(t, <-ended)
+	}
+	d.check(one)
+}
+
 // Guards against new calls to a service's server more than 3 s after it was
 // marked as leaving by the list or an operator, and against cutting off the call
 // that it has.
--- a/cowslipd/router/once_test.go
+++ b/cowslipd/router/once_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -60,8 +61,8 @@
 // Guards against a fee that is posted twice, or posted although its caller was
 // told that it was not, when each send is repeated through other daemons at the
 // same time, the service and the log lose answers, the log is slow and out,
-// a daemon is killed between claim and answer, and another one's access to the
-// log is held and resumes.
+// a daemon is killed between claim and answer, another one's access to the log is
+// held and resumes, and the third one is paused whole.
 func TestFeesOnceWhileEverythingFails(t *testing.T) {
 	t.Parallel()
 	const keys, sends = 60, 4
@@ -90,7 +91,10 @@
 		daemons[1].logLink.hold()
 		time.Sleep(100 * time.Millisecond)
 		daemons[0].kill()
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(800 * time.Millisecond)
+		_ = daemons[2].process.Signal(syscall.SIGSTOP)
+		time.Sleep(700 * time.Millisecond)
+		_ = daemons[2].process.Signal(syscall.SIGCONT)
 		d.log.SetFaults(appender.Faults{Down: true})
 		time.Sleep(time.Second)
 		daemons[1].logLink.resume()
--- a/cowslipd/router/stop_test.go
+++ b/cowslipd/router/stop_test.go
@@ -61,6 +61,41 @@
 	}, waitLimit, 10*time.Millisecond, "%s is not %s", one.name, phase)
 }
 
+func (d *deployment) awaitEnd(one *daemon) {
+	select {
+	case err := <-one.ended:
+		require.NoError(d.t, err)
+	case <-time.After(waitLimit):
+		require.Fail(d.t, one.name+" did not end")
+	}
+}
+
+// follow sends requests to the daemons that the address answers name. None may fail.
+func (d *deployment) follow(addresses *book, number int, notes *told, stop <-chan struct{}) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		one := addresses.pick(d)
+		if one == nil {
+			d.t.Error("no daemon answers for addresses")
+			return
+		}
+		if i%3 == 0 {
+			if response := d.post(one, notes, fmt.Sprintf("caller-%d-%d", number, i)); response == nil || response.outcome() != "done" {
+				d.t.Errorf("fee through %s: %v", one.name, response)
+			}
+			continue
+		}
+		prompt := fmt.Sprint("caller ", number, " letter ", i)
+		if response, text := d.complete(one, officerKey, prompt, 20); text != expected(prompt, 20) {
+			d.t.Errorf("letter through %s: %v", one.name, response)
+		}
+	}
+}
+
 // Guards against requests that are cut off or refused while all daemons are
 // replaced one after another under load, for callers that follow the answers to
 // their questions for addresses.
@@ -77,32 +112,7 @@
 	var callers sync.WaitGroup
 	notes := &told{done: map[string]string{}, seen: map[string]int{}}
 	for c := range 6 {
-		callers.Go(func() {
-			addresses := &book{known: old}
-			for i := 0; ; i++ {
-				select {
-				case <-stop:
-					return
-				case <-time.After(10 * time.Millisecond):
-				}
-				one := addresses.pick(d)
-				if one == nil {
-					t.Error("no daemon answers for addresses")
-					return
-				}
-				if i%3 == 0 {
-					if response := d.post(one, notes, fmt.Sprintf("caller-%d-%d", c, i)); response == nil || response.outcome() != "done" {
-						t.Errorf("fee through %s: %v", one.name, response)
-					}
-					continue
-				}
-				prompt := fmt.Sprint("caller ", c, " letter ", i)
-				response, text := d.complete(one, officerKey, prompt, 20)
-				if text != expected(prompt, 20) {
-					t.Errorf("letter through %s: %v", one.name, response)
-				}
-			}
-		})
+		callers.Go(func() { d.follow(&book{known: old}, c, notes, stop) })
 	}
 	var fresh []*daemon
 	for i, one := range old {
@@ -110,12 +120,7 @@
 		d.ready(next)
 		fresh = append(fresh, next)
 		one.stop()
-		select {
-		case err := <-one.ended:
-			require.NoError(t, err)
-		case <-time.After(waitLimit):
-			require.Fail(t, "the daemon did not end")
-		}
+		d.awaitEnd(one)
 		d.list.Remove(one.name)
 	}
 	time.Sleep(500 * time.Millisecond)
@@ -126,6 +131,20 @@
 	d.check(fresh...)
 }
 
+// postUntil posts fees one after another and returns their keys.
+func (d *deployment) postUntil(one *daemon, notes *told, format string, stop <-chan struct{}) []string {
+	var sent []string
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return sent
+		case <-time.After(25 * time.Millisecond):
+		}
+		sent = append(sent, fmt.Sprintf(format, i))
+		d.post(one, notes, sent[i])
+	}
+}
+
 // Guards against forwarded requests that are cut off when the listener for
 // daemons closes, and against recorded outcomes that are lost because the log
 // is slow when the daemon ends.
@@ -143,31 +162,11 @@
 	notes := &told{done: map[string]string{}, seen: map[string]int{}}
 	stop := make(chan struct{})
 	var senders sync.WaitGroup
-	var mu sync.Mutex
-	var sent []string
-	send := func(one *daemon, format string) {
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(25 * time.Millisecond):
-			}
-			key := fmt.Sprintf(format, i)
-			mu.Lock()
-			sent = append(sent, key)
-			mu.Unlock()
-			d.post(one, notes, key)
-		}
-	}
-	senders.Go(func() { send(second, "cow1."+incarnation+".forwarded-%08d") })
-	senders.Go(func() { send(first, "plain-%d") })
+	var sent [2][]string
+	senders.Go(func() { sent[0] = d.postUntil(second, notes, "cow1."+incarnation+".forwarded-%08d", stop) })
+	senders.Go(func() { sent[1] = d.postUntil(first, notes, "plain-%d", stop) })
 	first.stop()
-	select {
-	case err := <-first.ended:
-		require.NoError(t, err)
-	case <-time.After(waitLimit):
-		require.Fail(t, "the daemon did not end")
-	}
+	d.awaitEnd(first)
 	time.Sleep(200 * time.Millisecond)
 	close(stop)
 	senders.Wait()
@@ -177,7 +176,7 @@
 		effects[effect.Body] = true
 	}
 	require.Greater(t, len(notes.done), 100)
-	for _, key := range sent {
+	for _, key := range append(sent[0], sent[1]...) {
 		if _, done := notes.done[key]; !done {
 			require.False(t, effects[fmt.Sprintf(`{"fee":%q}`, key)], "%s ran and was cut off", key)
 		}
@@ -223,10 +222,5 @@
 	require.NotEmpty(t, response.Header.Get("Retry-After"))
 	require.Equal(t, "done", (<-kept).outcome())
 	d.check()
-	select {
-	case err := <-one.ended:
-		require.NoError(t, err)
-	case <-time.After(waitLimit):
-		require.Fail(t, "the daemon did not end")
-	}
+	d.awaitEnd(one)
 }
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -103,6 +103,19 @@
 	return g.relieve(now)
 }
 
+// SetLeaving says whether an upstream gets no new work for another reason. It
+// returns the peers that have to return because fewer are left to serve.
+func (e *Ejector) SetLeaving(name string, leaving bool, now time.Time) []Change {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.peers[name]
+	if p == nil || p.leaving == leaving {
+		return nil
+	}
+	p.leaving = leaving
+	return p.group.relieve(now)
+}
+
 // Usable reports whether an upstream may get a request: it is not ejected, or
 // its probe is due. An unknown upstream is usable.
 func (e *Ejector) Usable(name string, now time.Time) bool {
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -202,3 +202,23 @@
 	}
 	require.InDelta(t, 447*time.Millisecond, e.Timeout(name, cowslipproxy.StepDecode, 0), float64(60*time.Millisecond))
 }
+
+// Guards against ejecting the last upstream that may get work, because others
+// that are leaving count as holders that could take its place.
+func TestLeavingPeersDontStandIn(t *testing.T) {
+	e := &ejector.Ejector{}
+	names := group(e, 2)
+	fail := func(name string) (changes []ejector.Change) {
+		for range 3 {
+			changes = append(changes, e.Failure(name, start)...)
+		}
+		return changes
+	}
+	require.Empty(t, e.SetLeaving(names[0], true, start))
+	require.Empty(t, fail(names[1]))
+	require.True(t, e.Usable(names[1], start))
+	require.Empty(t, e.SetLeaving(names[0], false, start))
+	require.Len(t, fail(names[1]), 1)
+	require.Equal(t, []ejector.Change{{Name: names[1]}}, e.SetLeaving(names[0], true, start))
+	require.True(t, e.Usable(names[1], start))
+}
--- a/ejector/group.go
+++ b/ejector/group.go
@@ -42,10 +42,10 @@
 	p.group = nil
 }
 
-// counts returns the peers with a live connection, and how many of these are ejected.
+// counts returns the peers with a live connection that may get work, and how many of these are ejected.
 func (g *group) counts() (alive, ejected int) {
 	for _, p := range g.peers {
-		if p.down {
+		if p.down || p.leaving {
 			continue
 		}
 		alive++
@@ -66,7 +66,7 @@
 
 // serves reports whether any peer is in service.
 func (g *group) serves() bool {
-	return slices.ContainsFunc(g.peers, func(p *peer) bool { return !p.ejected })
+	return slices.ContainsFunc(g.peers, func(p *peer) bool { return !p.ejected && !p.leaving })
 }
 
 // relieve restores ejected peers with a live connection as long as they are
@@ -89,7 +89,7 @@
 func (g *group) nextProbe() *peer {
 	var next *peer
 	for _, p := range g.peers {
-		if p.ejected && !p.down && (next == nil || p.until.Before(next.until)) {
+		if p.ejected && !p.down && !p.leaving && (next == nil || p.until.Before(next.until)) {
 			next = p
 		}
 	}
--- a/ejector/peer.go
+++ b/ejector/peer.go
@@ -14,6 +14,7 @@
 	failed   int // consecutive failures
 	ejected  bool
 	down     bool // the connection broke and doesn't stand again
+	leaving  bool // gets no new work, so it can't stand in for its peers
 	cause    Cause
 	since    time.Time     // when it left service
 	length   time.Duration // of the ejection from service
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -134,6 +134,7 @@
 	for _, vm := range known {
 		p.connect(vm, now)
 		p.chooser.SetLeaving(vm.Name, !usable[vm.Name])
+		p.changes(ctx, p.ejector.SetLeaving(vm.Name, !usable[vm.Name], now))
 	}
 	for _, name := range forgotten {
 		p.disconnect(ctx, name, now)
--- a/standin/emulator/engine.go
+++ b/standin/emulator/engine.go
@@ -48,16 +48,17 @@
 
 // Faults are the ways in which an engine misbehaves.
 type Faults struct {
-	Slow    float64 `json:"slow" validate:"gte=0,lte=1000"` // factor on all compute times; 0 is none
-	Stall   bool    `json:"stall"`                          // answers nothing
-	Double  bool    `json:"double"`                         // sends each reply twice
-	Cross   bool    `json:"cross"`                          // sends each reply under another request's id first
-	Wrong   bool    `json:"wrong"`                          // answers with a fault in the middle of an answer
-	Link    float64 `json:"link" validate:"gte=0,lte=1000"` // factor on the link time; 0 is none
-	Crash   string  `json:"crash" validate:"max=256"`       // crashes when a prompt contains this text
-	After   int     `json:"after" validate:"gte=0,lte=1e9"` // crashes in the middle of this many-th step from now; 0 is never
-	Leaving bool    `json:"leaving"`                        // reports that it leaves
-	Forget  bool    `json:"forget"`                         // drops the contexts that it holds now
+	Slow    float64               `json:"slow" validate:"gte=0,lte=1000"` // factor on all compute times; 0 is none
+	Stall   bool                  `json:"stall"`                          // answers nothing
+	Double  bool                  `json:"double"`                         // sends each reply twice
+	Late    cowslipproxy.Duration `json:"late" validate:"gte=0"`          // sends each reply again after this time; 0 is never
+	Cross   bool                  `json:"cross"`                          // sends each reply under another request's id first
+	Wrong   bool                  `json:"wrong"`                          // answers with a fault in the middle of an answer
+	Link    float64               `json:"link" validate:"gte=0,lte=1000"` // factor on the link time; 0 is none
+	Crash   string                `json:"crash" validate:"max=256"`       // crashes when a prompt contains this text
+	After   int                   `json:"after" validate:"gte=0,lte=1e9"` // crashes in the middle of this many-th step from now; 0 is never
+	Leaving bool                  `json:"leaving"`                        // reports that it leaves
+	Forget  bool                  `json:"forget"`                         // drops the contexts that it holds now
 }
 
 // SetFaults replaces the engine's faults.
--- a/standin/emulator/serve.go
+++ b/standin/emulator/serve.go
@@ -53,6 +53,7 @@
 		at    time.Time
 	}
 	line := make(chan delayed, 1024)
+	again := make(chan cowslipproxy.Reply, 1024)
 	go func() {
 		defer close(line)
 		for {
@@ -61,6 +62,9 @@
 				return
 			case reply := <-replies:
 				line <- delayed{reply: reply, at: time.Now().Add(2 * e.linkTime())}
+				e.repeat(reply, again)
+			case reply := <-again:
+				line <- delayed{reply: reply, at: time.Now()}
 			}
 		}
 	}()
@@ -74,6 +78,22 @@
 	}
 }
 
+// repeat sends a reply again later, if the engine's faults say so.
+func (e *Engine) repeat(reply cowslipproxy.Reply, again chan<- cowslipproxy.Reply) {
+	e.mu.Lock()
+	late := time.Duration(e.faults.Late)
+	e.mu.Unlock()
+	if late == 0 {
+		return
+	}
+	time.AfterFunc(late, func() {
+		select {
+		case again <- reply:
+		default: // the stream has ended or is overloaded
+		}
+	})
+}
+
 func (e *Engine) linkTime() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
