--- a/cowslipd/router/layers_test.go
+++ b/cowslipd/router/layers_test.go
@@ -8,8 +8,10 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/standin/emulator"
 	"github.com/cowslipproxy/cowslipproxy/standin/registrar"
 )
@@ -118,6 +120,7 @@
 	close(stop)
 	<-ended
 	require.Positive(t, lost.Load())
+	require.Zero(t, metrics.GetOrRegisterCounter(reporter.MetricStagesReplaced, one.metrics).Count(), "an engine that works was replaced")
 	d.check(one)
 }
 
--- a/cowslipd/router/once_test.go
+++ b/cowslipd/router/once_test.go
@@ -58,6 +58,20 @@
 	}
 }
 
+// breakLedgers makes the next calls to the ledgers fail in all ways.
+func (d *deployment) breakLedgers() {
+	for i, ledger := range d.ledgers {
+		ledger.Set(server.Control{Faults: []server.Fault{
+			{Kind: server.FaultLost, Path: "/fees", Count: 3 + i},
+			{Kind: server.FaultDelay, Path: "/fees", Wait: 30 * time.Millisecond, Count: 10},
+			{Kind: server.FaultHalf, Path: "/fees", Count: 3},
+			{Kind: server.FaultRefuse, Path: "/fees", Count: 3},
+			{Kind: server.FaultCut, Path: "/fees", Count: 3},
+			{Kind: server.FaultDelay, Path: "/fees", Wait: 20 * time.Millisecond},
+		}})
+	}
+}
+
 // Guards against a fee that is posted twice, or posted although its caller was
 // told that it was not, when each send is repeated through other daemons at the
 // same time, the service and the log lose answers, the log is slow and out,
@@ -74,16 +88,7 @@
 	daemons := []*daemon{d.process("entry-1"), d.process("entry-2"), d.process("entry-3")}
 	d.ready(daemons...)
 	incarnations := d.incarnations(daemons[0], 3)
-	for i, ledger := range d.ledgers {
-		ledger.Set(server.Control{Faults: []server.Fault{
-			{Kind: server.FaultLost, Path: "/fees", Count: 3 + i},
-			{Kind: server.FaultDelay, Path: "/fees", Wait: 30 * time.Millisecond, Count: 10},
-			{Kind: server.FaultHalf, Path: "/fees", Count: 3},
-			{Kind: server.FaultRefuse, Path: "/fees", Count: 3},
-			{Kind: server.FaultCut, Path: "/fees", Count: 3},
-			{Kind: server.FaultDelay, Path: "/fees", Wait: 20 * time.Millisecond},
-		}})
-	}
+	d.breakLedgers()
 	d.log.SetFaults(appender.Faults{LoseEach: 3, Delay: cowslipproxy.Duration(5 * time.Millisecond)})
 	var faults sync.WaitGroup
 	faults.Go(func() {
