--- a/cowslipd/router/deployment_test.go
+++ b/cowslipd/router/deployment_test.go
@@ -104,9 +104,12 @@
 }
 
 func (d *deployment) engine(name string, first, end int) *emulator.Engine {
-	engine := &emulator.Engine{Model: scribe, Range: cowslipproxy.LayerRange{First: first, End: end}, Kind: "small",
+	return d.serveEngine(name, &emulator.Engine{Model: scribe, Range: cowslipproxy.LayerRange{First: first, End: end}, Kind: "small",
 		Pace: 100 * time.Microsecond, Share: 0.05, Batch: 16, Memory: 100_000, Prefixes: 100, Lag: 50 * time.Millisecond,
-		Room: 3, Fenced: len(d.engines)%2 == 0, Link: 20 * time.Microsecond, Trace: true}
+		Room: 3, Fenced: len(d.engines)%2 == 0, Link: 20 * time.Microsecond, Trace: true})
+}
+
+func (d *deployment) serveEngine(name string, engine *emulator.Engine) *emulator.Engine {
 	engine.Init()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(d.t, err)
@@ -142,17 +145,17 @@
 	return s
 }
 
-// lastPort is below the ports that the system gives to outgoing connections,
-// which could take a port between its choice and its use.
-var lastPort atomic.Uint32
+// nextPort is the port that freeAddress tries next. The ports lie below those
+// that the system gives to connections, so that none is taken between the
+// choice and the daemon's start.
+var nextPort atomic.Uint32
 
 func freeAddress(t *testing.T) netip.AddrPort {
-	const first, count = 10_000, 20_000
+	const first, count = 12_000, 18_000
+	nextPort.CompareAndSwap(0, uint32(os.Getpid())*64)
 	for range count {
-		port := first + (uint32(os.Getpid())*97+lastPort.Add(1))%count
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
-		listener, err := net.Listen("tcp", address.String())
-		if err == nil {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(first+nextPort.Add(1)%count))
+		if listener, err := net.Listen("tcp", address.String()); err == nil {
 			require.NoError(t, listener.Close())
 			return address
 		}
@@ -181,7 +184,9 @@
 	ctx, one.stop = context.WithCancel(context.Background())
 	go func() { one.ended <- one.router.Run(ctx) }()
 	d.t.Cleanup(one.stop)
+	d.mu.Lock()
 	d.daemons = append(d.daemons, one)
+	d.mu.Unlock()
 	return one
 }
 
--- a/cowslipd/router/once_test.go
+++ b/cowslipd/router/once_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -57,11 +58,25 @@
 	}
 }
 
+// breakLedgers makes the next calls to the ledgers fail in all ways.
+func (d *deployment) breakLedgers() {
+	for i, ledger := range d.ledgers {
+		ledger.Set(server.Control{Faults: []server.Fault{
+			{Kind: server.FaultLost, Path: "/fees", Count: 3 + i},
+			{Kind: server.FaultDelay, Path: "/fees", Wait: 30 * time.Millisecond, Count: 10},
+			{Kind: server.FaultHalf, Path: "/fees", Count: 3},
+			{Kind: server.FaultRefuse, Path: "/fees", Count: 3},
+			{Kind: server.FaultCut, Path: "/fees", Count: 3},
+			{Kind: server.FaultDelay, Path: "/fees", Wait: 20 * time.Millisecond},
+		}})
+	}
+}
+
 // Guards against a fee that is posted twice, or posted although its caller was
 // told that it was not, when each send is repeated through other daemons at the
 // same time, the service and the log lose answers, the log is slow and out,
-// a daemon is killed between claim and answer, and another one's access to the
-// log is held and resumes.
+// a daemon is killed between claim and answer, another one's access to the log is
+// held and resumes, and the third one is paused whole.
 func TestFeesOnceWhileEverythingFails(t *testing.T) {
 	t.Parallel()
 	const keys, sends = 60, 4
@@ -73,16 +88,7 @@
 	daemons := []*daemon{d.process("entry-1"), d.process("entry-2"), d.process("entry-3")}
 	d.ready(daemons...)
 	incarnations := d.incarnations(daemons[0], 3)
-	for i, ledger := range d.ledgers {
-		ledger.Set(server.Control{Faults: []server.Fault{
-			{Kind: server.FaultLost, Path: "/fees", Count: 3 + i},
-			{Kind: server.FaultDelay, Path: "/fees", Wait: 30 * time.Millisecond, Count: 10},
-			{Kind: server.FaultHalf, Path: "/fees", Count: 3},
-			{Kind: server.FaultRefuse, Path: "/fees", Count: 3},
-			{Kind: server.FaultCut, Path: "/fees", Count: 3},
-			{Kind: server.FaultDelay, Path: "/fees", Wait: 20 * time.Millisecond},
-		}})
-	}
+	d.breakLedgers()
 	d.log.SetFaults(appender.Faults{LoseEach: 3, Delay: cowslipproxy.Duration(5 * time.Millisecond)})
 	var faults sync.WaitGroup
 	faults.Go(func() {
@@ -90,7 +96,10 @@
 		daemons[1].logLink.hold()
 		time.Sleep(100 * time.Millisecond)
 		daemons[0].kill()
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(800 * time.Millisecond)
+		_ = daemons[2].process.Signal(syscall.SIGSTOP)
+		time.Sleep(700 * time.Millisecond)
+		_ = daemons[2].process.Signal(syscall.SIGCONT)
 		d.log.SetFaults(appender.Faults{Down: true})
 		time.Sleep(time.Second)
 		daemons[1].logLink.resume()
