--- a/loader/settings.go
+++ b/loader/settings.go
@@ -70,7 +70,7 @@
 	file := flags.String("settings", "", "YAML `file` with the settings")
 	given := map[string]*string{}
 	for _, field := range Fields() {
-		given[field.Name] = flags.String(field.Name, "", field.Meaning)
+		given[field.Name] = flags.String(field.Name, "", field.usage())
 	}
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("COWSLIPD")); err != nil {
 		return settings, errors.WithStack(err)
@@ -94,6 +94,14 @@
 	return settings, decoder.Check(settings)
 }
 
+// usage describes the field in the help text.
+func (f Field) usage() string {
+	if f.Usual == "" {
+		return f.Meaning
+	}
+	return f.Meaning + "; " + f.Accepted() + "; " + f.Usual + " when not given"
+}
+
 func readFile(name string, settings *Settings) error {
 	var data []byte
 	var err error
