router: explain requests for adapters

A question for model:adapter was answered with an unknown model. Messages of failed model requests began with their outcome and reason, which the error body names anyway.

--- a/cowslipctl/explain.go
+++ b/cowslipctl/explain.go
@@ -41,7 +41,7 @@
 	asJSON := flags.Bool("json", false, "print JSON")
 	var question operator.Question
 	flags.StringVar(&question.Customer, "customer", "", "name of the customer (required)")
-	flags.StringVar(&question.Model, "model", "", "name of the model; this or --service is required")
+	flags.StringVar(&question.Model, "model", "", "name of the model, or model:adapter; this or --service is required")
 	flags.StringVar(&question.Service, "service", "", "name of the plain service")
 	flags.StringVar(&question.Method, "method", http.MethodGet, "method of a call to a service")
 	flags.StringVar(&question.Path, "path", "/", "path of a call to a service")
--- a/cowslipd/router/metrics_test.go
+++ b/cowslipd/router/metrics_test.go
@@ -1,8 +1,10 @@
 package router_test
 
 import (
+	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 
 	dto "github.com/prometheus/client_model/go"
@@ -73,3 +75,25 @@
 	}
 	return 0
 }
+
+// Guards against an explanation for another adapter than the request names.
+func TestExplainsAdapters(t *testing.T) {
+	d := newDeployment(t)
+	d.chains()
+	one := d.daemon("entry-1")
+	d.publish()
+	d.ready(one)
+	ask := func(model string) (int, string) {
+		response, err := http.Post("http://"+one.at.Operator.String()+"/v1/explain", "application/json", strings.NewReader(`{"customer":"clerks","model":"`+model+`"}`))
+		require.NoError(t, err)
+		defer response.Body.Close()
+		data, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return response.StatusCode, string(data)
+	}
+	status, text := ask("scribe:letters")
+	require.Equal(t, http.StatusOK, status, text)
+	require.Contains(t, text, `"adapter": "letters"`)
+	status, text = ask("scribe:none")
+	require.Equal(t, http.StatusNotFound, status, text)
+}
--- a/cowslipd/router/operators.go
+++ b/cowslipd/router/operators.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"runtime"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -148,15 +149,16 @@
 }
 
 func (r *Router) explainModel(explanation Explanation, settled cowslipproxy.Settled, question operator.Question) (Explanation, error) {
-	model, ok := settled.Model(question.Model)
-	if !ok {
-		return explanation, errors.Errorf("model: found %q, accepted are the declared models", question.Model)
+	name, adapter, _ := strings.Cut(question.Model, ":")
+	model, ok := settled.Model(name)
+	if !ok || adapter != "" && !model.HasAdapter(adapter) {
+		return explanation, errors.Errorf("model: found %q, accepted are the declared models and adapters", question.Model)
 	}
 	const bytesPerToken = 4
 	explanation.Effect = model.Effect
 	explanation.Tokens = len(question.Prompt)/bytesPerToken + question.Max
 	chain := r.pool.Explain(r.Clock(), cowslipproxy.Need{
-		Model: model.Name, Version: model.Version,
+		Model: model.Name, Version: model.Version, Adapter: adapter,
 		Range:    cowslipproxy.LayerRange{First: 0, End: model.Layers},
 		Prefixes: cowslipproxy.PrefixHashes(model.Name, question.Prompt),
 		Tokens:   len(question.Prompt)/bytesPerToken + 1,
--- a/driver/run.go
+++ b/driver/run.go
@@ -250,7 +250,7 @@
 
 // failure tells the caller how much is known of a job that failed.
 func (r *run) failure(ctx context.Context, err error) *cowslipproxy.Failure {
-	reason, retry := cowslipproxy.ReasonUpstreamFailed, time.Second
+	reason, retry, message := cowslipproxy.ReasonUpstreamFailed, time.Second, err.Error()
 	var known *cowslipproxy.Failure
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -258,11 +258,11 @@
 	case ctx.Err() != nil:
 		reason, retry = cowslipproxy.ReasonCancelled, 0
 	case errors.As(err, &known):
-		reason, retry = known.Reason, known.RetryAfter
+		reason, retry, message = known.Reason, known.RetryAfter, known.Message
 	}
 	outcome := cowslipproxy.OutcomeRefused
 	if r.dispatched {
 		outcome = cowslipproxy.OutcomeUnknown
 	}
-	return &cowslipproxy.Failure{Outcome: outcome, Reason: reason, Message: err.Error(), RetryAfter: retry}
+	return &cowslipproxy.Failure{Outcome: outcome, Reason: reason, Message: message, RetryAfter: retry}
 }
