--- a/cowslipd/router/metrics_test.go
+++ b/cowslipd/router/metrics_test.go
@@ -1,8 +1,10 @@
 package router_test
 
 import (
+	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 
 	dto "github.com/prometheus/client_model/go"
@@ -61,20 +63,37 @@
 
 // value returns the value of the metric with these label values, in alphabetical order, or the count of a summary, or 0 when it is missing.
 func value(families map[string]*dto.MetricFamily, name string, labels []string) float64 {
-	family := families[reporter.TextName(name)]
-	if family == nil {
-		return 0
-	}
-	for _, metric := range family.Metric {
+	for _, metric := range families[reporter.TextName(name)].GetMetric() {
 		var values []string
 		for _, label := range metric.Label {
 			values = append(values, label.GetValue())
 		}
 		slices.Sort(values)
-		if len(labels) > 0 && !slices.Equal(values, labels) {
-			continue
+		if len(labels) == 0 || slices.Equal(values, labels) {
+			return metric.GetCounter().GetValue() + metric.GetGauge().GetValue() + float64(metric.GetSummary().GetSampleCount())
 		}
-		return metric.GetCounter().GetValue() + metric.GetGauge().GetValue() + float64(metric.GetSummary().GetSampleCount())
 	}
 	return 0
 }
+
+// Guards against an explanation for another adapter than the request names.
+func TestExplainsAdapters(t *testing.T) {
+	d := newDeployment(t)
+	d.chains()
+	one := d.daemon("entry-1")
+	d.publish()
+	d.ready(one)
+	ask := func(model string) (int, string) {
+		response, err := http.Post("http://"+one.at.Operator.String()+"/v1/explain", "application/json", strings.NewReader(`{"customer":"clerks","model":"`+model+`"}`))
+		require.NoError(t, err)
+		defer response.Body.Close()
+		data, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return response.StatusCode, string(data)
+	}
+	status, text := ask("scribe:letters")
+	require.Equal(t, http.StatusOK, status, text)
+	require.Contains(t, text, `"adapter": "letters"`)
+	status, text = ask("scribe:none")
+	require.Equal(t, http.StatusNotFound, status, text)
+}
