caller: finish non-idempotent requests whose caller went away

A resend got unknown though its first send's end could be known: the call was cancelled with its caller. It now runs to its end or its deadline and is recorded whole. Callers get bounded time to send and to read.

--- a/advertiser/advertiser.go
+++ b/advertiser/advertiser.go
@@ -36,7 +36,7 @@
 			far = append(far, member)
 		}
 	}
-	answer := cowslipproxy.Addresses{Lifetime: cowslipproxy.Duration(a.lifetime())}
+	answer := cowslipproxy.Addresses{Addresses: []cowslipproxy.Address{}, Lifetime: cowslipproxy.Duration(a.lifetime())}
 	for _, member := range append(a.rotate(near), a.rotate(far)...) {
 		if len(answer.Addresses) == maxAddresses {
 			break
--- a/caller/complete.go
+++ b/caller/complete.go
@@ -60,6 +60,7 @@
 		c.run(w)
 		return
 	}
+	defer c.detach()()
 	s.Guard.Once(w, r, e.send(), c.run)
 }
 
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -30,7 +31,10 @@
 	began    time.Time
 }
 
-const maxDeadline = time.Hour
+const (
+	maxDeadline = time.Hour
+	sendTime    = 10 * time.Second // for the end of an answer that was ready at the deadline
+)
 
 func (s *Server) newID() string {
 	return s.Incarnation + "-" + strconv.FormatUint(s.sequence.Add(1), 36)
@@ -58,6 +62,15 @@
 	return e, e.readDeadline()
 }
 
+// limitTime bounds how long the caller may take to send the request and to read
+// the answer.
+func (e *exchange) limitTime(limit time.Duration) {
+	controller := http.NewResponseController(e.w)
+	until := time.Now().Add(limit)
+	_ = controller.SetReadDeadline(until)  // a forwarded request has no connection of its own
+	_ = controller.SetWriteDeadline(until) // as above
+}
+
 func bearerHash(r *http.Request) string {
 	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
 	sum := sha256.Sum256([]byte(key))
@@ -73,9 +86,19 @@
 		}
 	}
 	e.deadline = e.server.Clock().Add(wait)
+	e.limitTime(wait + sendTime)
 	return nil
 }
 
+// detach lets the request run to its end or its deadline even if the caller goes
+// away: once a non-idempotent request was sent on, only its end tells what a
+// resend has to get. It returns a function that frees the context.
+func (e *exchange) detach() context.CancelFunc {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(e.r.Context()), e.deadline)
+	e.r = e.r.WithContext(ctx)
+	return cancel
+}
+
 // readBody reads the whole body.
 func (e *exchange) readBody() error {
 	var err error
--- a/caller/server.go
+++ b/caller/server.go
@@ -109,6 +109,7 @@
 func (s *Server) count(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.inflight.Add(1)
+		(&exchange{w: w}).limitTime(maxDeadline) // replaces the limit of the request before on this connection
 		defer s.inflight.Add(-1)
 		whole, began := false, s.Clock()
 		defer func() { s.ended(w.Header(), whole, s.Clock().Sub(began)) }()
--- a/caller/service.go
+++ b/caller/service.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/gorilla/mux"
 
@@ -32,6 +33,7 @@
 		e.fail(err)
 		return
 	}
+	defer e.detach()()
 	s.Guard.Once(w, r, e.send(), func(w http.ResponseWriter) {
 		e.pass(w, service, path, bytes.NewReader(e.body), int64(len(e.body)))
 	})
@@ -83,7 +85,9 @@
 func (e *exchange) copyAnswer(answer *http.Response) {
 	header := e.w.Header()
 	for name, values := range answer.Header {
-		header[name] = values
+		if !strings.HasPrefix(name, "Cowslip-") { // these speak of this system alone
+			header[name] = values
+		}
 	}
 	header.Set(HeaderOutcome, string(cowslipproxy.OutcomeDone))
 	e.w.WriteHeader(answer.StatusCode)
--- a/caller/service_test.go
+++ b/caller/service_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipproxy/cowslipproxy"
@@ -53,7 +54,7 @@
 	server := &caller.Server{
 		Settled:  func() (cowslipproxy.Settled, bool) { return settled, true },
 		Admitter: upstream{}, Services: upstream{}, Guard: guard,
-		BodyLimit: 1 << 10, Wait: time.Minute,
+		BodyLimit: 1 << 10, Wait: time.Minute, Metrics: metrics.NewRegistry(),
 		Clock: func() time.Time { return time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC) },
 	}
 	request := httptest.NewRequest(http.MethodPost, "/v1/services/ledger/fees", strings.NewReader("{}"))
--- a/cowslipd/router/guard.go
+++ b/cowslipd/router/guard.go
@@ -158,7 +158,14 @@
 	}
 	room := claimer.MaxBody + 1 - len(r.body)
 	r.body = append(r.body, data[:min(len(data), room)]...)
-	return r.ResponseWriter.Write(data)
+	_, _ = r.ResponseWriter.Write(data) // the answer is recorded whole even if the caller went away
+	return len(data), nil
+}
+
+// FlushError lets http.ResponseController flush what was written so far.
+func (r *recorder) FlushError() error {
+	_ = http.NewResponseController(r.ResponseWriter).Flush() // as in Write
+	return nil
 }
 
 func (r *recorder) answer() claimer.Answer {
--- a/cowslipd/router/operators.go
+++ b/cowslipd/router/operators.go
@@ -43,6 +43,7 @@
 
 func (r *Router) health() operator.Health {
 	settled, ready := r.follower.Current()
+	ready = ready && len(settled.Customers) > 0 // as the callers' listener decides
 	r.stopMu.Lock()
 	defer r.stopMu.Unlock()
 	return operator.Health{Name: r.owner.Key(), Ready: ready, Phase: string(r.stopper.Phase()), Offset: settled.Offset}
--- a/loader/fields.go
+++ b/loader/fields.go
@@ -28,7 +28,7 @@
 	{"retain", "24h0m0s", "time that the log keeps records", duration(func(s *Settings) *cowslipproxy.Duration { return &s.Retain })},
 	{"streams", "4", "number of log streams for claims; equal on all daemons", number(func(s *Settings, n int64) { s.Streams = int(n) })},
 	{"sockets", "10000", "most connections of callers at a time", number(func(s *Settings, n int64) { s.Sockets = int(n) })},
-	{"queue", "10000", "most requests of each class and model that wait for admission", number(func(s *Settings, n int64) { s.Queue = int(n) })},
+	{"queue", "256", "most requests of each class and model that wait for admission", number(func(s *Settings, n int64) { s.Queue = int(n) })},
 	{"floor", "0.1", "part of the capacity that is kept for the classes below critical", fraction(func(s *Settings) *float64 { return &s.Floor })},
 	{"level", "info", "lowest level of log events: debug, info, warn or error", text(func(s *Settings) *string { return &s.Level })},
 }
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -57,7 +57,7 @@
 		Retain:   cowslipproxy.Duration(24 * time.Hour),
 		Streams:  4,
 		Sockets:  10_000,
-		Queue:    10_000,
+		Queue:    256,
 		Floor:    0.1,
 		Level:    "info",
 	}
