router: ask a finishing daemon before its last requests have ended

On a busy machine the waiting requests outlasted the fee that kept the daemon up, so that it had ended when the test asked it. The checks are the same.

--- a/cowslipd/router/stop_test.go
+++ b/cowslipd/router/stop_test.go
@@ -214,12 +214,12 @@
 	kept := make(chan *reply, 1)
 	go func() { kept <- d.post(one, notes, "kept") }()
 	d.awaitPhase(one, "finishing")
-	<-waiting
 	response, _ := d.complete(one, officerKey, "too late", 3)
 	require.NotNil(t, response)
 	require.Equal(t, []string{"refused", "stopping"}, []string{response.outcome(), response.reason()})
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	<-waiting
 	require.Equal(t, "done", (<-kept).outcome())
 	d.check()
 	d.awaitEnd(one)
