standin: measure the slopes of control traffic and of the data path

Router gets a Dial field, through which all connections that it opens to the log, the list and other daemons can be counted; the daemon's connections to the log and the list have a transport of their own, with room for all streams that it follows.

--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -52,6 +52,7 @@
 	Clock    func() time.Time
 	Logger   *slog.Logger
 	Metrics  metrics.Registry
+	Dial     func(ctx context.Context, address string) (net.Conn, error) // to the log, the list and other daemons; nil means TCP
 
 	owner     cowslipproxy.Owner
 	checker   *checker.Checker
@@ -164,14 +165,15 @@
 	s := r.Settings
 	r.owner = cowslipproxy.Owner{Name: s.Name, Incarnation: uint64(r.started.UnixNano())}
 	r.checker = &checker.Checker{Metrics: r.Metrics, Logger: r.Logger}
-	log := &follower.Client{Address: s.Log}
+	transport := r.transport()
+	log := &follower.Client{Address: s.Log, Transport: transport}
 	r.pool = &pooler.Pool{
 		Name: s.Name, Centre: s.Centre, Checker: r.checker,
 		Clock: r.Clock, Logger: r.Logger, Metrics: r.Metrics,
 	}
 	r.pool.Prepare()
 	r.follower = &follower.Follower{Log: log, Name: s.Name, Retention: time.Duration(s.Retain), Peers: r.peerSnapshots, OnChange: r.configured, Logger: r.Logger}
-	r.lister = &lister.Lister{URL: "http://" + s.List.String(), Changed: r.listed, Logger: r.Logger}
+	r.lister = &lister.Lister{URL: "http://" + s.List.String(), Client: &http.Client{Transport: transport}, Changed: r.listed, Logger: r.Logger}
 	r.claimer = &claimer.Claimer{Incarnation: r.owner.Key(), Partitions: s.Streams, Retention: time.Duration(s.Retain)}
 	r.committer = &committer.Committer{Log: log, Claimer: r.claimer, Logger: r.Logger}
 	r.limits = &limiter.Limits{Self: r.owner.Key()}
@@ -194,6 +196,7 @@
 		Self:     r.owner,
 		Hello:    cowslipproxy.Hello{Caller: s.Callers, Peer: s.Peers, Centre: s.Centre},
 		Listener: peers,
+		Dial:     r.Dial,
 		MaxBytes: s.Body,
 		Snapshot: r.snapshot,
 		Suspects: r.takeSuspects,
@@ -207,6 +210,17 @@
 	r.advertiser = advertiser.Advertiser{Centre: s.Centre, Lifetime: time.Duration(s.Lifetime), Random: rand.New(rand.NewPCG(r.owner.Incarnation, 1))}
 }
 
+// transport returns the transport to the log and the list. It has room for the
+// idle connections of all streams that the daemon follows, which would else be
+// opened again for each read.
+func (r *Router) transport() *http.Transport {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2*r.Settings.Streams + 2, IdleConnTimeout: idleTimeout}
+	if r.Dial != nil {
+		transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return r.Dial(ctx, address) }
+	}
+	return transport
+}
+
 func (r *Router) buildCallers(track *tracker) {
 	r.caller = &caller.Server{
 		Settled:  r.follower.Current,
--- a/standin/main.go
+++ b/standin/main.go
@@ -21,6 +21,7 @@
 		listCommand(),
 		logCommand(),
 		serviceCommand(),
+		slopesCommand(),
 	}
 }
 
--- /dev/null
+++ b/standin/slopes.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+)
+
+// slopesFlags are the flags of the slopes subcommand.
+type slopesFlags struct {
+	json bool
+	only string
+}
+
+// table is one part of the measurement. All cells are figures of one run.
+type table struct {
+	Name    string     `json:"name"`
+	Note    string     `json:"note"` // what the figures include
+	Columns []string   `json:"columns"`
+	Rows    [][]string `json:"rows"`
+}
+
+func (t *table) add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, cell := range cells {
+		switch value := cell.(type) {
+		case float64:
+			row[i] = fmt.Sprintf("%.4g", value)
+		default:
+			row[i] = fmt.Sprint(value)
+		}
+	}
+	t.Rows = append(t.Rows, row)
+}
+
+func (t *table) markdown(w io.Writer) {
+	fmt.Fprintf(w, "### %s\n\n%s\n\n| %s |\n|%s\n", t.Name, t.Note, strings.Join(t.Columns, " | "), strings.Repeat("---|", len(t.Columns)))
+	for _, row := range t.Rows {
+		fmt.Fprintf(w, "| %s |\n", strings.Join(row, " | "))
+	}
+	fmt.Fprintln(w)
+}
+
+// parts are the measurements in the order in which they run.
+var parts = []struct {
+	name    string
+	measure func(ctx context.Context) (*table, error)
+}{
+	{"daemons", measureDaemons},
+	{"changes", measureChanges},
+	{"list", measureList},
+	{"connections", measureConnections},
+	{"upstreams", measureUpstreams},
+	{"customers", measureCustomers},
+	{"members", measureMembers},
+	{"claims", measureClaims},
+	{"data", measureData},
+}
+
+func slopesCommand() *ffcli.Command {
+	var f slopesFlags
+	flags := flag.NewFlagSet("standin slopes", flag.ContinueOnError)
+	flags.BoolVar(&f.json, "json", false, "write JSON")
+	flags.StringVar(&f.only, "only", "", "parts to measure, separated by commas; all if empty")
+	return &ffcli.Command{
+		Name:       "slopes",
+		ShortUsage: "standin slopes [flags]",
+		ShortHelp:  "Measures how the cost of a daemon grows; takes about three minutes.",
+		LongHelp:   "Runs entry daemons in this process on loopback, against stand-ins that run in it too.\nSee docs/CAPACITY.md.",
+		FlagSet:    flags,
+		Exec:       func(ctx context.Context, _ []string) error { return f.run(ctx, os.Stdout) },
+	}
+}
+
+func (f *slopesFlags) run(ctx context.Context, w io.Writer) error {
+	var tables []*table
+	for _, part := range parts {
+		if f.only != "" && !strings.Contains(","+f.only+",", ","+part.name+",") {
+			continue
+		}
+		fmt.Fprintln(os.Stderr, "measuring", part.name)
+		measured, err := part.measure(ctx)
+		if err != nil {
+			return errors.Wrap(err, part.name)
+		}
+		tables = append(tables, measured)
+		if !f.json {
+			measured.markdown(w)
+		}
+	}
+	if !f.json {
+		return nil
+	}
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return errors.WithStack(encoder.Encode(tables))
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// memory returns the heap and stacks in use after a collection.
+func memory() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
+
+// timed returns the mean time of a call that is repeated for about 300 ms.
+func timed(call func()) time.Duration {
+	const span = 300 * time.Millisecond
+	count, began := 0, time.Now()
+	for time.Since(began) < span {
+		call()
+		count++
+	}
+	return time.Since(began) / time.Duration(count)
+}
+
+func pause(ctx context.Context, wait time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	case <-time.After(wait):
+		return nil
+	}
+}
--- /dev/null
+++ b/standin/slopes_data.go
@@ -0,0 +1,263 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/checker"
+	"github.com/cowslipproxy/cowslipproxy/lister"
+	"github.com/cowslipproxy/cowslipproxy/pooler"
+	"github.com/cowslipproxy/cowslipproxy/resolver"
+	"github.com/cowslipproxy/cowslipproxy/runner"
+	"github.com/cowslipproxy/cowslipproxy/standin/emulator"
+)
+
+const (
+	reportLag = 200 * time.Millisecond // of the stand-in's reports, which are sent at this pace
+	dataTime  = 4 * time.Second
+	streams   = 64
+	answerLen = 200 // tokens
+	dataKey   = "slopes-key"
+)
+
+func dialCounted(w *wires, role string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		return w.dial(ctx, address, func(string) string { return role })
+	}
+}
+
+// engines are stand-in engines in this process that tile a model.
+type engines struct {
+	wires *wires
+	vms   []cowslipproxy.VM
+	stop  []func()
+}
+
+func dataModel(layers int) cowslipproxy.Model {
+	return cowslipproxy.Model{Name: "scribe", Version: "1", Layers: layers, Window: 100_000, Effect: cowslipproxy.EffectRepeat, Replicas: 1}
+}
+
+// startEngines starts engines that hold the model in so many ranges.
+func startEngines(ctx context.Context, count, stages int) (*engines, error) {
+	started := &engines{wires: newWires()}
+	for i := range count {
+		engine := &emulator.Engine{
+			Model: dataModel(stages), Range: cowslipproxy.LayerRange{First: i % stages, End: i%stages + 1}, Kind: "small",
+			Pace: 100 * time.Microsecond, Share: 0.001, Batch: 256, Memory: 10_000_000, Prefixes: 1000, Lag: reportLag, Width: 64,
+		}
+		engine.Init()
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		server := grpc.NewServer()
+		runner.Register(server, engine.Handler())
+		ctx, cancel := context.WithCancel(ctx)
+		go func() { _ = engine.Run(ctx) }()
+		go func() { _ = server.Serve(&countedListener{Listener: listener, wires: started.wires, role: "engine"}) }()
+		started.stop = append(started.stop, func() { cancel(); server.Stop() })
+		vm := engineVM(i)
+		vm.Address = netip.MustParseAddrPort(listener.Addr().String())
+		started.vms = append(started.vms, vm)
+	}
+	return started, nil
+}
+
+func (e *engines) close() {
+	for _, stop := range e.stop {
+		stop()
+	}
+}
+
+// measureConnections measures connections to engines that only report.
+func measureConnections(ctx context.Context) (*table, error) {
+	result := &table{
+		Name: "Connections to engines",
+		Note: fmt.Sprintf("One `pooler` with engines that report every %v and run nothing. Bytes are without headers of TCP and IP in `B/s each`, and with them in `wire`. "+
+			"Memory, goroutines and processor time are of both ends, which run in this process.", reportLag),
+		Columns: []string{"engines", "B/s each", "wire B/s each", "% core each", "KB each", "goroutines each"},
+	}
+	for _, count := range []int{10, 100, 300} {
+		if err := measureConnected(ctx, count, result); err != nil {
+			return nil, err
+		}
+	}
+	return result, nil
+}
+
+func measureConnected(ctx context.Context, count int, result *table) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e, err := startEngines(ctx, count, 10)
+	if err != nil {
+		return err
+	}
+	defer e.close()
+	before, routines := memory(), runtime.NumGoroutine()
+	logger := slog.New(slog.DiscardHandler)
+	pool := &pooler.Pool{Name: "entry-1", Centre: "centre-1", Clock: time.Now, Logger: logger, Metrics: metrics.NewRegistry(), Checker: &checker.Checker{Metrics: metrics.NewRegistry(), Logger: logger}}
+	pool.Prepare()
+	pool.List(lister.List{VMs: e.vms, Taken: time.Now()})
+	ended := make(chan error, 1)
+	go func() { ended <- pool.Run(ctx) }()
+	if err = pause(ctx, 3*time.Second); err != nil {
+		return err
+	}
+	held, extra := memory()-before, runtime.NumGoroutine()-routines
+	from, spent, began := e.wires.total("engine"), processorTime(), time.Now()
+	if err = pause(ctx, 4*time.Second); err != nil {
+		return err
+	}
+	used, each := e.wires.total("engine").minus(from), time.Since(began).Seconds()*float64(count)
+	result.add(count, float64(used.Bytes)/each, float64(used.wire())/each, 100*(processorTime()-spent).Seconds()/each, held/float64(count)/1000, float64(extra)/float64(count))
+	cancel()
+	return <-ended
+}
+
+// measureData measures answers that stream through one daemon.
+func measureData(ctx context.Context) (*table, error) {
+	result := &table{
+		Name: "Data path of one daemon",
+		Note: fmt.Sprintf("%d streamed answers of %d tokens at a time, activations of 64 bytes. Processor time is of this process: the daemon, its callers and the engine stand-ins, "+
+			"so it is an upper bound for the daemon. Bytes are between daemon and engines, without headers of TCP and IP.", streams, answerLen),
+		Columns: []string{"stages", "tokens/s", "us of processor a token", "us of processor a step", "engine B a step", "cores used"},
+	}
+	for _, stages := range []int{1, 2, 4, 8} {
+		if err := measureStages(ctx, stages, result); err != nil {
+			return nil, errors.Wrapf(err, "%d stages", stages)
+		}
+	}
+	return result, nil
+}
+
+func measureStages(ctx context.Context, stages int, result *table) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	e, err := startEngines(ctx, stages, stages)
+	if err != nil {
+		return err
+	}
+	defer e.close()
+	f, err := newFleet()
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	if err = f.publishData(ctx, stages); err != nil {
+		return err
+	}
+	for _, vm := range e.vms {
+		f.list.Put(vm)
+	}
+	if err = f.start(ctx, 1); err != nil {
+		return err
+	}
+	if _, err = f.await(ctx, 1); err != nil {
+		return err
+	}
+	if err = pause(ctx, 3*time.Second); err != nil {
+		return err
+	}
+	var tokens, failed atomic.Int64
+	var group sync.WaitGroup
+	load, end := context.WithCancel(ctx)
+	defer end()
+	for i := range streams {
+		group.Go(func() {
+			for load.Err() == nil {
+				if err := stream(load, f.settings[0].Callers, i, &tokens); err != nil && load.Err() == nil {
+					failed.Add(1)
+					time.Sleep(10 * time.Millisecond)
+				}
+			}
+		})
+	}
+	if err = pause(ctx, time.Second); err != nil {
+		return err
+	}
+	count, spent, from, began := tokens.Load(), processorTime(), e.wires.total("engine"), time.Now()
+	if err = pause(ctx, dataTime); err != nil {
+		return err
+	}
+	ran, processor, used := float64(tokens.Load()-count), processorTime()-spent, e.wires.total("engine").minus(from)
+	elapsed := time.Since(began).Seconds()
+	end()
+	group.Wait()
+	if ran == 0 || failed.Load() > streams {
+		return errors.Errorf("%d answers failed, %.0f tokens came", failed.Load(), ran)
+	}
+	steps := ran * float64(stages)
+	result.add(stages, ran/elapsed, processor.Seconds()*1e6/ran, processor.Seconds()*1e6/steps, float64(used.Bytes)/steps, processor.Seconds()/elapsed)
+	return nil
+}
+
+func (f *fleet) publishData(ctx context.Context, stages int) error {
+	subject := customer(0)
+	subject.Keys, subject.Rate, subject.Burst, subject.Class = []string{hashOf(dataKey)}, 1e9, 1e9, cowslipproxy.ClassCritical
+	for scope, value := range map[string]any{cowslipproxy.ScopeCustomer + subject.Name: subject, cowslipproxy.ScopeModel + "scribe": dataModel(stages)} {
+		body, err := resolver.Encode(value)
+		if err != nil {
+			return err
+		}
+		var data []byte
+		if data, err = resolver.Encode(resolver.Change{Kind: resolver.KindChange, ID: scope, Scope: scope, Body: body}); err != nil {
+			return err
+		}
+		if _, err = f.log.Append(ctx, cowslipproxy.StreamConfig, data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// stream asks for one streamed answer and counts its tokens.
+func stream(ctx context.Context, address netip.AddrPort, number int, tokens *atomic.Int64) error {
+	body := fmt.Sprintf(`{"model":"scribe","prompt":"letter %d","max_tokens":%d,"stream":true}`, number, answerLen)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+dataKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		data, _ := io.ReadAll(io.LimitReader(response.Body, 1000)) // only explains the status
+		return errors.Errorf("found status %s: %s", response.Status, data)
+	}
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := response.Body.Read(buffer)
+		tokens.Add(int64(strings.Count(string(buffer[:n]), "data: {")))
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.WithStack(err)
+		}
+	}
+}
--- /dev/null
+++ b/standin/slopes_direct.go
@@ -0,0 +1,330 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/chooser"
+	"github.com/cowslipproxy/cowslipproxy/claimer"
+	"github.com/cowslipproxy/cowslipproxy/ejector"
+	"github.com/cowslipproxy/cowslipproxy/gossiper"
+	"github.com/cowslipproxy/cowslipproxy/joiner"
+	"github.com/cowslipproxy/cowslipproxy/limiter"
+	"github.com/cowslipproxy/cowslipproxy/lister"
+	"github.com/cowslipproxy/cowslipproxy/quarantiner"
+)
+
+const (
+	modelLayers = 80
+	splits      = 10   // ranges in which the model is held
+	holders     = 100  // daemons that publish demand, in the measurement of limits
+	wholeFleet  = 1900 // daemons
+)
+
+func microseconds(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1000 }
+
+func engineVM(number int) cowslipproxy.VM {
+	return cowslipproxy.VM{
+		Name: fmt.Sprintf("engine-%05d", number), Role: cowslipproxy.VMEngine, Centre: fmt.Sprint("centre-", number%13), State: cowslipproxy.VMLive,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(number >> 16), byte(number >> 8), byte(number)}), 7000),
+	}
+}
+
+// measureList measures polls of the list, whole and when it did not change.
+func measureList(ctx context.Context) (*table, error) {
+	result := &table{
+		Name:    "Poll of the list by number of VMs",
+		Note:    "`lister` against the list stand-in. Bytes have the headers of HTTP, and not those of TCP and IP. Processor time is of the daemon and of the stand-in, which sorts and encodes the list for a whole answer.",
+		Columns: []string{"VMs", "answer", "B a poll", "ms of processor a poll"},
+	}
+	for _, count := range []int{30, 100, 1000, 8800} {
+		f, err := newFleet()
+		if err != nil {
+			return nil, err
+		}
+		for i := range count {
+			f.list.Put(engineVM(i))
+		}
+		for _, whole := range []bool{true, false} {
+			role := fmt.Sprint(whole)
+			transport := &http.Transport{DialContext: dialCounted(f.wires, role)}
+			l := &lister.Lister{URL: "http://" + f.listAt.String(), Client: &http.Client{Transport: transport}}
+			const polls = 20
+			var from traffic
+			var spent time.Duration
+			for i := range polls + 1 {
+				if i == 1 { // the first poll connects, and has no earlier answer
+					from, spent = f.wires.total(role), processorTime()
+				}
+				if whole {
+					l = &lister.Lister{URL: l.URL, Client: l.Client}
+				}
+				if _, err = l.VMs(ctx); err != nil {
+					f.close()
+					return nil, err
+				}
+			}
+			spent = processorTime() - spent
+			used := f.wires.total(role).minus(from)
+			name := "unchanged"
+			if whole {
+				name = "whole"
+			}
+			result.add(count, name, float64(used.Bytes)/polls, milliseconds(spent)/polls)
+			transport.CloseIdleConnections()
+		}
+		f.close()
+	}
+	return result, nil
+}
+
+// upstreams is what a daemon knows of its upstreams.
+type upstreams struct {
+	joiner  joiner.Joiner
+	chooser chooser.Chooser
+	ejector ejector.Ejector
+	vms     []cowslipproxy.VM
+}
+
+func reportOf(number int) cowslipproxy.Report {
+	first := number / 22 % splits * (modelLayers / splits) // each model is held in all ranges
+	return cowslipproxy.Report{
+		Model: fmt.Sprintf("model-%02d", number%22), Version: "1", Kind: "kind-1", Role: cowslipproxy.RoleServe, Queue: number % 20, Running: 16,
+		Pace: 200 * time.Microsecond, Free: 1 << 20, Boot: "4f9c1f0a-3a51-4ee1-9d8c-53b1f6f0a111",
+		Range: cowslipproxy.LayerRange{First: first, End: first + modelLayers/splits},
+	}
+}
+
+func newUpstreams(count int, now time.Time) *upstreams {
+	u := &upstreams{}
+	u.chooser.Name, u.chooser.Centre, u.chooser.Usable = "entry-1", "centre-1", u.ejector.Usable
+	for i := range count {
+		u.vms = append(u.vms, engineVM(i))
+	}
+	u.joiner.List(u.vms, now, now)
+	for i, vm := range u.vms {
+		u.chooser.Add(now, chooser.Upstream{Name: vm.Name, VM: vm.Name, Centre: vm.Centre})
+		u.report(i, now)
+	}
+	return u
+}
+
+// report does what the pool does with a report of an engine.
+func (u *upstreams) report(number int, now time.Time) {
+	name, report := u.vms[number].Name, reportOf(number)
+	u.joiner.Probe(name, true, now)
+	u.joiner.Report(name, false, now)
+	u.ejector.Add(name, fmt.Sprintf("%s/%s%v", report.Model, report.Version, report.Range))
+	u.chooser.Report(now, name, report)
+}
+
+// refresh does what the pool does five times a second.
+func (u *upstreams) refresh(now time.Time) {
+	known := append(u.joiner.Known(cowslipproxy.VMEngine), u.joiner.Known(cowslipproxy.VMService)...)
+	usable := make(map[string]bool, len(known))
+	for _, vm := range known {
+		usable[vm.Name] = u.joiner.IsUsable(vm.Name)
+	}
+	u.joiner.Forget(now.Add(-5 * time.Minute))
+	_ = u.joiner.Check() // nothing was sent
+	for _, vm := range known {
+		u.chooser.SetLeaving(vm.Name, !usable[vm.Name])
+	}
+}
+
+// measureUpstreams measures the deciders' state and work by number of upstreams.
+func measureUpstreams(ctx context.Context) (*table, error) {
+	result := &table{
+		Name:    "Upstreams: state and decisions",
+		Note:    "Direct calls of `joiner`, `chooser` and `ejector` as `pooler` makes them, without connections and locks of others. 22 models in 10 ranges each. `refresh` runs 5 times a second.",
+		Columns: []string{"upstreams", "KB each", "us a report", "report B (CBOR)", "ms a refresh", "% core of refresh", "us a chain"},
+	}
+	now := time.Now()
+	for _, count := range []int{220, 1000, 7000} {
+		before := memory()
+		u := newUpstreams(count, now)
+		held := (memory() - before) / float64(count) / 1000
+		next := 0
+		report := timed(func() {
+			now = now.Add(time.Millisecond)
+			u.report(next%count, now)
+			next++
+		})
+		refresh := timed(func() { u.refresh(now) })
+		need := cowslipproxy.Need{Model: "model-00", Version: "1", Range: cowslipproxy.LayerRange{End: modelLayers}, Tokens: 400}
+		if _, err := u.chooser.Chain(now, need); err != nil {
+			return nil, err
+		}
+		chain := timed(func() {
+			now = now.Add(24 * time.Millisecond)
+			_, _ = u.chooser.Chain(now, need) // checked above
+		})
+		data, err := cbor.Marshal(reportOf(1))
+		if err != nil {
+			return nil, err
+		}
+		result.add(count, held, microseconds(report), len(data), milliseconds(refresh), 100*5*refresh.Seconds(), microseconds(chain))
+		runtime.KeepAlive(u)
+	}
+	return result, ctx.Err()
+}
+
+// measureCustomers measures limits by customers that are active on all daemons.
+func measureCustomers(ctx context.Context) (*table, error) {
+	result := &table{
+		Name:    "Limits by number of active customers",
+		Note:    fmt.Sprintf("Direct calls of `limiter`. %d daemons publish demand of each customer. `digest` and `set daemons` (with %d) run once a second.", holders, wholeFleet),
+		Columns: []string{"customers", "B for each customer and daemon", "us a digest merged", "ms a digest", "ms set daemons", "us an admission", "B of one demand (CBOR)"},
+	}
+	now := time.Now()
+	var live []string
+	for i := range wholeFleet {
+		live = append(live, fmt.Sprintf("entry-%04d/1786000000000000000", i))
+	}
+	for _, count := range []int{10, 100, 3700} {
+		before := memory()
+		limits := &limiter.Limits{Self: live[0]}
+		limits.SetDaemons(now, live)
+		admit := &limiter.Limiter{Limits: limits, Queue: &limiter.Queue{Units: 100, Rate: 1e6}}
+		requests := make([]limiter.Request, count)
+		for i := range requests {
+			requests[i] = limiter.Request{Customer: customer(i), Tokens: 100, Deadline: now.Add(time.Hour)}
+			requests[i].Customer.Rate, requests[i].Customer.Burst = 1e12, 1e12
+		}
+		digest := func(source, number int, seq uint64) limiter.Digest {
+			return limiter.Digest{Source: live[source], Seq: seq, Demands: []limiter.Demand{{Customer: requests[number].Customer.Name, Rate: 100}}}
+		}
+		for number := range count {
+			for source := 1; source <= holders; source++ {
+				limits.Merge(now, digest(source, number, 1))
+			}
+		}
+		held := (memory() - before) / float64(count*holders)
+		next := 0
+		admission := timed(func() {
+			ticket, _, failure := admit.Enter(now, requests[next%count])
+			if failure == nil {
+				admit.Leave(now, ticket, 100)
+			}
+			next++
+		})
+		seq := uint64(1)
+		merged := timed(func() {
+			seq++
+			limits.Merge(now, digest(1+int(seq)%holders, int(seq)%count, seq))
+		})
+		published := timed(func() { limits.Digest(now) })
+		set := timed(func() { limits.SetDaemons(now, live) })
+		data, err := cbor.Marshal(digest(1, 0, 1))
+		if err != nil {
+			return nil, err
+		}
+		result.add(count, held, microseconds(merged), milliseconds(published), milliseconds(set), microseconds(admission), len(data))
+		runtime.KeepAlive(limits)
+	}
+	return result, ctx.Err()
+}
+
+// measureMembers measures what a daemon does for each other daemon.
+func measureMembers(ctx context.Context) (*table, error) {
+	result := &table{
+		Name:    "Membership and quarantine by number of daemons",
+		Note:    "Direct calls of `gossiper` and `quarantiner`. `neighbours` is chosen once a second, `pending` is asked for each daemon 10 times a second, here with 10 suspects that all daemons hold.",
+		Columns: []string{"daemons", "us neighbours", "ms pending of all", "% core of pending", "KB of hellos each"},
+	}
+	now := time.Now()
+	for _, count := range []int{15, 150, wholeFleet} {
+		var contacts []gossiper.Contact
+		var names []string
+		before := memory()
+		store := gossiper.NewStore()
+		for i := range count {
+			owner := cowslipproxy.Owner{Name: fmt.Sprintf("entry-%04d", i), Incarnation: uint64(now.UnixNano())}
+			contacts = append(contacts, gossiper.Contact{Owner: owner, Centre: fmt.Sprint(i % 13)})
+			names = append(names, owner.Key())
+			data, err := gossiper.Encode(cowslipproxy.Hello{Caller: engineVM(i).Address, Peer: engineVM(i).Address, Centre: contacts[i].Centre})
+			if err != nil {
+				return nil, err
+			}
+			store.Apply([]gossiper.Item{{Owner: owner, Reach: gossiper.ReachAll, Kind: gossiper.KindHello, Version: 1, Data: data}}, "peer", now)
+		}
+		held := (memory() - before) / float64(count) / 1000
+		neighbours := timed(func() { gossiper.Neighbours(contacts[count/2], contacts) })
+		q := &quarantiner.Quarantiner{Self: names[0]}
+		q.SetPeers(names)
+		for i := range 10 {
+			print := quarantiner.Print{Customer: "customer-0001"}
+			print.Content = uint64(i + 1)
+			q.Crash(now, fmt.Sprint("engine-", i), []quarantiner.Print{print})
+		}
+		for _, name := range names {
+			records := q.Pending(now, name)
+			q.Acked(now, name, records, records)
+		}
+		pending := timed(func() {
+			for _, name := range names {
+				q.Pending(now, name)
+			}
+		})
+		result.add(count, microseconds(neighbours), milliseconds(pending), 100*10*pending.Seconds(), held)
+		runtime.KeepAlive(store)
+	}
+	return result, ctx.Err()
+}
+
+// measureClaims measures a plain key's records and their folding.
+func measureClaims(ctx context.Context) (*table, error) {
+	result := &table{
+		Name:    "Claims of plain keys",
+		Note:    "Direct calls of `claimer`. Bytes are of the claim and the outcome (an answer of 200 bytes) as each daemon that follows the stream reads them, in the log's JSON.",
+		Columns: []string{"remembered keys", "B of records a key", "us a fold", "B of memory a key"},
+	}
+	now := time.Now()
+	for _, count := range []int{1000, 100_000} {
+		before := memory()
+		c := &claimer.Claimer{Incarnation: "entry-1/1786000000000000000", Partitions: 1, Keys: 1 << 30}
+		size := 0
+		began := time.Now()
+		for i := range count {
+			claim := claimer.Record{
+				Kind: claimer.KindClaim, Key: fmt.Sprintf("4f9c1f0a-3a51-4ee1-9d8c-%012d", i), Customer: "customer-0001", Owner: "entry-2/1786000000000000000",
+				Claim: fmt.Sprintf("entry-2/1786000000000000000/%d", i), Digest: claimer.Digest("POST", "/fees", nil, 0), Time: now,
+			}
+			outcome := claim
+			outcome.Kind, outcome.Digest, outcome.Answer = claimer.KindOutcome, "", &claimer.Answer{Outcome: cowslipproxy.OutcomeDone, Status: 201, Body: make([]byte, 200)}
+			var records [][]byte
+			for _, record := range []claimer.Record{claim, outcome} {
+				data, err := claimer.Encode(record)
+				if err != nil {
+					return nil, err
+				}
+				records = append(records, data)
+			}
+			entry := claimer.Join(records)
+			decoded, err := claimer.Decode(entry)
+			if err != nil {
+				return nil, err
+			}
+			c.Fold(now, 0, now, decoded)
+			if i == 0 {
+				data, err := json.Marshal(entry) // bytes are base64 in the log's JSON
+				if err != nil {
+					return nil, err
+				}
+				size = len(data)
+			}
+		}
+		took := time.Since(began) / time.Duration(count)
+		result.add(count, size, microseconds(took), (memory()-before)/float64(count))
+		runtime.KeepAlive(c)
+	}
+	return result, ctx.Err()
+}
