standin: count warnings of the measured daemons

Cause: a fleet of 150 daemons in one process had 0.3 instead of 1 poll of the list a second; the table didn't say why.

--- a/standin/slopes.go
+++ b/standin/slopes.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"runtime"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -71,6 +72,7 @@
 	var f slopesFlags
 	flags := flag.NewFlagSet("standin slopes", flag.ContinueOnError)
 	flags.BoolVar(&f.json, "json", false, "write JSON")
+	flags.Func("daemons", "sizes of the fleets, separated by commas (default 5,15,50,150)", setSizes)
 	flags.StringVar(&f.only, "only", "", "parts to measure, separated by commas; all if empty")
 	return &ffcli.Command{
 		Name:       "slopes",
@@ -82,6 +84,18 @@
 	}
 }
 
+func setSizes(text string) error {
+	fleetSizes = nil
+	for part := range strings.SplitSeq(text, ",") {
+		size, err := strconv.Atoi(part)
+		if err != nil || size < 1 || size > 500 {
+			return errors.Errorf("found %q, accepted are numbers from 1 to 500", part)
+		}
+		fleetSizes = append(fleetSizes, size)
+	}
+	return nil
+}
+
 func (f *slopesFlags) run(ctx context.Context, w io.Writer) error {
 	var tables []*table
 	for _, part := range parts {
@@ -91,6 +105,9 @@
 		fmt.Fprintln(os.Stderr, "measuring", part.name)
 		measured, err := part.measure(ctx)
 		if err != nil {
+			if measured != nil {
+				measured.markdown(os.Stderr) // what was measured before the failure
+			}
 			return errors.Wrap(err, part.name)
 		}
 		tables = append(tables, measured)
--- a/standin/slopes_fleet.go
+++ b/standin/slopes_fleet.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"runtime"
 	"slices"
 	"strings"
@@ -31,11 +32,15 @@
 	warmTime    = 4 * time.Second
 	idleTime    = 10 * time.Second
 	changeTime  = 8 * time.Second
+	firstPort   = 21_000
+	lastPort    = 32_000
 	readyTime   = 30 * time.Second
 	changeEvery = 200 * time.Millisecond // 33 times the rate of 13,000 a day, so that the slope shows above idle traffic
 	keysEach    = 8                      // bearer keys of a customer: a body of about 0.6 KB
 )
 
+var fleetSizes = []int{5, 15, 50, 150}
+
 // fleet is a log, a list and entry daemons in this process.
 type fleet struct {
 	log      appender.Server
@@ -47,14 +52,17 @@
 	claims   atomic.Int64 // reads of claims streams
 	reads    atomic.Int64 // reads of the configuration
 	polls    atomic.Int64 // of the list
+	failed   atomic.Pointer[error]
+	port     uint16
 
-	mu    sync.Mutex
-	force map[int]map[uint64]time.Time // by daemon: when an offset came into force
-	end   []func()
+	mu       sync.Mutex
+	warnings map[string]int
+	force    map[int]map[uint64]time.Time // by daemon: when an offset came into force
+	end      []func()
 }
 
 func newFleet() (*fleet, error) {
-	f := &fleet{wires: newWires(), force: map[int]map[uint64]time.Time{}}
+	f := &fleet{wires: newWires(), warnings: map[string]int{}, port: firstPort, force: map[int]map[uint64]time.Time{}}
 	var err error
 	if f.logAt, err = f.serve(http.HandlerFunc(f.serveLog)); err != nil {
 		return nil, err
@@ -99,6 +107,18 @@
 	return "peers"
 }
 
+// freeAddress returns an address below the ports that the system gives to
+// outgoing connections, one of which could else take it before the daemon does.
+func (f *fleet) freeAddress() (netip.AddrPort, error) {
+	for f.port++; f.port < lastPort; f.port++ {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), f.port)
+		if listener, err := net.Listen("tcp", address.String()); err == nil {
+			return address, errors.WithStack(listener.Close())
+		}
+	}
+	return netip.AddrPort{}, errors.Errorf("no port is free below %d", lastPort)
+}
+
 // start runs a daemon until the fleet is closed. Its data centre is one of 13.
 func (f *fleet) start(ctx context.Context, centres int) error {
 	number := len(f.settings)
@@ -106,12 +126,10 @@
 	settings.Name, settings.Centre = fmt.Sprint("entry-", number), fmt.Sprint("centre-", number%centres)
 	settings.Log, settings.List = f.logAt, f.listAt
 	for _, address := range []*netip.AddrPort{&settings.Callers, &settings.Peers, &settings.Operator} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return errors.WithStack(err)
+		var err error
+		if *address, err = f.freeAddress(); err != nil {
+			return err
 		}
-		*address = netip.MustParseAddrPort(listener.Addr().String())
-		_ = listener.Close() // the daemon takes the port
 	}
 	settings.Grace = cowslipproxy.Duration(time.Millisecond)
 	f.settings = append(f.settings, settings)
@@ -121,7 +139,11 @@
 		Settings: settings, Clock: time.Now, Metrics: metrics.NewRegistry(), Logger: slog.New(&changeHandler{fleet: f, number: number}),
 		Dial: func(ctx context.Context, address string) (net.Conn, error) { return f.wires.dial(ctx, address, f.role) },
 	}
-	go func() { _ = one.Run(ctx) }() // a daemon that fails shows as one that is never ready
+	go func() {
+		if err := one.Run(ctx); err != nil {
+			f.failed.Store(&err)
+		}
+	}()
 	return nil
 }
 
@@ -131,7 +153,27 @@
 	}
 }
 
-// changeHandler notes when a configuration comes into force, and drops all else.
+func (f *fleet) warned(event string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.warnings[event]++
+}
+
+// takeWarnings returns the events of level warn and above since the last call.
+func (f *fleet) takeWarnings() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var texts []string
+	for event, count := range f.warnings {
+		texts = append(texts, fmt.Sprintf("%d %s", count, event))
+	}
+	clear(f.warnings)
+	slices.Sort(texts)
+	return strings.Join(texts, ", ")
+}
+
+// changeHandler notes when a configuration comes into force, counts warnings, and
+// drops all else.
 type changeHandler struct {
 	fleet  *fleet
 	number int
@@ -144,6 +186,9 @@
 func (h *changeHandler) WithGroup(string) slog.Handler      { return h }
 
 func (h *changeHandler) Handle(_ context.Context, record slog.Record) error {
+	if record.Level >= slog.LevelWarn {
+		h.fleet.warned(record.Message)
+	}
 	if record.Message != reporter.EventConfigChanged.Text {
 		return nil
 	}
@@ -188,6 +233,9 @@
 		if at, ok := f.inForce(offset); ok {
 			return at, nil
 		}
+		if failed := f.failed.Load(); failed != nil {
+			return time.Time{}, errors.Wrap(*failed, "a daemon ended")
+		}
 		if err := pause(ctx, 5*time.Millisecond); err != nil {
 			return time.Time{}, err
 		}
@@ -271,11 +319,11 @@
 		Note: "Bytes a second of one daemon, sent and received, without the headers of TCP and IP, but for `wire`, which adds 52 bytes for each TCP segment. " +
 			"`changes` has 5 configuration changes a second. `core` is percent of a core for one daemon, with its part of the log and list stand-ins; memory is heap and stacks, with theirs. " +
 			"No upstreams, no requests. Times are from the answer to the append to the last daemon.",
-		Columns: []string{"daemons", "phase", "log B/s", "list B/s", "peers B/s", "sum B/s", "wire B/s", "config reads/s", "claims reads/s", "list polls/s", "% core", "MB each", "goroutines each", "in force median ms", "worst ms"},
+		Columns: []string{"daemons", "phase", "log B/s", "list B/s", "peers B/s", "sum B/s", "wire B/s", "config reads/s", "claims reads/s", "list polls/s", "% core", "MB each", "goroutines each", "in force median ms", "worst ms", "warnings"},
 	}
-	for _, size := range []int{5, 15, 50, 150} {
+	for _, size := range fleetSizes {
 		if err := measureFleet(ctx, size, result); err != nil {
-			return nil, errors.Wrapf(err, "%d daemons", size)
+			return result, errors.Wrapf(err, "%d daemons", size)
 		}
 	}
 	return result, nil
@@ -307,19 +355,23 @@
 	if err = pause(ctx, warmTime); err != nil {
 		return err
 	}
+	starting := f.takeWarnings()
+	if starting != "" {
+		fmt.Fprintf(os.Stderr, "%d daemons, at the start: %s\n", size, starting)
+	}
 	each := (memory() - before) / float64(size) / 1e6
 	extra := float64(runtime.NumGoroutine()-routines) / float64(size)
 	from := f.sample()
 	if err = pause(ctx, idleTime); err != nil {
 		return err
 	}
-	result.add(append(append([]any{size, "idle"}, f.rates(from, f.sample()).cells()...), each, extra, "", "")...)
+	result.add(append(append([]any{size, "idle"}, f.rates(from, f.sample()).cells()...), each, extra, "", "", f.takeWarnings())...)
 	from = f.sample()
 	var delays []time.Duration
 	if delays, err = f.changes(ctx); err != nil {
 		return err
 	}
-	result.add(append(append([]any{size, "changes"}, f.rates(from, f.sample()).cells()...), "", "", milliseconds(median(delays)), milliseconds(slices.Max(delays)))...)
+	result.add(append(append([]any{size, "changes"}, f.rates(from, f.sample()).cells()...), "", "", milliseconds(median(delays)), milliseconds(slices.Max(delays)), f.takeWarnings())...)
 	return nil
 }
 
