lister: ask for the list only when it changed

Cause: a daemon reads the whole list each second: 911 KB and about 7 % of a core a second at 8,800 VMs, against a budget of 3 KB/s and 2.1 %. A service without ETags is read as before. An answer without Last-Modified keeps the age of the whole one, since to count it as new could make missing VMs leave.

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -39,6 +39,14 @@
 
 	mu   sync.Mutex
 	last List
+	held whole
+}
+
+// whole is an answer with the whole list, which later polls compare with.
+type whole struct {
+	vms      []cowslipproxy.VM
+	tag      string
+	modified string
 }
 
 // List is a list of VMs with the time as of which it is known to hold.
@@ -70,7 +78,7 @@
 
 // VMs implements cowslipproxy.List.
 func (l *Lister) VMs(ctx context.Context) ([]cowslipproxy.VM, error) {
-	list, err := l.fetch(ctx)
+	list, err := l.Poll(ctx)
 	return list.VMs, err
 }
 
@@ -105,7 +113,7 @@
 	failures := 0
 	outdated := false
 	for {
-		list, err := l.fetch(ctx)
+		list, err := l.Poll(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -164,7 +172,8 @@
 	}
 }
 
-func (l *Lister) fetch(ctx context.Context) (List, error) {
+// Poll asks the service once.
+func (l *Lister) Poll(ctx context.Context) (List, error) {
 	timeout := l.Timeout
 	if timeout == 0 {
 		timeout = defaultTimeout
@@ -175,6 +184,10 @@
 	if err != nil {
 		return List{}, errors.Wrap(err, "list")
 	}
+	held := l.whole()
+	if held.tag != "" {
+		request.Header.Set("If-None-Match", held.tag)
+	}
 	client := l.Client
 	if client == nil {
 		client = http.DefaultClient
@@ -185,10 +198,43 @@
 		return List{}, errors.Wrap(err, "list")
 	}
 	defer response.Body.Close()
+	if held.tag != "" && response.StatusCode == http.StatusNotModified {
+		return List{VMs: held.vms, Taken: asked.Add(-held.age(response.Header))}, nil
+	}
 	if response.StatusCode != http.StatusOK {
 		return List{}, errors.Errorf("list: found status %d, accepted is 200", response.StatusCode)
 	}
-	return decode(response, asked)
+	var list List
+	if list, err = decode(response, asked); err != nil {
+		return List{}, err
+	}
+	l.hold(whole{vms: list.VMs, tag: response.Header.Get("ETag"), modified: response.Header.Get("Last-Modified")})
+	return list, nil
+}
+
+func (l *Lister) whole() whole {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held
+}
+
+// hold keeps an answer. It isn't that of last if it came from a server that is
+// behind the others; its tag then stands for the older list, too.
+func (l *Lister) hold(held whole) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = held
+}
+
+// age is how old an answer is that says that the list didn't change. A service
+// may leave Last-Modified out of it; to take the list as new would then let VMs
+// that are missing from an outdated list count as gone.
+func (w whole) age(header http.Header) time.Duration {
+	if header.Get("Last-Modified") == "" && w.modified != "" {
+		header = header.Clone()
+		header.Set("Last-Modified", w.modified)
+	}
+	return age(header)
 }
 
 func decode(response *http.Response, asked time.Time) (List, error) {
--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -68,6 +68,41 @@
 	}
 }
 
+// Guards against a whole list for each poll, against changes that are missed
+// behind an equal tag, and against an outdated list that an answer without
+// Last-Modified makes fresh.
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	sent := time.Date(2001, 1, 1, 0, 0, 0, 0, time.UTC)
+	tag, unchanged := `"1"`, 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Date", sent.Format(http.TimeFormat))
+		w.Header().Set("ETag", tag)
+		if r.Header.Get("If-None-Match") == tag {
+			unchanged++
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		w.Header().Set("Last-Modified", sent.Format(http.TimeFormat))
+		_, _ = w.Write([]byte(one))
+	}))
+	defer server.Close()
+	l := &lister.Lister{URL: server.URL}
+	poll := func(age time.Duration) {
+		before := time.Now()
+		list, err := l.Poll(t.Context())
+		require.NoError(t, err)
+		require.Len(t, list.VMs, 1)
+		require.False(t, list.Taken.Before(before.Add(-age)) || list.Taken.After(time.Now().Add(-age)))
+	}
+	poll(0)
+	sent = sent.Add(time.Minute)
+	poll(time.Minute)
+	require.Equal(t, 1, unchanged)
+	tag = `"2"`
+	poll(0)
+	require.Equal(t, 1, unchanged)
+}
+
 // Guards against polls that overload a failing service, or that stop.
 func TestBackoff(t *testing.T) {
 	require.Equal(t, 900*time.Millisecond, lister.Backoff(time.Second, 0, 0))
--- a/standin/registrar/registrar.go
+++ b/standin/registrar/registrar.go
@@ -3,12 +3,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sort"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
@@ -137,7 +139,7 @@
 	return router
 }
 
-func (r *Registrar) serveList(w http.ResponseWriter, _ *http.Request) {
+func (r *Registrar) serveList(w http.ResponseWriter, request *http.Request) {
 	r.mu.Lock()
 	control, shown, at := r.control, r.shown(), r.now()
 	if r.frozen != nil {
@@ -154,10 +156,22 @@
 		vms = append(vms, vm)
 	}
 	sort.Slice(vms, func(i, j int) bool { return vms[i].Name < vms[j].Name })
+	var body []byte
+	var err error
+	if body, err = json.Marshal(map[string]any{"vms": vms}); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf(`"%016x"`, xxhash.Sum64(body))
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("ETag", tag)
 	w.Header().Set("Date", sent.UTC().Format(http.TimeFormat))
 	w.Header().Set("Last-Modified", at.UTC().Format(http.TimeFormat))
-	_ = json.NewEncoder(w).Encode(map[string]any{"vms": vms}) // the reader went away
+	if request.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(body) // the reader may have gone away
 }
 
 func (r *Registrar) servePut(w http.ResponseWriter, request *http.Request) {
