--- a/joiner/joiner.go
+++ b/joiner/joiner.go
@@ -148,13 +148,18 @@
 
 // Decide returns why a VM gets no new work, or ReasonNone if it does.
 func (j *Joiner) Decide(name string) Reason {
-	s := j.vms[name]
+	return j.decide(j.vms[name])
+}
+
+func (j *Joiner) decide(s *state) Reason {
 	if s == nil || s.vm.Name == "" {
 		return ReasonUnknown
 	}
-	for _, reason := range []Reason{ReasonDrained, ReasonOwn, ReasonListed, ReasonVanished} {
-		if !s.leaving[reason].IsZero() {
-			return reason
+	if len(s.leaving) > 0 { // saves four look-ups for each of thousands of VMs
+		for _, reason := range []Reason{ReasonDrained, ReasonOwn, ReasonListed, ReasonVanished} {
+			if !s.leaving[reason].IsZero() {
+				return reason
+			}
 		}
 	}
 	limit := j.Failures
@@ -198,6 +203,16 @@
 	return vms
 }
 
+// Each calls a function with each VM that is listed or was seen, in no order, and
+// with whether it gets new work.
+func (j *Joiner) Each(call func(vm cowslipproxy.VM, usable bool)) {
+	for _, s := range j.vms {
+		if s.vm.Name != "" {
+			call(s.vm, j.decide(s) == ReasonNone)
+		}
+	}
+}
+
 // Sent notes that new work was sent to a VM.
 func (j *Joiner) Sent(name string, now time.Time) { j.state(name).sent = now }
 
@@ -217,6 +232,9 @@
 // Check reports a VM that got new work later than Limit after it was known to leave.
 func (j *Joiner) Check() error {
 	for name, s := range j.vms {
+		if len(s.leaving) == 0 {
+			continue
+		}
 		since := j.Leaving(name)
 		if late := s.sent.Sub(since); !since.IsZero() && late > Limit {
 			return errors.Errorf("vm %s: got new work %v after it was known to leave, accepted is %v", name, late, Limit)
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -44,6 +44,7 @@
 
 	joinMu sync.Mutex // never held while the chooser is called
 	joiner joiner.Joiner
+	taken  map[string]upstream // as of the last refresh
 
 	mu       sync.Mutex
 	engines  map[string]*engine
@@ -57,6 +58,12 @@
 	cancel context.CancelFunc
 }
 
+// upstream is what a refresh takes in of an upstream.
+type upstream struct {
+	vm     cowslipproxy.VM
+	usable bool
+}
+
 type service struct {
 	forwarder.Server
 	vm      cowslipproxy.VM
@@ -67,6 +74,7 @@
 func (p *Pool) Prepare() {
 	p.chooser.Name, p.chooser.Centre = p.Name, p.Centre
 	p.chooser.Usable = p.ejector.Usable
+	p.taken = map[string]upstream{}
 	p.engines = map[string]*engine{}
 	p.services = map[string]*service{}
 }
@@ -120,26 +128,38 @@
 // chooser which ones may get new work.
 func (p *Pool) refresh(ctx context.Context, now time.Time) {
 	p.joinMu.Lock()
-	known := append(p.joiner.Known(cowslipproxy.VMEngine), p.joiner.Known(cowslipproxy.VMService)...)
-	usable := make(map[string]bool, len(known))
-	for _, vm := range known {
-		usable[vm.Name] = p.joiner.IsUsable(vm.Name)
-	}
+	changed := p.changed()
 	forgotten := p.joiner.Forget(now.Add(-forgetAfter))
+	for _, name := range forgotten {
+		delete(p.taken, name)
+	}
 	err := p.joiner.Check()
 	p.joinMu.Unlock()
 	if err != nil {
 		_ = p.Checker.Violated(ctx, checker.InvariantLeaving, "", err) // no request to end: the work was sent
 	}
-	for _, vm := range known {
-		p.connect(vm, now)
-		p.chooser.SetLeaving(vm.Name, !usable[vm.Name])
+	for _, one := range changed {
+		p.connect(one.vm, now)
+		p.chooser.SetLeaving(one.vm.Name, !one.usable)
 	}
 	for _, name := range forgotten {
 		p.disconnect(ctx, name, now)
 	}
 }
 
+// changed returns the upstreams that differ from what the last refresh took in. To
+// go through all 6,900 of them for connections and the chooser took 9 % of a core.
+func (p *Pool) changed() []upstream {
+	var changed []upstream
+	p.joiner.Each(func(vm cowslipproxy.VM, usable bool) {
+		if one := (upstream{vm: vm, usable: usable}); p.taken[vm.Name] != one {
+			p.taken[vm.Name] = one
+			changed = append(changed, one)
+		}
+	})
+	return changed
+}
+
 func (p *Pool) connect(vm cowslipproxy.VM, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/standin/registrar/registrar.go
+++ b/standin/registrar/registrar.go
@@ -57,9 +57,13 @@
 	return r.Now()
 }
 
-// Put adds or replaces a VM.
-func (r *Registrar) Put(vm cowslipproxy.VM) {
-	r.change(func(vms map[string]cowslipproxy.VM) { vms[vm.Name] = vm })
+// Put adds or replaces VMs.
+func (r *Registrar) Put(added ...cowslipproxy.VM) {
+	r.change(func(vms map[string]cowslipproxy.VM) {
+		for _, vm := range added {
+			vms[vm.Name] = vm
+		}
+	})
 }
 
 // Leave marks a VM as leaving.
--- a/standin/slopes.go
+++ b/standin/slopes.go
@@ -135,6 +135,7 @@
 // memory returns the heap and stacks in use after a collection.
 func memory() float64 {
 	runtime.GC()
+	runtime.GC() // frees what the first one only unlinked from pools
 	var stats runtime.MemStats
 	runtime.ReadMemStats(&stats)
 	return float64(stats.HeapAlloc + stats.StackInuse)
