--- a/standin/slopes.go
+++ b/standin/slopes.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"runtime"
+	"runtime/pprof"
 	"strconv"
 	"strings"
 	"syscall"
@@ -19,8 +20,9 @@
 
 // slopesFlags are the flags of the slopes subcommand.
 type slopesFlags struct {
-	json bool
-	only string
+	json    bool
+	only    string
+	profile string
 }
 
 // table is one part of the measurement. All cells are figures of one run.
@@ -59,6 +61,7 @@
 }{
 	{"daemons", measureDaemons},
 	{"changes", measureChanges},
+	{"publish", measurePublish},
 	{"list", measureList},
 	{"connections", measureConnections},
 	{"upstreams", measureUpstreams},
@@ -74,6 +77,7 @@
 	flags.BoolVar(&f.json, "json", false, "write JSON")
 	flags.Func("daemons", "sizes of the fleets, separated by commas (default 5,15,50,150)", setSizes)
 	flags.StringVar(&f.only, "only", "", "parts to measure, separated by commas; all if empty")
+	flags.StringVar(&f.profile, "profile", "", "file for a processor profile with the tag part: daemon, engine or caller")
 	return &ffcli.Command{
 		Name:       "slopes",
 		ShortUsage: "standin slopes [flags]",
@@ -97,6 +101,17 @@
 }
 
 func (f *slopesFlags) run(ctx context.Context, w io.Writer) error {
+	if f.profile != "" {
+		file, err := os.Create(f.profile)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		defer file.Close()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return errors.WithStack(err)
+		}
+		defer pprof.StopCPUProfile()
+	}
 	var tables []*table
 	for _, part := range parts {
 		if f.only != "" && !strings.Contains(","+f.only+",", ","+part.name+",") {
@@ -152,6 +167,12 @@
 	return time.Since(began) / time.Duration(count)
 }
 
+// labelled runs a function whose processor time, and that of the goroutines that it
+// starts, has the tag part in a profile.
+func labelled(part string, run func()) {
+	pprof.Do(context.Background(), pprof.Labels("part", part), func(context.Context) { run() })
+}
+
 func pause(ctx context.Context, wait time.Duration) error {
 	select {
 	case <-ctx.Done():
--- a/standin/slopes_data.go
+++ b/standin/slopes_data.go
@@ -70,8 +70,9 @@
 		server := grpc.NewServer()
 		runner.Register(server, engine.Handler())
 		ctx, cancel := context.WithCancel(ctx)
-		go func() { _ = engine.Run(ctx) }()
-		go func() { _ = server.Serve(&countedListener{Listener: listener, wires: started.wires, role: "engine"}) }()
+		counted := &countedListener{Listener: listener, wires: started.wires, role: "engine"}
+		go labelled("engine", func() { _ = engine.Run(ctx) })
+		go labelled("engine", func() { _ = server.Serve(counted) })
 		started.stop = append(started.stop, func() { cancel(); server.Stop() })
 		vm := engineVM(i)
 		vm.Address = netip.MustParseAddrPort(listener.Addr().String())
@@ -182,12 +183,14 @@
 	defer end()
 	for i := range streams {
 		group.Go(func() {
-			for load.Err() == nil {
-				if err := stream(load, f.settings[0].Callers, i, &tokens); err != nil && load.Err() == nil {
-					failed.Add(1)
-					time.Sleep(10 * time.Millisecond)
+			labelled("caller", func() {
+				for load.Err() == nil {
+					if err := stream(load, f.settings[0].Callers, i, &tokens); err != nil && load.Err() == nil {
+						failed.Add(1)
+						time.Sleep(10 * time.Millisecond)
+					}
 				}
-			}
+			})
 		})
 	}
 	if err = pause(ctx, time.Second); err != nil {
--- a/standin/slopes_direct.go
+++ b/standin/slopes_direct.go
@@ -306,7 +306,7 @@
 	result := &table{
 		Name:    "Claims of plain keys",
 		Note:    "Direct calls of `claimer`. Bytes are of the claim and the outcome (an answer of 200 bytes) as each daemon that follows the stream reads them, in the log's JSON.",
-		Columns: []string{"remembered keys", "B of records a key", "us a fold", "B of memory a key"},
+		Columns: []string{"remembered keys", "B of records a key", "us to encode, decode and fold", "B of memory a key"},
 	}
 	now := time.Now()
 	for _, count := range []int{1000, 100_000} {
--- a/standin/slopes_fleet.go
+++ b/standin/slopes_fleet.go
@@ -137,16 +137,20 @@
 	}
 	settings.Grace, settings.Lifetime = cowslipproxy.Duration(time.Millisecond), cowslipproxy.Duration(time.Millisecond) // no caller holds an address
 	f.settings = append(f.settings, settings)
+	f.mu.Lock()
 	f.force[number] = map[uint64]time.Time{}
+	f.mu.Unlock()
 	f.list.Put(cowslipproxy.VM{Name: settings.Name, Role: cowslipproxy.VMEntry, Address: settings.Peers, Centre: settings.Centre, State: cowslipproxy.VMLive})
 	one := &router.Router{
 		Settings: settings, Clock: time.Now, Metrics: metrics.NewRegistry(), Logger: slog.New(&changeHandler{fleet: f, number: number}),
 		Dial: func(ctx context.Context, address string) (net.Conn, error) { return f.wires.dial(ctx, address, f.role) },
 	}
 	f.running.Go(func() {
-		if err := one.Run(ctx); err != nil {
-			f.failed.Store(&err)
-		}
+		labelled("daemon", func() {
+			if err := one.Run(ctx); err != nil {
+				f.failed.Store(&err)
+			}
+		})
 	})
 	return nil
 }
