router: list the members for suspects only while there are some

Cause: spreadSuspects listed all members ten times a second; a profile of 150 idle daemons had it at 10.6 of 27.3 s of the daemons' processor time.

--- a/cowslipd/router/quarantine.go
+++ b/cowslipd/router/quarantine.go
@@ -138,6 +138,9 @@
 		case <-r.suspected:
 		case <-ticker.C:
 		}
+		if len(r.quarantiner.Held(r.Clock())) == 0 {
+			continue // to list the members ten times a second took a third of an idle daemon's processor time among 150
+		}
 		for _, member := range r.gossiper.Members() {
 			if member.Down || member.Owner == r.owner {
 				continue
