runner: give up an engine that sends no report for 3 s

A link that was lost without a word kept its connection, so that each request paid a step's timeout there. Reports come several times a second; without one for 3 s the connection counts as broken. A daemon that was paused itself waits for the reports of that time first.

--- a/runner/engine.go
+++ b/runner/engine.go
@@ -23,6 +23,7 @@
 const (
 	firstReconnect   = 50 * time.Millisecond
 	longestReconnect = 2 * time.Second
+	silence          = 3 * time.Second // reports come several times a second
 	sendQueue        = 1024
 	maxMessage       = 64 << 20 // a prefill's activations of a long prompt
 )
@@ -105,11 +106,12 @@
 	}
 	replies := &grpc.GenericClientStream[Command, cowslipproxy.Reply]{ClientStream: stream}
 	send := make(chan Command, sendQueue)
-	failed := make(chan error, 4)
+	failed := make(chan error, 5)
 	go func() { failed <- e.sendCommands(ctx, replies, send) }()
 	go func() { failed <- e.receiveReplies(replies) }()
 	go func() { failed <- e.receiveReports(ctx, send) }()
 	go func() { failed <- e.receiveEvents(ctx) }()
+	go func() { failed <- e.watch(ctx, e.Clock()) }()
 	err = <-failed
 	e.disconnected()
 	return err
@@ -197,6 +199,35 @@
 	}
 }
 
+// watch ends a connection on which no reports come any more: a lost link or a
+// VM that was cut off tells nothing else.
+func (e *Engine) watch(ctx context.Context, began time.Time) error {
+	ticker := time.NewTicker(silence / 4)
+	defer ticker.Stop()
+	looked := began
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		now := e.Clock()
+		if now.Sub(looked) > silence/2 {
+			began = now // this process was paused; the reports of that time are still to be read
+		}
+		looked = now
+		e.mu.Lock()
+		last := e.reported
+		e.mu.Unlock()
+		if last.Before(began) {
+			last = began
+		}
+		if quiet := now.Sub(last); quiet > silence {
+			return errors.Errorf("no report for %v", quiet)
+		}
+	}
+}
+
 func (e *Engine) receiveEvents(ctx context.Context) error {
 	var stream grpc.ClientStream
 	var err error
--- a/standin/emulator/engine.go
+++ b/standin/emulator/engine.go
@@ -53,6 +53,7 @@
 type Faults struct {
 	Slow    float64               `json:"slow" validate:"gte=0,lte=1000"`        // factor on all compute times; 0 is none
 	Stall   bool                  `json:"stall"`                                 // answers nothing
+	Silent  bool                  `json:"silent"`                                // answers nothing and reports nothing
 	Double  bool                  `json:"double"`                                // sends each reply twice
 	Late    cowslipproxy.Duration `json:"late" validate:"gte=0"`                 // sends each reply again after this time; 0 is never
 	Cross   bool                  `json:"cross"`                                 // sends each reply under another request's id first
--- a/standin/emulator/pipeline_test.go
+++ b/standin/emulator/pipeline_test.go
@@ -305,3 +305,13 @@
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return p.engines["a"].Account() == emulator.Account{Steps: 3} }, 5*time.Second, time.Millisecond)
 }
+
+// Guards against a link that is lost without a word holding an engine's place
+// for good: no connection breaks, and no report comes.
+func TestSilentEngineIsGivenUp(t *testing.T) {
+	p := newPipeline(t)
+	p.add("a", 0, 6)
+	require.False(t, p.isDown("a"))
+	p.engines["a"].SetFaults(emulator.Faults{Silent: true})
+	require.Eventually(t, func() bool { return p.isDown("a") }, 10*time.Second, 10*time.Millisecond)
+}
--- a/standin/emulator/schedule.go
+++ b/standin/emulator/schedule.go
@@ -54,7 +54,7 @@
 func (e *Engine) nextBatch() []*job {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.faults.Stall {
+	if e.faults.Stall || e.faults.Silent {
 		return nil
 	}
 	sort.SliceStable(e.queue, func(i, j int) bool {
--- a/standin/emulator/serve.go
+++ b/standin/emulator/serve.go
@@ -94,6 +94,12 @@
 	})
 }
 
+func (e *Engine) isSilent() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Silent
+}
+
 func (e *Engine) linkTime() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -123,9 +129,10 @@
 // Report implements runner.Server.
 func (h handler) Report(stream grpc.ServerStreamingServer[cowslipproxy.Report]) error {
 	for {
-		report := h.engine.loadReport()
-		if err := stream.Send(&report); err != nil {
-			return err
+		if report := h.engine.loadReport(); !h.engine.isSilent() {
+			if err := stream.Send(&report); err != nil {
+				return err
+			}
 		}
 		if err := wait(stream.Context(), max(h.engine.Lag, 10*time.Millisecond)); err != nil {
 			return err
