router: name a new daemon to callers only once it can serve

Cause: a daemon was in address answers from its first hello on, before it had a configuration, a list or connections. Ruled out: the old daemon, which served all its requests. The hello now says that the daemon starts, until it has a configuration and a list and has reached each listed upstream or tried for 2 s.

--- a/advertiser/advertiser.go
+++ b/advertiser/advertiser.go
@@ -22,14 +22,14 @@
 	Random   *rand.Rand
 }
 
-// Answer returns the addresses of healthy daemons that don't stop, at most 8:
+// Answer returns the addresses of healthy daemons that neither start nor stop, at most 8:
 // those of the own data centre first, then the others, each group from a random
 // place on, so that callers spread evenly.
 func (a *Advertiser) Answer(members []cowslipproxy.Member) cowslipproxy.Addresses {
 	var near, far []cowslipproxy.Member
 	for _, member := range members {
 		switch {
-		case member.Down || member.Stopping:
+		case member.Down || member.Starting || member.Stopping:
 		case member.Centre == a.Centre:
 			near = append(near, member)
 		default:
--- a/advertiser/advertiser_test.go
+++ b/advertiser/advertiser_test.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// Guards against answers that name stopping or failed daemons, that send
+// Guards against answers that name starting, stopping or failed daemons, that send
 // callers to another data centre first, or that leave usable daemons out.
 func TestAnswer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -43,8 +43,9 @@
 		for i := range rapid.IntRange(0, 20).Draw(t, "members") {
 			m := member(i, rapid.SampledFrom(centres).Draw(t, "centre"))
 			m.Down, m.Stopping = rapid.Bool().Draw(t, "down"), rapid.Bool().Draw(t, "stopping")
+			m.Starting = rapid.Bool().Draw(t, "starting")
 			members = append(members, m)
-			if !m.Down && !m.Stopping {
+			if !m.Down && !m.Starting && !m.Stopping {
 				usable[m.Caller] = m.Centre
 				if m.Centre == "oyo-a" {
 					near++
--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -104,6 +104,7 @@
 	group.Go(func() error { return r.gossiper.Run(work) })
 	group.Go(func() error { return ignoreEnd(work, r.committer.Run(work)) })
 	group.Go(func() error { return r.exchange(work) })
+	group.Go(func() error { return r.start(work) })
 	group.Go(func() error { return r.spreadSuspects(work) })
 	group.Go(func() error { return serve(server, netutil.LimitListener(sockets.callers, r.Settings.Sockets)) })
 	group.Go(func() error { return serve(operators, sockets.operator) })
@@ -194,7 +195,7 @@
 	r.buildCallers(track)
 	r.gossiper = &gossiper.Gossiper{
 		Self:     r.owner,
-		Hello:    cowslipproxy.Hello{Caller: s.Callers, Peer: s.Peers, Centre: s.Centre},
+		Hello:    cowslipproxy.Hello{Caller: s.Callers, Peer: s.Peers, Centre: s.Centre, Starting: true},
 		Listener: peers,
 		MaxBytes: s.Body,
 		Snapshot: r.snapshot,
--- /dev/null
+++ b/cowslipd/router/start.go
@@ -0,0 +1,39 @@
+package router
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	startPoll = 50 * time.Millisecond
+
+	// Upstreams that the list shows may be gone, so that a new daemon doesn't
+	// wait for all of them for longer.
+	connectLimit = 2 * time.Second
+)
+
+// start tells the other daemons that this one may be given to callers, once it
+// has a configuration and a list of VMs and has tried to reach the upstreams.
+func (r *Router) start(ctx context.Context) error {
+	ticker := time.NewTicker(startPoll)
+	defer ticker.Stop()
+	var listed time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			if _, ready := r.follower.Current(); !ready || r.lister.Last().Taken.IsZero() {
+				continue
+			}
+			if listed.IsZero() {
+				listed = now
+				continue // the pool takes the list in meanwhile
+			}
+			if r.pool.Reached() || now.Sub(listed) >= connectLimit {
+				return r.gossiper.Start()
+			}
+		}
+	}
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -59,7 +59,8 @@
 	superior bool // a later incarnation of this daemon is known
 	rounds   int
 	server   *grpc.Server
-	comparer string // peer with which versions are being compared
+	amending sync.Mutex // so that no change of what was said is lost
+	comparer string     // peer with which versions are being compared
 }
 
 // peer is what is known of the exchange with one daemon.
@@ -103,10 +104,7 @@
 func (g *Gossiper) Run(ctx context.Context) error {
 	g.setup()
 	defer g.conns.close()
-	g.mu.Lock()
-	hello := g.said
-	g.mu.Unlock()
-	if err := g.Say(hello); err != nil {
+	if err := g.amend(func(*cowslipproxy.Hello) {}); err != nil {
 		return err
 	}
 	server := grpc.NewServer(serverOptions()...)
--- a/gossiper/members.go
+++ b/gossiper/members.go
@@ -77,11 +77,22 @@
 
 // Stop tells the other daemons that this one stops.
 func (g *Gossiper) Stop() error {
+	return g.amend(func(hello *cowslipproxy.Hello) { hello.Stopping = true })
+}
+
+// Start tells the other daemons that this one can serve callers.
+func (g *Gossiper) Start() error {
+	return g.amend(func(hello *cowslipproxy.Hello) { hello.Starting = false })
+}
+
+func (g *Gossiper) amend(change func(*cowslipproxy.Hello)) error {
 	g.setup()
+	g.amending.Lock()
+	defer g.amending.Unlock()
 	g.mu.Lock()
 	hello := g.said
 	g.mu.Unlock()
-	hello.Stopping = true
+	change(&hello)
 	return g.Say(hello)
 }
 
--- a/members.go
+++ b/members.go
@@ -33,6 +33,7 @@
 	Caller   netip.AddrPort `json:"caller"` // address for callers
 	Peer     netip.AddrPort `json:"peer"`   // address for other entry daemons
 	Centre   string         `json:"centre"`
+	Starting bool           `json:"starting,omitempty"` // can't serve yet
 	Stopping bool           `json:"stopping,omitempty"`
 }
 
--- a/pooler/engines.go
+++ b/pooler/engines.go
@@ -19,6 +19,24 @@
 	return e.Engine, true
 }
 
+// Reached reports whether each upstream that is known can be sent work.
+func (p *Pool) Reached() bool {
+	dump := p.Dump()
+	for _, engine := range dump.Engines {
+		if engine.Reported.IsZero() {
+			return false
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, service := range dump.Services {
+		if s := p.services[service.Name]; s == nil || s.probing {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *Pool) up(name string, now time.Time) {
 	p.mu.Lock()
 	e := p.engines[name]
