--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -114,6 +114,7 @@
 	group.Go(func() error { return r.gossiper.Run(work) })
 	group.Go(func() error { return ignoreEnd(work, r.committer.Run(work)) })
 	group.Go(func() error { return r.exchange(work) })
+	group.Go(func() error { return r.start(work) })
 	group.Go(func() error { return r.spreadSuspects(work) })
 	group.Go(func() error { return r.commander.Run(work) })
 	group.Go(func() error { return serve(server, netutil.LimitListener(sockets.callers, r.Settings.Sockets)) })
@@ -218,7 +219,7 @@
 	r.buildCallers(track)
 	r.gossiper = &gossiper.Gossiper{
 		Self:     r.owner,
-		Hello:    cowslipproxy.Hello{Caller: s.Callers, Peer: s.Peers, Centre: s.Centre},
+		Hello:    cowslipproxy.Hello{Caller: s.Callers, Peer: s.Peers, Centre: s.Centre, Starting: true},
 		Listener: peers,
 		Dial:     r.Dial,
 		MaxBytes: s.Body,
