--- a/standin/slopes_data.go
+++ b/standin/slopes_data.go
@@ -178,21 +178,7 @@
 		return err
 	}
 	var tokens, failed atomic.Int64
-	var group sync.WaitGroup
-	load, end := context.WithCancel(ctx)
-	defer end()
-	for i := range streams {
-		group.Go(func() {
-			labelled("caller", func() {
-				for load.Err() == nil {
-					if err := stream(load, f.settings[0].Callers, i, &tokens); err != nil && load.Err() == nil {
-						failed.Add(1)
-						time.Sleep(10 * time.Millisecond)
-					}
-				}
-			})
-		})
-	}
+	stop := f.load(ctx, &tokens, &failed)
 	if err = pause(ctx, time.Second); err != nil {
 		return err
 	}
@@ -202,8 +188,7 @@
 	}
 	ran, processor, used := float64(tokens.Load()-count), processorTime()-spent, e.wires.total("engine").minus(from)
 	elapsed := time.Since(began).Seconds()
-	end()
-	group.Wait()
+	stop()
 	if ran == 0 || failed.Load() > streams {
 		return errors.Errorf("%d answers failed, %.0f tokens came", failed.Load(), ran)
 	}
@@ -212,6 +197,25 @@
 	return nil
 }
 
+// load asks the first daemon for answers until the returned function is called.
+func (f *fleet) load(ctx context.Context, tokens, failed *atomic.Int64) (stop func()) {
+	var group sync.WaitGroup
+	ctx, cancel := context.WithCancel(ctx)
+	for i := range streams {
+		group.Go(func() {
+			labelled("caller", func() {
+				for ctx.Err() == nil {
+					if err := stream(ctx, f.settings[0].Callers, i, tokens); err != nil && ctx.Err() == nil {
+						failed.Add(1)
+						time.Sleep(10 * time.Millisecond)
+					}
+				}
+			})
+		})
+	}
+	return func() { cancel(); group.Wait() }
+}
+
 func (f *fleet) publishData(ctx context.Context, stages int) error {
 	subject := customer(0)
 	subject.Keys, subject.Rate, subject.Burst, subject.Class = []string{hashOf(dataKey)}, 1e9, 1e9, cowslipproxy.ClassCritical
--- a/standin/slopes_direct.go
+++ b/standin/slopes_direct.go
@@ -55,39 +55,41 @@
 			vms = append(vms, engineVM(i))
 		}
 		f.list.Put(vms...)
-		for _, whole := range []bool{true, false} {
-			role := fmt.Sprint(whole)
-			transport := &http.Transport{DialContext: dialCounted(f.wires, role)}
-			l := &lister.Lister{URL: "http://" + f.listAt.String(), Client: &http.Client{Transport: transport}}
-			const polls = 20
-			var from traffic
-			var spent time.Duration
-			for i := range polls + 1 {
-				if i == 1 { // the first poll connects, and has no earlier answer
-					from, spent = f.wires.total(role), processorTime()
-				}
-				if whole {
-					l = &lister.Lister{URL: l.URL, Client: l.Client}
-				}
-				if _, err = l.VMs(ctx); err != nil {
-					f.close()
-					return nil, err
-				}
-			}
-			spent = processorTime() - spent
-			used := f.wires.total(role).minus(from)
-			name := "unchanged"
-			if whole {
-				name = "whole"
+		for _, name := range []string{"whole", "unchanged"} {
+			if err := f.measurePolls(ctx, count, name, result); err != nil {
+				f.close()
+				return nil, err
 			}
-			result.add(count, name, float64(used.Bytes)/polls, milliseconds(spent)/polls)
-			transport.CloseIdleConnections()
 		}
 		f.close()
 	}
 	return result, nil
 }
 
+func (f *fleet) measurePolls(ctx context.Context, count int, name string, result *table) error {
+	transport := &http.Transport{DialContext: dialCounted(f.wires, name)}
+	defer transport.CloseIdleConnections()
+	l := &lister.Lister{URL: "http://" + f.listAt.String(), Client: &http.Client{Transport: transport}}
+	const polls = 20
+	var from traffic
+	var spent time.Duration
+	for i := range polls + 1 {
+		if i == 1 { // the first poll connects, and has no earlier answer
+			from, spent = f.wires.total(name), processorTime()
+		}
+		if name == "whole" {
+			l = &lister.Lister{URL: l.URL, Client: l.Client}
+		}
+		if _, err := l.VMs(ctx); err != nil {
+			return err
+		}
+	}
+	spent = processorTime() - spent
+	used := f.wires.total(name).minus(from)
+	result.add(count, name, float64(used.Bytes)/polls, milliseconds(spent)/polls)
+	return nil
+}
+
 // upstreams is what a daemon knows of its upstreams.
 type upstreams struct {
 	joiner  joiner.Joiner
@@ -282,9 +284,9 @@
 		q := &quarantiner.Quarantiner{Self: names[0]}
 		q.SetPeers(names)
 		for i := range 10 {
-			print := quarantiner.Print{Customer: "customer-0001"}
-			print.Content = uint64(i + 1)
-			q.Crash(now, fmt.Sprint("engine-", i), []quarantiner.Print{print})
+			suspect := quarantiner.Print{Customer: "customer-0001"}
+			suspect.Content = uint64(i + 1)
+			q.Crash(now, fmt.Sprint("engine-", i), []quarantiner.Print{suspect})
 		}
 		for _, name := range names {
 			records := q.Pending(now, name)
--- a/standin/slopes_fleet.go
+++ b/standin/slopes_fleet.go
@@ -423,51 +423,63 @@
 		Columns: []string{"customers", "record B", "us a change", "KB each scope", "snapshot KB", "snapshot ms"},
 	}
 	for _, count := range []int{10, 100, 3700} {
-		before := memory()
-		r := &resolver.Resolver{}
-		var entries []cowslipproxy.Entry
-		for i := range count {
-			data, err := changeRecord(i, 0)
-			if err != nil {
-				return nil, err
-			}
-			entries = append(entries, cowslipproxy.Entry{Offset: uint64(i), Data: data})
-		}
-		if _, err := r.Fold(cowslipproxy.Batch{Next: uint64(count), Entries: entries}, time.Now()); err != nil {
+		if err := measureScopes(count, result); err != nil {
 			return nil, err
 		}
-		size := len(entries[0].Data)
-		entries = nil
-		_ = r.Settled()
-		held := (memory() - before) / float64(count) / 1000
-		next := uint64(count)
-		var failed error
-		took := timed(func() {
-			data, err := changeRecord(int(next)%count, next/uint64(count))
-			if err == nil {
-				_, err = r.Fold(cowslipproxy.Batch{Next: next + 1, Entries: []cowslipproxy.Entry{{Offset: next, Data: data}}}, time.Now())
-			}
-			if err != nil {
-				failed = err
-			}
-			next++
-			_ = r.Settled()
-		})
-		if failed != nil {
-			return nil, failed
+	}
+	return result, ctx.Err()
+}
+
+func measureScopes(count int, result *table) error {
+	before := memory()
+	r := &resolver.Resolver{}
+	next, size := uint64(0), 0
+	fold := func() error {
+		data, err := changeRecord(int(next)%count, next/uint64(count))
+		if err != nil {
+			return err
 		}
-		var parts []resolver.Part
-		snapshot := timed(func() { parts, failed = r.Snapshot("s") })
-		whole := 0
-		for _, part := range parts {
-			data, err := resolver.Encode(part)
-			if err != nil {
-				return nil, err
-			}
-			whole += len(data)
+		size = len(data)
+		_, err = r.Fold(cowslipproxy.Batch{Next: next + 1, Entries: []cowslipproxy.Entry{{Offset: next, Data: data}}}, time.Now())
+		next++
+		return err
+	}
+	for range count {
+		if err := fold(); err != nil {
+			return err
 		}
-		result.add(count, size, float64(took.Nanoseconds())/1000, held, float64(whole)/1000, milliseconds(snapshot))
-		runtime.KeepAlive(r)
 	}
-	return result, ctx.Err()
+	_ = r.Settled()
+	held := (memory() - before) / float64(count) / 1000
+	var failed error
+	took := timed(func() {
+		if err := fold(); err != nil {
+			failed = err
+		}
+		_ = r.Settled()
+	})
+	if failed != nil {
+		return failed
+	}
+	var parts []resolver.Part
+	snapshot := timed(func() { parts, failed = r.Snapshot("s") })
+	whole, err := encodedSize(parts)
+	if err != nil {
+		return err
+	}
+	result.add(count, size, microseconds(took), held, float64(whole)/1000, milliseconds(snapshot))
+	runtime.KeepAlive(r)
+	return failed
+}
+
+func encodedSize(parts []resolver.Part) (int, error) {
+	size := 0
+	for _, part := range parts {
+		data, err := resolver.Encode(part)
+		if err != nil {
+			return 0, err
+		}
+		size += len(data)
+	}
+	return size, nil
 }
