--- a/cowslipd/router/metrics_test.go
+++ b/cowslipd/router/metrics_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
@@ -39,6 +40,10 @@
 	_, _ = d.complete(one, "nobody", "refuse me", 5)
 	_, err := d.call(one, http.MethodPost, "/v1/services/ledger/fees", officerKey, nil, `{}`)
 	require.NoError(t, err)
+	// A request is counted when its handler returns, a moment after the answer.
+	require.Eventually(t, func() bool {
+		return value(scrape(t, one), reporter.MetricDuration, nil)-value(before, reporter.MetricDuration, nil) == 3
+	}, waitLimit, 10*time.Millisecond)
 	after := scrape(t, one)
 	rise := func(name string, labels ...string) float64 {
 		return value(after, name, labels) - value(before, name, labels)
