router: start only after the pool has taken in the list

The start looked at the list before the pool had it, or its 2 s ran out on a busy machine; which of the two is not proven. Now the pool's own list counts and the wait is 5 s.

--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -72,6 +73,7 @@
 
 	quarantiner *quarantiner.Quarantiner
 	started     time.Time
+	hasList     atomic.Bool // the pool has taken in a list
 
 	stopMu     sync.Mutex
 	stopper    advertiser.Stopper
@@ -240,5 +242,6 @@
 // listed takes in a new list of VMs.
 func (r *Router) listed(list lister.List) {
 	r.pool.List(list)
+	r.hasList.Store(true)
 	r.gossiper.SetListed(list.VMs)
 }
--- a/cowslipd/router/start.go
+++ b/cowslipd/router/start.go
@@ -10,7 +10,7 @@
 
 	// Upstreams that the list shows may be gone, so that a new daemon doesn't
 	// wait for all of them for longer.
-	connectLimit = 2 * time.Second
+	connectLimit = 5 * time.Second
 )
 
 // start tells the other daemons that this one may be given to callers, once it
@@ -24,12 +24,12 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			if _, ready := r.follower.Current(); !ready || r.lister.Last().Taken.IsZero() {
+			if _, ready := r.follower.Current(); !ready || !r.hasList.Load() {
 				continue
 			}
 			if listed.IsZero() {
 				listed = now
-				continue // the pool takes the list in meanwhile
+				continue
 			}
 			if r.pool.Reached() || now.Sub(listed) >= connectLimit {
 				return r.gossiper.Start()
