--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -82,6 +83,7 @@
 	quarantiner *quarantiner.Quarantiner
 	commander   *commander.Commander
 	started     time.Time
+	hasList     atomic.Bool // the pool has taken in a list
 
 	stopMu     sync.Mutex
 	stopper    advertiser.Stopper
@@ -303,5 +305,6 @@
 // listed takes in a new list of VMs.
 func (r *Router) listed(list lister.List) {
 	r.pool.List(list)
+	r.hasList.Store(true)
 	r.gossiper.SetListed(list.VMs)
 }
