--- a/caller/complete.go
+++ b/caller/complete.go
@@ -46,8 +46,9 @@
 
 // complete serves a request to a model.
 func (s *Server) complete(w http.ResponseWriter, r *http.Request, parse func(*completion) error) {
-	e, err := s.begin(w, r)
-	if err != nil {
+	var e *exchange
+	var err error
+	if e, err = s.begin(w, r); err != nil {
 		e.fail(err)
 		return
 	}
--- a/caller/models.go
+++ b/caller/models.go
@@ -16,8 +16,9 @@
 
 // models lists the declared models and their adapters.
 func (s *Server) models(w http.ResponseWriter, r *http.Request) {
-	e, err := s.begin(w, r)
-	if err != nil {
+	var e *exchange
+	var err error
+	if e, err = s.begin(w, r); err != nil {
 		e.fail(err)
 		return
 	}
--- a/caller/service.go
+++ b/caller/service.go
@@ -13,8 +13,9 @@
 
 // service passes a call on to a plain service.
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
-	e, err := s.begin(w, r)
-	if err != nil {
+	var e *exchange
+	var err error
+	if e, err = s.begin(w, r); err != nil {
 		e.fail(err)
 		return
 	}
--- a/commander/plan.go
+++ b/commander/plan.go
@@ -12,13 +12,14 @@
 
 // carryOut plans from what the engines report, and gives the orders.
 func (c *Commander) carryOut(ctx context.Context, now time.Time) {
-	input, err := c.input(ctx)
-	if err != nil {
+	var input planner.Input
+	var err error
+	if input, err = c.input(ctx); err != nil {
 		reporter.EventPlanFailed.Log(ctx, c.Logger, slog.Any("error", err))
 		return
 	}
-	plan, err := c.planner.Plan(now, input)
-	if err != nil {
+	var plan planner.Plan
+	if plan, err = c.planner.Plan(now, input); err != nil {
 		reporter.EventPlanFailed.Log(ctx, c.Logger, slog.Any("error", err))
 		return
 	}
@@ -76,8 +77,9 @@
 		if model.Stage == 0 {
 			continue
 		}
-		size, err := c.size(ctx, model)
-		if err != nil {
+		var size int64
+		var err error
+		if size, err = c.size(ctx, model); err != nil {
 			return in, err
 		}
 		placed[model.Name] = true
@@ -118,8 +120,9 @@
 	if size, ok := c.sizes[key]; ok {
 		return size, nil
 	}
-	size, err := c.Weights.Size(ctx, model.Name, model.Version, cowslipproxy.LayerRange{First: 0, End: 1})
-	if err != nil {
+	var size int64
+	var err error
+	if size, err = c.Weights.Size(ctx, model.Name, model.Version, cowslipproxy.LayerRange{First: 0, End: 1}); err != nil {
 		return 0, err
 	}
 	c.sizes[key] = max(size, 1)
--- a/cowslipctl/check.go
+++ b/cowslipctl/check.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 
+	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
@@ -21,8 +22,9 @@
 		FlagSet: flag.NewFlagSet("cowslipctl check", flag.ContinueOnError),
 		Options: []ff.Option{ff.WithEnvVarPrefix("COWSLIP")},
 		Exec: func(_ context.Context, args []string) error {
-			configuration, err := readConfiguration(args)
-			if err != nil {
+			var configuration cowslipproxy.Configuration
+			var err error
+			if configuration, err = readConfiguration(args); err != nil {
 				return err
 			}
 			_, err = fmt.Fprintf(os.Stdout, "ok: %d customers, %d models, %d services\n",
--- a/cowslipctl/daemon.go
+++ b/cowslipctl/daemon.go
@@ -38,8 +38,9 @@
 }
 
 func (f daemonFlags) daemon() (daemon, error) {
-	address, err := netip.ParseAddrPort(*f.operator)
-	if err != nil {
+	var address netip.AddrPort
+	var err error
+	if address, err = netip.ParseAddrPort(*f.operator); err != nil {
 		return daemon{}, usageError("operator: found %q, accepted is an IP number and port such as 127.0.0.1:7003", *f.operator)
 	}
 	if *f.timeout <= 0 {
@@ -52,21 +53,22 @@
 func (d daemon) call(ctx context.Context, method, path string, question any) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.timeout)
 	defer cancel()
-	body, err := json.Marshal(question)
-	if err != nil {
+	var body []byte
+	var err error
+	if body, err = json.Marshal(question); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+d.address.String()+path, bytes.NewReader(body))
-	if err != nil {
+	var request *http.Request
+	if request, err = http.NewRequestWithContext(ctx, method, "http://"+d.address.String()+path, bytes.NewReader(body)); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
+	var answer *http.Response
+	if answer, err = http.DefaultClient.Do(request); err != nil {
 		return nil, lost(method, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer+1))
-	if err != nil {
+	var data []byte
+	if data, err = io.ReadAll(io.LimitReader(answer.Body, maxAnswer+1)); err != nil {
 		return nil, lost(method, err)
 	}
 	if len(data) > maxAnswer {
--- a/cowslipctl/drain.go
+++ b/cowslipctl/drain.go
@@ -36,8 +36,9 @@
 			if !*whole && len(args) != 1 {
 				return usageError("found %d arguments, accepted is one UPSTREAM, or --daemon", len(args))
 			}
-			d, err := target.daemon()
-			if err != nil {
+			var d daemon
+			var err error
+			if d, err = target.daemon(); err != nil {
 				return err
 			}
 			if *whole {
--- a/cowslipctl/dump.go
+++ b/cowslipctl/dump.go
@@ -77,8 +77,9 @@
 			if len(args) > 0 {
 				return usageError("found %d arguments, accepted is none", len(args))
 			}
-			d, err := target.daemon()
-			if err != nil {
+			var d daemon
+			var err error
+			if d, err = target.daemon(); err != nil {
 				return err
 			}
 			return dump(ctx, os.Stdout, d, *asJSON)
@@ -87,8 +88,9 @@
 }
 
 func dump(ctx context.Context, w io.Writer, d daemon, asJSON bool) error {
-	data, err := d.call(ctx, http.MethodGet, "/v1/dump", nil)
-	if err != nil {
+	var data []byte
+	var err error
+	if data, err = d.call(ctx, http.MethodGet, "/v1/dump", nil); err != nil {
 		return err
 	}
 	if asJSON {
--- a/cowslipctl/explain.go
+++ b/cowslipctl/explain.go
@@ -69,8 +69,9 @@
 			if (question.Model == "") == (question.Service == "") {
 				return usageError("found model %q and service %q, accepted is one of them", question.Model, question.Service)
 			}
-			d, err := target.daemon()
-			if err != nil {
+			var d daemon
+			var err error
+			if d, err = target.daemon(); err != nil {
 				return err
 			}
 			return explain(ctx, os.Stdout, d, question, *asJSON)
@@ -79,8 +80,9 @@
 }
 
 func explain(ctx context.Context, w io.Writer, d daemon, question operator.Question, asJSON bool) error {
-	data, err := d.call(ctx, http.MethodPost, "/v1/explain", question)
-	if err != nil {
+	var data []byte
+	var err error
+	if data, err = d.call(ctx, http.MethodPost, "/v1/explain", question); err != nil {
 		return asKnown(err)
 	}
 	var answer explanation
--- a/cowslipctl/file.go
+++ b/cowslipctl/file.go
@@ -28,8 +28,9 @@
 		}
 		defer func() { _ = input.Close() }()
 	}
-	data, err := io.ReadAll(io.LimitReader(input, maxFile+1))
-	if err != nil {
+	var data []byte
+	var err error
+	if data, err = io.ReadAll(io.LimitReader(input, maxFile+1)); err != nil {
 		return configuration, errors.WithStack(err)
 	}
 	if len(data) > maxFile {
--- a/cowslipctl/lift.go
+++ b/cowslipctl/lift.go
@@ -31,8 +31,9 @@
 			if len(args) != 1 || !fingerprintPattern.MatchString(args[0]) {
 				return usageError("found arguments %q, accepted is one FINGERPRINT of 1 to 16 hexadecimal digits", args)
 			}
-			d, err := target.daemon()
-			if err != nil {
+			var d daemon
+			var err error
+			if d, err = target.daemon(); err != nil {
 				return err
 			}
 			if _, err := d.call(ctx, http.MethodDelete, "/v1/quarantine/"+args[0], nil); err != nil {
--- a/cowslipctl/log.go
+++ b/cowslipctl/log.go
@@ -28,8 +28,9 @@
 }
 
 func (l logFlags) client() (*follower.Client, error) {
-	address, err := netip.ParseAddrPort(*l.address)
-	if err != nil {
+	var address netip.AddrPort
+	var err error
+	if address, err = netip.ParseAddrPort(*l.address); err != nil {
 		return nil, usageError("log: found %q, accepted is an IP number and port such as 127.0.0.1:7100", *l.address)
 	}
 	if *l.timeout <= 0 {
--- a/cowslipctl/publish.go
+++ b/cowslipctl/publish.go
@@ -11,6 +11,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
+	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/follower"
 	"github.com/cowslipproxy/cowslipproxy/resolver"
 )
@@ -33,8 +34,9 @@
 		FlagSet: flags,
 		Options: []ff.Option{ff.WithEnvVarPrefix("COWSLIP")},
 		Exec: func(ctx context.Context, args []string) error {
-			client, err := log.client()
-			if err != nil {
+			var client *follower.Client
+			var err error
+			if client, err = log.client(); err != nil {
 				return err
 			}
 			publisher := &follower.Publisher{Log: client, Timeout: *log.timeout, Prune: *prune}
@@ -44,12 +46,13 @@
 }
 
 func publish(ctx context.Context, w io.Writer, publisher *follower.Publisher, args []string, asJSON bool) error {
-	configuration, err := readConfiguration(args)
-	if err != nil {
+	var configuration cowslipproxy.Configuration
+	var err error
+	if configuration, err = readConfiguration(args); err != nil {
 		return err
 	}
-	results, err := publisher.Publish(ctx, configuration)
-	if err != nil {
+	var results []follower.Result
+	if results, err = publisher.Publish(ctx, configuration); err != nil {
 		return err
 	}
 	if asJSON {
--- a/cowslipctl/show.go
+++ b/cowslipctl/show.go
@@ -31,8 +31,9 @@
 			if len(args) > 0 {
 				return usageError("found %d arguments, accepted is none", len(args))
 			}
-			client, err := log.client()
-			if err != nil {
+			var client *follower.Client
+			var err error
+			if client, err = log.client(); err != nil {
 				return err
 			}
 			ctx, cancel := context.WithTimeout(ctx, *log.timeout)
--- a/cowslipd/router/guard.go
+++ b/cowslipd/router/guard.go
@@ -31,8 +31,9 @@
 	if send.Key == "" {
 		send.Key = "cow1." + g.incarnation + "." + uuid.NewString()
 	}
-	key, err := claimer.ParseKey(send.Key)
-	if err != nil {
+	var key claimer.Key
+	var err error
+	if key, err = claimer.ParseKey(send.Key); err != nil {
 		caller.WriteFailure(w, send.Request, cowslipproxy.Refuse(cowslipproxy.ReasonMalformed, "%s: %v", caller.HeaderKey, err))
 		return
 	}
--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -45,7 +45,6 @@
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 64 << 10
-	shutTime      = 5 * time.Second
 	stopPoll      = 50 * time.Millisecond
 	flushLimit    = 5 * time.Second        // for outcomes to get into the log at a stop
 	saveEvery     = 64                     // tokens
@@ -124,9 +123,9 @@
 	reporter.EventStarted.Log(ctx, r.Logger, slog.String("name", r.owner.Key()), slog.String("callers", sockets.callers.Addr().String()))
 	group.Go(func() error {
 		r.awaitStop(ctx, work)
-		shut(work, server)
+		_ = server.Shutdown(work) // only the end of work ends it early, which the group reports
 		r.finish(work)
-		shut(work, operators)
+		_ = operators.Shutdown(work) // as above
 		cancel()
 		return nil
 	})
@@ -168,16 +167,6 @@
 	}
 }
 
-// shut ends a server. The requests in flight have ended by then, or the grace for
-// them is over; only answers that are being written get the time for their end.
-func shut(ctx context.Context, server *http.Server) {
-	ctx, cancel := context.WithTimeout(ctx, shutTime)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
-		_ = server.Close() // cuts off what outlasted the grace
-	}
-}
-
 func serve(server *http.Server, listener net.Listener) error {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.WithStack(err)
--- a/cowslipd/router/services.go
+++ b/cowslipd/router/services.go
@@ -23,8 +23,9 @@
 func (s *serviceRunner) Call(ctx context.Context, service cowslipproxy.Service, call cowslipproxy.ServiceCall, deadline time.Time) (*http.Response, error) {
 	s.retrier.Request(s.clock())
 	ctx, cancel := context.WithDeadline(ctx, deadline)
-	answer, err := s.forwarder.Forward(ctx, service, call)
-	if err != nil {
+	var answer *http.Response
+	var err error
+	if answer, err = s.forwarder.Forward(ctx, service, call); err != nil {
 		s.refused(ctx, service.Name, err)
 		cancel()
 		return nil, err
--- a/decoder/decode.go
+++ b/decoder/decode.go
@@ -62,8 +62,9 @@
 // checkKeys reports the path of the first key that stands twice in an object of
 // the next value. The value is known to be well formed.
 func checkKeys(d *json.Decoder, path string) error {
-	token, err := d.Token()
-	if err != nil {
+	var token json.Token
+	var err error
+	if token, err = d.Token(); err != nil {
 		return errors.Wrap(err, "json")
 	}
 	kind, ok := token.(json.Delim)
--- a/decoder/yaml.go
+++ b/decoder/yaml.go
@@ -19,8 +19,9 @@
 // library's own errors name a line and no path, those of text fields neither, and
 // it cuts off the fraction of a number for a whole one.
 func checkYAML(data []byte, t reflect.Type) error {
-	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
-	if err != nil {
+	var file *ast.File
+	var err error
+	if file, err = parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey()); err != nil {
 		return nil // the library's own error shows the place in the text
 	}
 	documents := 0
--- a/follower/publisher.go
+++ b/follower/publisher.go
@@ -45,8 +45,9 @@
 func ReadAll(ctx context.Context, log cowslipproxy.Log) (*resolver.Resolver, error) {
 	r := &resolver.Resolver{Remember: math.MaxInt32}
 	for {
-		atEnd, _, err := readOnce(ctx, log, r, 0)
-		if err != nil {
+		var atEnd bool
+		var err error
+		if atEnd, _, err = readOnce(ctx, log, r, 0); err != nil {
 			return nil, err
 		}
 		if r.Ready() {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -159,8 +159,9 @@
 	}
 	body := &replayReader{replay: r.body}
 	call.Body = body
-	answer, err := upstream.Do(ctx, call)
-	if err != nil {
+	var answer *http.Response
+	var err error
+	if answer, err = upstream.Do(ctx, call); err != nil {
 		body.end()
 	}
 	return answer, err
--- a/gossiper/forward.go
+++ b/gossiper/forward.go
@@ -65,16 +65,18 @@
 	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel() // ends the stream and with it the request over there
-	conn, release, err := g.conns.lease(address)
-	if err != nil {
+	var conn *grpc.ClientConn
+	var release func()
+	var err error
+	if conn, release, err = g.conns.lease(address); err != nil {
 		return notStarted(err)
 	}
 	defer release()
 	if err := ready(ctx, conn); err != nil {
 		return notStarted(err)
 	}
-	stream, err := conn.NewStream(ctx, &serviceDesc.Streams[0], "/"+serviceName+"/Forward")
-	if err != nil {
+	var stream grpc.ClientStream
+	if stream, err = conn.NewStream(ctx, &serviceDesc.Streams[0], "/"+serviceName+"/Forward"); err != nil {
 		return notStarted(err)
 	}
 	head := Part{Method: r.Method, Path: r.URL.RequestURI(), Host: r.Host, Header: r.Header, Length: r.ContentLength}
@@ -87,8 +89,8 @@
 	}
 	sent := make(chan error, 1)
 	go func() {
-		err := sendBody(stream, r.Body, g.MaxBytes)
-		if err != nil {
+		var err error
+		if err = sendBody(stream, r.Body, g.MaxBytes); err != nil {
 			cancel()
 		}
 		sent <- err
--- a/gossiper/limit.go
+++ b/gossiper/limit.go
@@ -25,8 +25,9 @@
 	case <-l.closed:
 		return nil, net.ErrClosed
 	}
-	conn, err := l.Listener.Accept()
-	if err != nil {
+	var conn net.Conn
+	var err error
+	if conn, err = l.Listener.Accept(); err != nil {
 		<-l.slots
 		return nil, err
 	}
--- a/gossiper/service.go
+++ b/gossiper/service.go
@@ -104,8 +104,10 @@
 	if g.Snapshot == nil {
 		return nil, status.Error(codes.Unavailable, "no configuration yet")
 	}
-	at, data, err := g.Snapshot(ctx)
-	if err != nil {
+	var at uint64
+	var data []byte
+	var err error
+	if at, data, err = g.Snapshot(ctx); err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
 	return &SnapshotAnswer{At: at, Data: data}, nil
@@ -123,8 +125,9 @@
 	if hook == nil {
 		return nil, status.Error(codes.Unavailable, "not ready")
 	}
-	data, err := hook(sent.Data)
-	if err != nil {
+	var data []byte
+	var err error
+	if data, err = hook(sent.Data); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
 	return &Suspects{Data: data}, nil
@@ -182,8 +185,9 @@
 func (c *connections) get(address string, now time.Time) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	held, err := c.hold(address, now)
-	if err != nil {
+	var held *connection
+	var err error
+	if held, err = c.hold(address, now); err != nil {
 		return nil, err
 	}
 	return held.ClientConn, nil
@@ -193,8 +197,9 @@
 func (c *connections) lease(address string) (*grpc.ClientConn, func(), error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	held, err := c.hold(address, time.Now())
-	if err != nil {
+	var held *connection
+	var err error
+	if held, err = c.hold(address, time.Now()); err != nil {
 		return nil, nil, err
 	}
 	held.active++
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -180,8 +180,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(l.URL, "/")+"/v1/vms", nil)
-	if err != nil {
+	var request *http.Request
+	var err error
+	if request, err = http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(l.URL, "/")+"/v1/vms", nil); err != nil {
 		return List{}, errors.Wrap(err, "list")
 	}
 	held := l.whole()
@@ -193,8 +194,8 @@
 		client = http.DefaultClient
 	}
 	asked := time.Now()
-	response, err := client.Do(request)
-	if err != nil {
+	var response *http.Response
+	if response, err = client.Do(request); err != nil {
 		return List{}, errors.Wrap(err, "list")
 	}
 	defer response.Body.Close()
@@ -238,8 +239,9 @@
 }
 
 func decode(response *http.Response, asked time.Time) (List, error) {
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
-	if err != nil {
+	var data []byte
+	var err error
+	if data, err = io.ReadAll(io.LimitReader(response.Body, maxAnswer+1)); err != nil {
 		return List{}, errors.Wrap(err, "list")
 	}
 	if len(data) > maxAnswer {
--- a/loader/fields.go
+++ b/loader/fields.go
@@ -24,7 +24,7 @@
 	{"body", "8388608", "largest body of a caller's request, in bytes", number(func(s *Settings, n int64) { s.Body = n })},
 	{"wait", "1m0s", "deadline of requests that name none", duration(func(s *Settings) *cowslipproxy.Duration { return &s.Wait })},
 	{"lifetime", "10s", "how long callers may keep an answer to the question which entry VM to use", duration(func(s *Settings) *cowslipproxy.Duration { return &s.Lifetime })},
-	{"grace", "10m0s", "longest time that a planned stop waits for requests in flight", duration(func(s *Settings) *cowslipproxy.Duration { return &s.Grace })},
+	{"grace", "10m0s", "time after which a planned stop takes no new connections; requests in flight still end, by their own deadlines", duration(func(s *Settings) *cowslipproxy.Duration { return &s.Grace })},
 	{"retain", "24h0m0s", "time that the log keeps records", duration(func(s *Settings) *cowslipproxy.Duration { return &s.Retain })},
 	{"streams", "4", "number of log streams for claims; equal on all daemons", number(func(s *Settings, n int64) { s.Streams = int(n) })},
 	{"sockets", "10000", "most connections of callers at a time", number(func(s *Settings, n int64) { s.Sockets = int(n) })},
--- a/pooler/services.go
+++ b/pooler/services.go
@@ -14,8 +14,9 @@
 // Pick implements forwarder.Picker.
 func (p *Pool) Pick(now time.Time, name string, tried []string) (string, cowslipproxy.ServiceUpstream, bool) {
 	for range maxChoices {
-		pick, err := p.chooser.Service(now, name, tried)
-		if err != nil {
+		var pick chooser.Pick
+		var err error
+		if pick, err = p.chooser.Service(now, name, tried); err != nil {
 			return "", nil, false
 		}
 		p.mu.Lock()
--- a/resolver/snapshot.go
+++ b/resolver/snapshot.go
@@ -152,15 +152,17 @@
 	}
 	split := splitter{head: Part{Kind: KindSnapshot, ID: id, At: r.next - 1, Entries: []Entry{}}}
 	for _, entry := range r.state.entries() {
-		last, err := split.fit(entry)
-		if err != nil {
+		var last *Part
+		var err error
+		if last, err = split.fit(entry); err != nil {
 			return nil, err
 		}
 		last.Entries = append(last.Entries, entry)
 	}
 	for _, refusal := range r.state.refusals() {
-		last, err := split.fit(refusal)
-		if err != nil {
+		var last *Part
+		var err error
+		if last, err = split.fit(refusal); err != nil {
 			return nil, err
 		}
 		last.Refused = append(last.Refused, refusal)
@@ -183,8 +185,9 @@
 
 // fit returns the part that has space for the value.
 func (s *splitter) fit(value any) (*Part, error) {
-	data, err := Encode(value)
-	if err != nil {
+	var data []byte
+	var err error
+	if data, err = Encode(value); err != nil {
 		return nil, err
 	}
 	if len(s.parts) == 0 || s.size+len(data)+1 > MaxRecord {
--- a/resolver/state.go
+++ b/resolver/state.go
@@ -116,8 +116,9 @@
 		if err := entry.Check(); err != nil {
 			return state{}, err
 		}
-		value, err := decodeBody(entry.Scope, entry.Body)
-		if err != nil {
+		var value any
+		var err error
+		if value, err = decodeBody(entry.Scope, entry.Body); err != nil {
 			return state{}, err
 		}
 		entry.Body = compact(entry.Body)
--- a/standin/appender/handler.go
+++ b/standin/appender/handler.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/mux"
 	"github.com/pkg/errors"
 
+	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/decoder"
 )
 
@@ -61,8 +62,8 @@
 			return
 		}
 	}
-	batch, err := s.Read(r.Context(), mux.Vars(r)["stream"], from, wait)
-	if err != nil {
+	var batch cowslipproxy.Batch
+	if batch, err = s.Read(r.Context(), mux.Vars(r)["stream"], from, wait); err != nil {
 		fail(w, err)
 		return
 	}
@@ -70,8 +71,9 @@
 }
 
 func (s *Server) serveTruncate(w http.ResponseWriter, r *http.Request) {
-	first, err := strconv.ParseUint(r.FormValue("first"), 10, 64)
-	if err != nil {
+	var first uint64
+	var err error
+	if first, err = strconv.ParseUint(r.FormValue("first"), 10, 64); err != nil {
 		http.Error(w, "first: "+err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/standin/demo.go
+++ b/standin/demo.go
@@ -73,8 +73,9 @@
 	}
 	f.visitor.Models = configuration.Models
 	for _, text := range strings.Split(f.daemons, ",") {
-		address, err := netip.ParseAddrPort(text)
-		if err != nil {
+		var address netip.AddrPort
+		var err error
+		if address, err = netip.ParseAddrPort(text); err != nil {
 			return errors.Errorf("daemons: found %q, accepted is an IP number and port", text)
 		}
 		f.visitor.Daemons = append(f.visitor.Daemons, address)
--- a/standin/driller/asker.go
+++ b/standin/driller/asker.go
@@ -65,12 +65,13 @@
 	var answer cowslipproxy.Addresses
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/v1/addresses", nil)
-	if err != nil {
+	var request *http.Request
+	var err error
+	if request, err = http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/v1/addresses", nil); err != nil {
 		return answer, errors.WithStack(err)
 	}
-	response, err := a.client.Do(request)
-	if err != nil {
+	var response *http.Response
+	if response, err = a.client.Do(request); err != nil {
 		return answer, errors.WithStack(err)
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/standin/driller/complete.go
+++ b/standin/driller/complete.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -75,28 +76,29 @@
 func (d *Driller) attempt(ctx context.Context, next arrival, prompt string, expected []string, got *result) {
 	got.broken, got.outcome = true, cowslipproxy.OutcomeUnknown // until an answer tells
 	from := d.callers[next.caller]
-	address, err := from.address(ctx)
-	if err != nil {
+	var address netip.AddrPort
+	var err error
+	if address, err = from.address(ctx); err != nil {
 		return
 	}
 	model := d.Model.Name
 	if d.Adapter != "" {
 		model += ":" + d.Adapter
 	}
-	body, err := json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": d.Answer, "stream": next.streamed})
-	if err != nil {
+	var body []byte
+	if body, err = json.Marshal(map[string]any{"model": model, "prompt": prompt, "max_tokens": d.Answer, "stream": next.streamed}); err != nil {
 		return // strings and numbers can always be encoded
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+"/v1/completions", bytes.NewReader(body))
-	if err != nil {
+	var request *http.Request
+	if request, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+"/v1/completions", bytes.NewReader(body)); err != nil {
 		return // the address was parsed before
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Authorization", "Bearer "+d.Customers[next.customer].Key)
 	left := time.Until(d.started.Add(next.at + d.Deadline))
 	request.Header.Set(caller.HeaderDeadline, max(left, time.Millisecond).String())
-	response, err := d.client.Do(request)
-	if err != nil {
+	var response *http.Response
+	if response, err = d.client.Do(request); err != nil {
 		from.broken(address)
 		return
 	}
@@ -113,8 +115,9 @@
 
 // readWhole reads an answer or a failure that comes as one body.
 func readWhole(response *http.Response, expected []string, got *result) {
-	data, err := io.ReadAll(response.Body)
-	if err != nil {
+	var data []byte
+	var err error
+	if data, err = io.ReadAll(response.Body); err != nil {
 		return
 	}
 	var answer event
--- a/standin/emulator/serve.go
+++ b/standin/emulator/serve.go
@@ -173,8 +173,9 @@
 
 // Export implements runner.Server.
 func (h handler) Export(ctx context.Context, id *cowslipproxy.StepID) (*cowslipproxy.Cache, error) {
-	cache, err := h.engine.exportContext(*id)
-	if err != nil {
+	var cache cowslipproxy.Cache
+	var err error
+	if cache, err = h.engine.exportContext(*id); err != nil {
 		return nil, err
 	}
 	return &cache, wait(ctx, h.engine.copyTime(cache.Tokens))
--- a/standin/list.go
+++ b/standin/list.go
@@ -29,8 +29,9 @@
 }
 
 func serveList(ctx context.Context, address string) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
+	var listener net.Listener
+	var err error
+	if listener, err = net.Listen("tcp", address); err != nil {
 		return errors.Wrap(err, "list")
 	}
 	fmt.Println("list serves on", listener.Addr())
--- a/standin/load.go
+++ b/standin/load.go
@@ -62,8 +62,9 @@
 	if err := f.parse(); err != nil {
 		return err
 	}
-	report, err := f.driller.Run(ctx)
-	if err != nil {
+	var report *driller.Report
+	var err error
+	if report, err = f.driller.Run(ctx); err != nil {
 		return err
 	}
 	if f.json {
@@ -79,8 +80,9 @@
 
 func (f *loadFlags) parse() error {
 	for _, text := range strings.Split(f.seeds, ",") {
-		address, err := netip.ParseAddrPort(text)
-		if err != nil {
+		var address netip.AddrPort
+		var err error
+		if address, err = netip.ParseAddrPort(text); err != nil {
 			return errors.Errorf("daemons: found %q, accepted is an IP number and port", text)
 		}
 		f.driller.Seeds = append(f.driller.Seeds, address)
@@ -93,8 +95,9 @@
 		if len(parts) != 3 {
 			return errors.Errorf("customers: found %q, accepted is name:key:weight", text)
 		}
-		weight, err := strconv.ParseFloat(parts[2], 64)
-		if err != nil {
+		var weight float64
+		var err error
+		if weight, err = strconv.ParseFloat(parts[2], 64); err != nil {
 			return errors.Errorf("customers: found weight %q, accepted is a number", parts[2])
 		}
 		f.driller.Customers = append(f.driller.Customers, driller.Customer{Name: parts[0], Key: parts[1], Weight: weight})
--- a/standin/measure.go
+++ b/standin/measure.go
@@ -31,8 +31,9 @@
 			ctx, cancel := context.WithTimeout(ctx, measureTime)
 			defer cancel()
 			m := &measurer.Measurer{Program: *program, Tell: func(line string) { fmt.Println(line) }}
-			result, err := m.Run(ctx)
-			if err != nil {
+			var result *measurer.Result
+			var err error
+			if result, err = m.Run(ctx); err != nil {
 				return err
 			}
 			if err := writeFile(filepath.Join(*out, "MEASURES.md"), func(w io.Writer) error {
@@ -46,8 +47,9 @@
 }
 
 func writeFile(name string, write func(io.Writer) error) error {
-	file, err := os.Create(name)
-	if err != nil {
+	var file *os.File
+	var err error
+	if file, err = os.Create(name); err != nil {
 		return errors.WithStack(err)
 	}
 	if err := write(file); err != nil {
--- a/standin/measurer/deployment.go
+++ b/standin/measurer/deployment.go
@@ -118,16 +118,19 @@
 }
 
 func listen() (net.Listener, netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	var listener net.Listener
+	var err error
+	if listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, netip.AddrPort{}, errors.WithStack(err)
 	}
 	return listener, netip.MustParseAddrPort(listener.Addr().String()), nil
 }
 
 func (d *deployment) serve(handler http.Handler) (netip.AddrPort, error) {
-	listener, address, err := listen()
-	if err != nil {
+	var listener net.Listener
+	var address netip.AddrPort
+	var err error
+	if listener, address, err = listen(); err != nil {
 		return address, err
 	}
 	s := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
@@ -142,8 +145,10 @@
 		Batch: 8, Memory: 1_000_000, Prefixes: 1000, Lag: 100 * time.Millisecond, Link: time.Millisecond,
 	}
 	engine.Init()
-	listener, address, err := listen()
-	if err != nil {
+	var listener net.Listener
+	var address netip.AddrPort
+	var err error
+	if listener, address, err = listen(); err != nil {
 		return err
 	}
 	serving := grpc.NewServer()
@@ -170,8 +175,10 @@
 	settings.Name, settings.Centre, settings.Log, settings.List = name, centre, d.logAt, d.listAt
 	settings.Lifetime = cowslipproxy.Duration(time.Second)
 	for _, address := range []*netip.AddrPort{&settings.Callers, &settings.Peers, &settings.Operator} {
-		listener, free, err := listen()
-		if err != nil {
+		var listener net.Listener
+		var free netip.AddrPort
+		var err error
+		if listener, free, err = listen(); err != nil {
 			return err
 		}
 		*address = free
@@ -217,8 +224,9 @@
 	if _, err := d.complete(address, "ready?", 2); err != nil {
 		return false
 	}
-	response, err := http.Get("http://" + address.String() + "/v1/addresses")
-	if err != nil {
+	var response *http.Response
+	var err error
+	if response, err = http.Get("http://" + address.String() + "/v1/addresses"); err != nil {
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
@@ -228,18 +236,19 @@
 
 // complete asks one daemon for a whole answer and returns how long it took.
 func (d *deployment) complete(address netip.AddrPort, prompt string, count int) (time.Duration, error) {
-	body, err := json.Marshal(map[string]any{"model": model.Name, "prompt": prompt, "max_tokens": count})
-	if err != nil {
+	var body []byte
+	var err error
+	if body, err = json.Marshal(map[string]any{"model": model.Name, "prompt": prompt, "max_tokens": count}); err != nil {
 		return 0, errors.WithStack(err)
 	}
-	request, err := http.NewRequestWithContext(d.ctx, http.MethodPost, "http://"+address.String()+"/v1/completions", bytes.NewReader(body))
-	if err != nil {
+	var request *http.Request
+	if request, err = http.NewRequestWithContext(d.ctx, http.MethodPost, "http://"+address.String()+"/v1/completions", bytes.NewReader(body)); err != nil {
 		return 0, errors.WithStack(err)
 	}
 	request.Header.Set("Authorization", "Bearer "+customers[0].Key)
 	began := time.Now()
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
+	var response *http.Response
+	if response, err = http.DefaultClient.Do(request); err != nil {
 		return 0, errors.WithStack(err)
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/standin/measurer/measurer.go
+++ b/standin/measurer/measurer.go
@@ -69,8 +69,9 @@
 		return nil, err
 	}
 	for _, f := range faults {
-		recovery, err := m.recover(ctx, f)
-		if err != nil {
+		var recovery Recovery
+		var err error
+		if recovery, err = m.recover(ctx, f); err != nil {
 			return nil, err
 		}
 		r.Recoveries = append(r.Recoveries, recovery)
@@ -81,14 +82,15 @@
 }
 
 func (m *Measurer) throughput(ctx context.Context, r *Result, load float64) error {
-	d, err := deploy(ctx, m.Program, 3, 1)
-	if err != nil {
+	var d *deployment
+	var err error
+	if d, err = deploy(ctx, m.Program, 3, 1); err != nil {
 		return err
 	}
 	defer d.close()
 	r.Bound = bound(d.engines)
-	report, err := d.load(load, 0.5, loadWarm, loadEnd).Run(ctx)
-	if err != nil {
+	var report *driller.Report
+	if report, err = d.load(load, 0.5, loadWarm, loadEnd).Run(ctx); err != nil {
 		return err
 	}
 	r.Throughputs = append(r.Throughputs, Throughput{Load: load, Report: report})
@@ -101,18 +103,20 @@
 // adds. Requests through a daemon and direct ones take turns, so that both meet
 // the same noise.
 func (m *Measurer) baseline(ctx context.Context, r *Result) error {
-	d, err := deploy(ctx, m.Program, 1, 1)
-	if err != nil {
+	var d *deployment
+	var err error
+	if d, err = deploy(ctx, m.Program, 1, 1); err != nil {
 		return err
 	}
 	defer d.close()
-	turns, err := d.direct()
-	if err != nil {
+	var turns *direct
+	if turns, err = d.direct(); err != nil {
 		return err
 	}
 	for i := range latencies {
-		took, err := d.complete(d.callers[0], fmt.Sprint("daemon ", i), shortCount)
-		if err != nil {
+		var took time.Duration
+		var err error
+		if took, err = d.complete(d.callers[0], fmt.Sprint("daemon ", i), shortCount); err != nil {
 			return err
 		}
 		if err := r.Daemon.RecordValue(int64(took)); err != nil {
@@ -136,8 +140,9 @@
 
 // oneDaemon measures the processor time of a daemon process in front of fast engines.
 func (m *Measurer) oneDaemon(ctx context.Context, r *Result) error {
-	d, err := deploy(ctx, m.Program, 1, oneScale)
-	if err != nil {
+	var d *deployment
+	var err error
+	if d, err = deploy(ctx, m.Program, 1, oneScale); err != nil {
 		return err
 	}
 	defer d.close()
--- a/standin/measurer/recovery.go
+++ b/standin/measurer/recovery.go
@@ -53,8 +53,9 @@
 }
 
 func (m *Measurer) recover(ctx context.Context, f fault) (Recovery, error) {
-	d, err := deploy(ctx, m.Program, 3, 1)
-	if err != nil {
+	var d *deployment
+	var err error
+	if d, err = deploy(ctx, m.Program, 3, 1); err != nil {
 		return Recovery{}, err
 	}
 	defer d.close()
@@ -63,8 +64,8 @@
 	began := time.Now()
 	timer := time.AfterFunc(faultAt, func() { at = time.Since(began); f.apply(d) })
 	defer timer.Stop()
-	report, err := load.Run(ctx)
-	if err != nil {
+	var report *driller.Report
+	if report, err = load.Run(ctx); err != nil {
 		return Recovery{}, err
 	}
 	return evaluate(f.name, at, report), nil
--- a/standin/registrar/registrar.go
+++ b/standin/registrar/registrar.go
@@ -206,8 +206,9 @@
 }
 
 func read(w http.ResponseWriter, request *http.Request, value any) bool {
-	data, err := io.ReadAll(http.MaxBytesReader(w, request.Body, maxBody))
-	if err != nil {
+	var data []byte
+	var err error
+	if data, err = io.ReadAll(http.MaxBytesReader(w, request.Body, maxBody)); err != nil {
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return false
 	}
--- a/standin/server/server.go
+++ b/standin/server/server.go
@@ -116,8 +116,9 @@
 		if fault.Kind == FaultDelay && !sleep(r, fault.Wait) {
 			return
 		}
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-		if err != nil {
+		var body []byte
+		var err error
+		if body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody)); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
@@ -196,8 +197,9 @@
 func (s *Server) account(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Account.Effects()) }
 
 func (s *Server) control(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20))
-	if err != nil {
+	var body []byte
+	var err error
+	if body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<20)); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/standin/slopes.go
+++ b/standin/slopes.go
@@ -102,8 +102,9 @@
 
 func (f *slopesFlags) run(ctx context.Context, w io.Writer) error {
 	if f.profile != "" {
-		file, err := os.Create(f.profile)
-		if err != nil {
+		var file *os.File
+		var err error
+		if file, err = os.Create(f.profile); err != nil {
 			return errors.WithStack(err)
 		}
 		defer file.Close()
@@ -118,8 +119,9 @@
 			continue
 		}
 		fmt.Fprintln(os.Stderr, "measuring", part.name)
-		measured, err := part.measure(ctx)
-		if err != nil {
+		var measured *table
+		var err error
+		if measured, err = part.measure(ctx); err != nil {
 			if measured != nil {
 				measured.markdown(os.Stderr) // what was measured before the failure
 			}
--- a/standin/slopes_data.go
+++ b/standin/slopes_data.go
@@ -63,8 +63,9 @@
 			Pace: 100 * time.Microsecond, Share: 0.001, Batch: 256, Memory: 10_000_000, Prefixes: 1000, Lag: reportLag,
 		}
 		engine.Init()
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+		var listener net.Listener
+		var err error
+		if listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 			return nil, errors.WithStack(err)
 		}
 		server := grpc.NewServer()
@@ -106,8 +107,9 @@
 func measureConnected(ctx context.Context, count int, result *table) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	e, err := startEngines(ctx, count, 10)
-	if err != nil {
+	var e *engines
+	var err error
+	if e, err = startEngines(ctx, count, 10); err != nil {
 		return err
 	}
 	defer e.close()
@@ -151,13 +153,14 @@
 func measureStages(ctx context.Context, stages int, result *table) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	e, err := startEngines(ctx, stages, stages)
-	if err != nil {
+	var e *engines
+	var err error
+	if e, err = startEngines(ctx, stages, stages); err != nil {
 		return err
 	}
 	defer e.close()
-	f, err := newFleet()
-	if err != nil {
+	var f *fleet
+	if f, err = newFleet(); err != nil {
 		return err
 	}
 	defer f.close()
@@ -220,8 +223,9 @@
 	subject := customer(0)
 	subject.Keys, subject.Rate, subject.Burst, subject.Class = []string{hashOf(dataKey)}, 1e9, 1e9, cowslipproxy.ClassCritical
 	for scope, value := range map[string]any{cowslipproxy.ScopeCustomer + subject.Name: subject, cowslipproxy.ScopeModel + "scribe": dataModel(stages)} {
-		body, err := resolver.Encode(value)
-		if err != nil {
+		var body []byte
+		var err error
+		if body, err = resolver.Encode(value); err != nil {
 			return err
 		}
 		var data []byte
@@ -243,13 +247,14 @@
 // stream asks for one streamed answer and counts its tokens.
 func stream(ctx context.Context, address netip.AddrPort, number int, tokens *atomic.Int64) error {
 	body := fmt.Sprintf(`{"model":"scribe","prompt":"letter %d","max_tokens":%d,"stream":true}`, number, answerLen)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+"/v1/completions", strings.NewReader(body))
-	if err != nil {
+	var request *http.Request
+	var err error
+	if request, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+"/v1/completions", strings.NewReader(body)); err != nil {
 		return errors.WithStack(err)
 	}
 	request.Header.Set("Authorization", "Bearer "+dataKey)
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
+	var response *http.Response
+	if response, err = http.DefaultClient.Do(request); err != nil {
 		return errors.WithStack(err)
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/standin/slopes_direct.go
+++ b/standin/slopes_direct.go
@@ -46,8 +46,9 @@
 		Columns: []string{"VMs", "answer", "B a poll", "ms of processor a poll"},
 	}
 	for _, count := range []int{100, 1000, 8800} {
-		f, err := newFleet()
-		if err != nil {
+		var f *fleet
+		var err error
+		if f, err = newFleet(); err != nil {
 			return nil, err
 		}
 		var vms []cowslipproxy.VM
@@ -190,8 +191,9 @@
 			now = now.Add(24 * time.Millisecond)
 			_, _ = u.chooser.Chain(now, need) // checked above
 		})
-		data, err := cbor.Marshal(reportOf(1))
-		if err != nil {
+		var data []byte
+		var err error
+		if data, err = cbor.Marshal(reportOf(1)); err != nil {
 			return nil, err
 		}
 		result.add(count, held, microseconds(report), len(data), milliseconds(all), 100*5*all.Seconds(), milliseconds(refresh), 100*5*refresh.Seconds(), microseconds(chain))
@@ -246,8 +248,9 @@
 		})
 		published := timed(func() { limits.Digest(now) })
 		set := timed(func() { limits.SetDaemons(now, live) })
-		data, err := cbor.Marshal(digest(1, 0, 1))
-		if err != nil {
+		var data []byte
+		var err error
+		if data, err = cbor.Marshal(digest(1, 0, 1)); err != nil {
 			return nil, err
 		}
 		result.add(count, held, microseconds(merged), milliseconds(published), milliseconds(set), microseconds(admission), len(data))
@@ -273,8 +276,9 @@
 			owner := cowslipproxy.Owner{Name: fmt.Sprintf("entry-%04d", i), Incarnation: uint64(now.UnixNano())}
 			contacts = append(contacts, gossiper.Contact{Owner: owner, Centre: fmt.Sprint(i % 13)})
 			names = append(names, owner.Key())
-			data, err := gossiper.Encode(cowslipproxy.Hello{Caller: engineVM(i).Address, Peer: engineVM(i).Address, Centre: contacts[i].Centre})
-			if err != nil {
+			var data []byte
+			var err error
+			if data, err = gossiper.Encode(cowslipproxy.Hello{Caller: engineVM(i).Address, Peer: engineVM(i).Address, Centre: contacts[i].Centre}); err != nil {
 				return nil, err
 			}
 			store.Apply([]gossiper.Item{{Owner: owner, Reach: gossiper.ReachAll, Kind: gossiper.KindHello, Version: 1, Data: data}}, "peer", now)
@@ -325,15 +329,17 @@
 			outcome.Kind, outcome.Digest, outcome.Answer = claimer.KindOutcome, "", &claimer.Answer{Outcome: cowslipproxy.OutcomeDone, Status: 201, Body: make([]byte, 200)}
 			var records [][]byte
 			for _, record := range []claimer.Record{claim, outcome} {
-				data, err := claimer.Encode(record)
-				if err != nil {
+				var data []byte
+				var err error
+				if data, err = claimer.Encode(record); err != nil {
 					return nil, err
 				}
 				records = append(records, data)
 			}
 			entry := claimer.Join(records)
-			decoded, err := claimer.Decode(entry)
-			if err != nil {
+			var decoded []claimer.Record
+			var err error
+			if decoded, err = claimer.Decode(entry); err != nil {
 				return nil, err
 			}
 			c.Fold(now, 0, now, decoded)
--- a/standin/slopes_fleet.go
+++ b/standin/slopes_fleet.go
@@ -91,8 +91,9 @@
 }
 
 func (f *fleet) serve(handler http.Handler) (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	var listener net.Listener
+	var err error
+	if listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return netip.AddrPort{}, errors.WithStack(err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
@@ -263,8 +264,9 @@
 
 // change appends a version of a customer.
 func (f *fleet) change(ctx context.Context, number int, base uint64) (uint64, error) {
-	data, err := changeRecord(number, base)
-	if err != nil {
+	var data []byte
+	var err error
+	if data, err = changeRecord(number, base); err != nil {
 		return 0, err
 	}
 	return f.log.Append(ctx, cowslipproxy.StreamConfig, data)
@@ -273,8 +275,9 @@
 func changeRecord(number int, base uint64) ([]byte, error) {
 	subject := customer(number)
 	subject.Rate += float64(base)
-	body, err := resolver.Encode(subject)
-	if err != nil {
+	var body []byte
+	var err error
+	if body, err = resolver.Encode(subject); err != nil {
 		return nil, err
 	}
 	return resolver.Encode(resolver.Change{
@@ -342,8 +345,9 @@
 func measureFleet(ctx context.Context, size int, result *table) error {
 	before, routines := memory(), runtime.NumGoroutine()
 	ctx, cancel := context.WithCancel(ctx)
-	f, err := newFleet()
-	if err != nil {
+	var f *fleet
+	var err error
+	if f, err = newFleet(); err != nil {
 		cancel()
 		return err
 	}
@@ -390,8 +394,9 @@
 	ticker := time.NewTicker(changeEvery)
 	defer ticker.Stop()
 	for base := uint64(1); base <= uint64(changeTime/changeEvery); base++ {
-		offset, err := f.change(ctx, 0, base)
-		if err != nil {
+		var offset uint64
+		var err error
+		if offset, err = f.change(ctx, 0, base); err != nil {
 			return nil, err
 		}
 		accepted[offset] = time.Now()
@@ -399,8 +404,9 @@
 	}
 	var delays []time.Duration
 	for offset, at := range accepted {
-		last, err := f.await(ctx, offset)
-		if err != nil {
+		var last time.Time
+		var err error
+		if last, err = f.await(ctx, offset); err != nil {
 			return nil, err
 		}
 		delays = append(delays, last.Sub(at))
@@ -435,8 +441,9 @@
 	r := &resolver.Resolver{}
 	next, size := uint64(0), 0
 	fold := func() error {
-		data, err := changeRecord(int(next)%count, next/uint64(count))
-		if err != nil {
+		var data []byte
+		var err error
+		if data, err = changeRecord(int(next)%count, next/uint64(count)); err != nil {
 			return err
 		}
 		size = len(data)
@@ -463,8 +470,9 @@
 	}
 	var parts []resolver.Part
 	snapshot := timed(func() { parts, failed = r.Snapshot("s") })
-	whole, err := encodedSize(parts)
-	if err != nil {
+	var whole int
+	var err error
+	if whole, err = encodedSize(parts); err != nil {
 		return err
 	}
 	result.add(count, size, microseconds(took), held, float64(whole)/1000, milliseconds(snapshot))
@@ -475,8 +483,9 @@
 func encodedSize(parts []resolver.Part) (int, error) {
 	size := 0
 	for _, part := range parts {
-		data, err := resolver.Encode(part)
-		if err != nil {
+		var data []byte
+		var err error
+		if data, err = resolver.Encode(part); err != nil {
 			return 0, err
 		}
 		size += len(data)
--- a/standin/slopes_publish.go
+++ b/standin/slopes_publish.go
@@ -29,8 +29,9 @@
 }
 
 func measurePublished(ctx context.Context, count int, result *table) error {
-	f, err := newFleet()
-	if err != nil {
+	var f *fleet
+	var err error
+	if f, err = newFleet(); err != nil {
 		return err
 	}
 	defer f.close()
@@ -43,8 +44,9 @@
 	}
 	for _, name := range []string{"all", "one change"} {
 		from, spent, began := f.wires.total("log"), processorTime(), time.Now()
-		results, err := publisher.Publish(ctx, configuration)
-		if err != nil {
+		var results []follower.Result
+		var err error
+		if results, err = publisher.Publish(ctx, configuration); err != nil {
 			return err
 		}
 		appended := 0
--- a/standin/visitor/faults.go
+++ b/standin/visitor/faults.go
@@ -78,8 +78,9 @@
 		if account.Contexts == 0 {
 			continue
 		}
-		data, err := json.Marshal(emulator.Faults{After: 1})
-		if err != nil {
+		var data []byte
+		var err error
+		if data, err = json.Marshal(emulator.Faults{After: 1}); err != nil {
 			return "", errors.WithStack(err)
 		}
 		// The engine's process may end before it answers; killed sees whether it ended.
@@ -125,12 +126,13 @@
 func exchange(ctx context.Context, method, url string, body []byte, value any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTime)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
+	var request *http.Request
+	var err error
+	if request, err = http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body)); err != nil {
 		return errors.WithStack(err)
 	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
+	var response *http.Response
+	if response, err = http.DefaultClient.Do(request); err != nil {
 		return errors.WithStack(err)
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/standin/visitor/visitor.go
+++ b/standin/visitor/visitor.go
@@ -51,8 +51,9 @@
 		{"fee posted twice with one key", v.fee},
 		{"refusal", v.refusal},
 	} {
-		seen, err := visit.run(ctx)
-		if err != nil {
+		var seen string
+		var err error
+		if seen, err = visit.run(ctx); err != nil {
 			return errors.Wrap(err, visit.name)
 		}
 		tell(fmt.Sprintf("ok: %s: %s", visit.name, seen))
@@ -116,8 +117,9 @@
 	for daemon, model := range v.Models {
 		client := v.client(daemon % len(v.Daemons))
 		question := "summarise the inspection of plot 17"
-		answer, err := client.Chat.Completions.New(ctx, chat(model.Name, question, 12))
-		if err != nil {
+		var answer *openai.ChatCompletion
+		var err error
+		if answer, err = client.Chat.Completions.New(ctx, chat(model.Name, question, 12)); err != nil {
 			return "", err
 		}
 		if len(answer.Choices) != 1 || answer.Choices[0].Message.Content != expected(model, question, 12) {
@@ -129,8 +131,9 @@
 
 func (v *Visitor) streamed(ctx context.Context) (string, error) {
 	model := v.Models[len(v.Models)-1]
-	parts, _, err := v.stream(ctx, 1, model, "write an allergen letter", 40, nil)
-	if err != nil {
+	var parts int
+	var err error
+	if parts, _, err = v.stream(ctx, 1, model, "write an allergen letter", 40, nil); err != nil {
 		return "", err
 	}
 	return fmt.Sprintf("right answer of %s in %d parts", model.Name, parts), nil
--- a/standin/wire.go
+++ b/standin/wire.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -57,8 +58,9 @@
 // dial connects and counts under the role that the address has.
 func (w *wires) dial(ctx context.Context, address string, roleOf func(string) string) (net.Conn, error) {
 	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
+	var conn net.Conn
+	var err error
+	if conn, err = dialer.DialContext(ctx, "tcp", address); err != nil {
 		return nil, errors.WithStack(err)
 	}
 	return w.count(conn, roleOf(address)), nil
@@ -110,8 +112,9 @@
 }
 
 func (c *countedConn) segments() int64 {
-	raw, err := c.SyscallConn()
-	if err != nil {
+	var raw syscall.RawConn
+	var err error
+	if raw, err = c.SyscallConn(); err != nil {
 		return 0
 	}
 	var info *unix.TCPInfo
@@ -130,8 +133,9 @@
 }
 
 func (l *countedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
+	var conn net.Conn
+	var err error
+	if conn, err = l.Listener.Accept(); err != nil {
 		return nil, err
 	}
 	return l.wires.count(conn, l.role), nil
