--- a/cowslipd/router/start.go
+++ b/cowslipd/router/start.go
@@ -19,6 +19,7 @@
 	ticker := time.NewTicker(startPoll)
 	defer ticker.Stop()
 	var listed time.Time
+	reached := 0 // looks in a row that found all upstreams reached
 	for {
 		select {
 		case <-ctx.Done():
@@ -31,7 +32,11 @@
 				listed = now
 				continue
 			}
-			if r.pool.Reached() || now.Sub(listed) >= connectLimit {
+			if reached++; !r.pool.Reached() {
+				reached = 0
+			}
+			// What the first look sees as taken in may not have got to the chooser yet.
+			if reached >= 2 || now.Sub(listed) >= connectLimit {
 				return r.gossiper.Start()
 			}
 		}
--- a/pooler/engines.go
+++ b/pooler/engines.go
@@ -21,24 +21,43 @@
 	return e.Engine, true
 }
 
-// Reached reports whether each upstream that is known can be sent work.
+// Reached reports whether each known upstream was tried, and the chooser has
+// what came of it.
 func (p *Pool) Reached() bool {
-	dump := p.Dump()
-	for _, engine := range dump.Engines {
+	for _, engine := range p.Dump().Engines {
 		if engine.Reported.IsZero() {
 			return false
 		}
 	}
+	return p.probed() && p.isTaken()
+}
+
+// probed reports whether each server of a plain service was probed.
+func (p *Pool) probed() bool {
+	p.joinMu.Lock()
+	known := p.joiner.Known(cowslipproxy.VMService)
+	p.joinMu.Unlock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, service := range dump.Services {
-		if s := p.services[service.Name]; s == nil || s.probing {
+	for _, vm := range known {
+		if s := p.services[vm.Name]; s == nil || s.probing {
 			return false
 		}
 	}
 	return true
 }
 
+// isTaken reports whether the newest refresh took in what is known now.
+func (p *Pool) isTaken() bool {
+	p.joinMu.Lock()
+	defer p.joinMu.Unlock()
+	taken := true
+	p.joiner.Each(func(vm cowslipproxy.VM, usable bool) {
+		taken = taken && p.taken[vm.Name] == upstream{vm: vm, usable: usable}
+	})
+	return taken
+}
+
 func (p *Pool) up(name string, now time.Time) {
 	p.mu.Lock()
 	e := p.engines[name]
@@ -49,6 +68,7 @@
 	p.joinMu.Lock()
 	p.joiner.Probe(name, true, now)
 	p.joinMu.Unlock()
+	p.signal()
 	p.changes(context.Background(), p.ejector.Connected(name, now))
 }
 
--- a/pooler/pool.go
+++ b/pooler/pool.go
@@ -47,6 +47,8 @@
 	joiner joiner.Joiner
 	taken  map[string]upstream // as of the last refresh
 
+	wake chan struct{} // something was learned of an upstream
+
 	mu       sync.Mutex
 	engines  map[string]*engine
 	services map[string]*service
@@ -76,6 +78,7 @@
 	p.chooser.Name, p.chooser.Centre = p.Name, p.Centre
 	p.chooser.Usable = p.ejector.Usable
 	p.taken = map[string]upstream{}
+	p.wake = make(chan struct{}, 1)
 	p.engines = map[string]*engine{}
 	p.services = map[string]*service{}
 }
@@ -100,10 +103,19 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case <-p.wake:
 		}
 	}
 }
 
+// signal makes the pool take in at once what was learned of an upstream.
+func (p *Pool) signal() {
+	select {
+	case p.wake <- struct{}{}:
+	default: // a look is due already
+	}
+}
+
 // List takes in the platform's list of VMs.
 func (p *Pool) List(list lister.List) {
 	now := p.Clock()
@@ -116,13 +128,15 @@
 	}
 	p.joiner.List(upstreams, list.Taken, now)
 	p.joinMu.Unlock()
+	p.signal()
 }
 
 // Drain takes in an operator's order to drain an upstream, or to end that.
 func (p *Pool) Drain(name string, on bool) {
 	p.joinMu.Lock()
-	defer p.joinMu.Unlock()
 	p.joiner.Drain(name, on, p.Clock())
+	p.joinMu.Unlock()
+	p.signal()
 }
 
 // refresh connects to new upstreams, drops forgotten ones, and tells the
--- a/pooler/services.go
+++ b/pooler/services.go
@@ -77,4 +77,5 @@
 	p.joinMu.Lock()
 	p.joiner.Probe(s.vm.Name, err == nil, p.Clock())
 	p.joinMu.Unlock()
+	p.signal()
 }
