emulator: let exactly one of two engines crash

The tests spared the second engine after the first one's crash, and both could crash in the same instant: one of four runs of TestLayersRunOnceWhileTwoStagesDie counted three crashes. The engines now share a fuse.

--- a/cowslipd/router/deployment_test.go
+++ b/cowslipd/router/deployment_test.go
@@ -323,13 +323,9 @@
 
 // killOne crashes the first of two engines that runs so many steps.
 func (d *deployment) killOne(after int, one, other string) {
-	for _, pair := range [][2]*emulator.Engine{{d.engines[one], d.engines[other]}, {d.engines[other], d.engines[one]}} {
-		pair[0].SetFaults(emulator.Faults{After: after})
-		go func() {
-			<-pair[0].Crashed()
-			pair[1].SetFaults(emulator.Faults{})
-		}()
-	}
+	fuse := new(atomic.Bool)
+	d.engines[one].CrashOne(after, fuse)
+	d.engines[other].CrashOne(after, fuse)
 }
 
 // crashed returns how many engines have crashed.
--- a/standin/emulator/engine.go
+++ b/standin/emulator/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -45,6 +46,7 @@
 	leaving   bool
 	boot      string
 	orders    int64
+	fuse      *atomic.Bool // shared with engines of which only one crashes
 	crashed   chan struct{}
 	crashOnce sync.Once
 }
@@ -77,6 +79,14 @@
 	e.signal()
 }
 
+// CrashOne lets the engine crash in the middle of its given step, unless another
+// engine with the same fuse crashed before.
+func (e *Engine) CrashOne(after int, fuse *atomic.Bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults.After, e.fuse = after, fuse
+}
+
 // Crashed is closed when the engine crashed by a fault.
 func (e *Engine) Crashed() <-chan struct{} { return e.crashed }
 
--- a/standin/emulator/schedule.go
+++ b/standin/emulator/schedule.go
@@ -145,7 +145,7 @@
 		return false
 	}
 	e.faults.After--
-	return e.faults.After == 0
+	return e.faults.After == 0 && (e.fuse == nil || e.fuse.CompareAndSwap(false, true))
 }
 
 // compute runs a step's layers and returns the time that a prefill takes; the
