limiter: let the daemons' units grow by their root; measure: end daemons first

Daemons of the measurement before were still stopping in the same process; a run now waits for them. Units that grow and shrink in proportion also keep what is unequal between daemons, so they grow by the root now.

--- a/limiter/meter.go
+++ b/limiter/meter.go
@@ -8,7 +8,7 @@
 const (
 	meterPeriod = 250 * time.Millisecond // shorter than the time in which a queue should react, long enough for tens of tokens
 	meterSpan   = 2 * time.Second
-	growth      = 1.05 // of units in a period at most
+	growth      = 0.5  // times the root of units, units gained in a period
 	cut         = 0.9  // of units in a period that is too slow
 	busy        = 0.9  // part of units above which throughput shows capacity rather than demand
 	usedPart    = 0.05 // of one request in the average of used tokens
@@ -88,7 +88,9 @@
 		return
 	}
 	if m.filled {
-		m.units = math.Min(m.units*growth, or(q.Most, math.Inf(1)))
+		// Growth in proportion would keep the shares of daemons that were
+		// unequal once; growth by the root lets them become equal.
+		m.units = math.Min(m.units+growth*math.Sqrt(m.units), or(q.Most, math.Inf(1)))
 	}
 }
 
--- a/standin/measure.go
+++ b/standin/measure.go
@@ -21,6 +21,7 @@
 func measureCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("standin measure", flag.ContinueOnError)
 	out := flags.String("out", "docs", "directory for MEASURES.md and measures.svg")
+	load := flags.Float64("load", 0, "measure throughput at this part of the bound only, and write nothing")
 	program := flags.String("cowslipd", "bin/cowslipd", "entry daemon, for those that run as processes of their own")
 	return &ffcli.Command{
 		Name:       "measure",
@@ -31,6 +32,9 @@
 			ctx, cancel := context.WithTimeout(ctx, measureTime)
 			defer cancel()
 			m := &measurer.Measurer{Program: *program, Tell: func(line string) { fmt.Println(line) }}
+			if *load > 0 {
+				return m.Load(ctx, *load)
+			}
 			var result *measurer.Result
 			var err error
 			if result, err = m.Run(ctx); err != nil {
--- a/standin/measurer/deployment.go
+++ b/standin/measurer/deployment.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"net/netip"
 	"os/exec"
+	"sync"
 	"syscall"
 	"time"
 
@@ -60,6 +61,7 @@
 	engines map[string]*emulator.Engine
 	vms     []cowslipproxy.VM
 	callers []netip.AddrPort
+	ended   sync.WaitGroup
 	daemon  *exec.Cmd // the last entry daemon, a process of its own that can be killed
 }
 
@@ -186,10 +188,14 @@
 	}
 	d.callers = append(d.callers, settings.Callers)
 	d.list.Put(cowslipproxy.VM{Name: name, Role: cowslipproxy.VMEntry, Address: settings.Peers, Centre: centre, State: cowslipproxy.VMLive})
+	if !process {
+		d.ended.Add(1)
+	}
 	time.AfterFunc(poll, func() {
 		if process {
 			return
 		}
+		defer d.ended.Done()
 		one := &router.Router{Settings: settings, Clock: time.Now, Logger: slog.New(slog.DiscardHandler), Metrics: metrics.NewRegistry()}
 		_ = one.Run(d.ctx) // a daemon that ends early fails the check of readiness
 	})
@@ -274,3 +280,10 @@
 	d.kill(syscall.SIGKILL)
 	d.cancel()
 }
+
+// closeWhole also waits for the planned stop of the daemons in this process,
+// which would take processor time from the next measurement.
+func (d *deployment) closeWhole() {
+	d.close()
+	d.ended.Wait()
+}
--- a/standin/measurer/measurer.go
+++ b/standin/measurer/measurer.go
@@ -81,13 +81,25 @@
 	return r, nil
 }
 
+// Load measures throughput at one part of the bound only.
+func (m *Measurer) Load(ctx context.Context, load float64) error {
+	r := &Result{}
+	if err := m.throughput(ctx, r, load); err != nil {
+		return err
+	}
+	for _, customer := range r.Throughputs[0].Report.Customers {
+		m.Tell(fmt.Sprintf("%s: sent %d, in time %d, refused %v, unknown %d", customer.Customer, customer.Sent, customer.InTime, customer.Refused, customer.Unknown))
+	}
+	return nil
+}
+
 func (m *Measurer) throughput(ctx context.Context, r *Result, load float64) error {
 	var d *deployment
 	var err error
 	if d, err = deploy(ctx, m.Program, 3, 1); err != nil {
 		return err
 	}
-	defer d.close()
+	defer d.closeWhole()
 	r.Bound = bound(d.engines)
 	var report *driller.Report
 	if report, err = d.load(load, 0.5, loadWarm, loadEnd).Run(ctx); err != nil {
