--- a/standin/measurer/deployment.go
+++ b/standin/measurer/deployment.go
@@ -14,8 +14,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"os/exec"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -119,13 +121,21 @@
 	return c
 }
 
+// lastPort counts the ports that were drawn. They lie below those that the
+// system gives to outgoing connections, one of which could take a port between
+// its choice and a daemon's start.
+var lastPort atomic.Uint32
+
 func listen() (net.Listener, netip.AddrPort, error) {
-	var listener net.Listener
-	var err error
-	if listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-		return nil, netip.AddrPort{}, errors.WithStack(err)
+	const first, count = 30_000, 2_700
+	for range count {
+		port := first + (uint32(os.Getpid())*61+lastPort.Add(1))%count
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
+		if listener, err := net.Listen("tcp", address.String()); err == nil {
+			return listener, address, nil
+		}
 	}
-	return listener, netip.MustParseAddrPort(listener.Addr().String()), nil
+	return nil, netip.AddrPort{}, errors.New("no port is free")
 }
 
 func (d *deployment) serve(handler http.Handler) (netip.AddrPort, error) {
