caller: stream calls to plain services both ways

The HTTP server read the rest of a body itself once the answer began, so that an answer to a part of the body held up the call. The test hangs without the change and passes with it.

--- a/caller/service.go
+++ b/caller/service.go
@@ -26,6 +26,8 @@
 		return
 	}
 	if service.EffectOf(r.Method, path) == cowslipproxy.EffectRepeat {
+		// The answer may begin while the body is still being sent.
+		_ = http.NewResponseController(w).EnableFullDuplex() // a forwarded request has no connection of its own
 		body := http.MaxBytesReader(w, r.Body, s.BodyLimit)
 		e.pass(w, service, path, body, r.ContentLength)
 		return
