router: hold a suspect back while its daemon's death is being noticed

A resend of a suspect whose first daemon was killed was refused for 3 s. It now waits up to 5 s, within its deadline, until another daemon may take it over.

--- a/cowslipd/router/admit.go
+++ b/cowslipd/router/admit.go
@@ -18,6 +18,8 @@
 	leastUnits = 8    // keeps a slow deployment measurable
 	mostUnits  = 4096 // bounds the memory of requests in flight
 	pace       = 42 * time.Millisecond
+
+	suspectWait = 5 * time.Second // a daemon that was killed is noticed after 3 s
 )
 
 // admission admits requests. It implements caller.Admitter.
@@ -46,6 +48,9 @@
 	if admission.Tokens == 0 {
 		return a.admitCall(request, admission.Request)
 	}
+	if failure := a.awaitSuspect(ctx, request); failure != nil {
+		return nil, failure
+	}
 	gate := a.gate(admission.Kind)
 	ticket, failure := gate.Wait(ctx, request)
 	if failure != nil {
@@ -58,6 +63,24 @@
 	}, nil
 }
 
+// awaitSuspect holds a suspect back while it can't run for a moment: until all
+// daemons know of it, or until the daemon that runs it is known to be gone.
+func (a *admission) awaitSuspect(ctx context.Context, request limiter.Request) *cowslipproxy.Failure {
+	ctx, cancel := context.WithTimeout(ctx, suspectWait)
+	defer cancel()
+	for {
+		failure := a.quarantine(a.clock(), request)
+		if failure == nil || failure.RetryAfter > time.Second {
+			return failure
+		}
+		select {
+		case <-ctx.Done():
+			return failure
+		case <-time.After(holdBackPoll):
+		}
+	}
+}
+
 // admitCall admits a call to a plain service, which has no tokens to count.
 func (a *admission) admitCall(request limiter.Request, id string) (func(int), error) {
 	if a.quarantine != nil {
