relay: serve whole requests on the users' platform

The daemon had no way to run where engines pass work on among themselves and the platform keeps the configuration.

Orders now name the number that this daemon saw accepted.

--- a/advertiser/advertiser.go
+++ b/advertiser/advertiser.go
@@ -20,6 +20,7 @@
 	Centre   string        // own data centre
 	Lifetime time.Duration // of an answer
 	Random   *rand.Rand
+	Enough   int // near daemons from which on far ones are left out; 0 means that none are
 }
 
 // Answer returns the addresses of healthy daemons that neither start nor stop, at most 8:
@@ -36,6 +37,9 @@
 			far = append(far, member)
 		}
 	}
+	if a.Enough > 0 && len(near) >= a.Enough {
+		far = nil
+	}
 	answer := cowslipproxy.Addresses{Addresses: []cowslipproxy.Address{}, Lifetime: cowslipproxy.Duration(a.lifetime())}
 	for _, member := range append(a.rotate(near), a.rotate(far)...) {
 		if len(answer.Addresses) == maxAddresses {
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -4,15 +4,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/cowslipproxy/cowslipproxy"
-	"github.com/cowslipproxy/cowslipproxy/leaser"
+	"github.com/cowslipproxy/cowslipproxy/holder"
 	"github.com/cowslipproxy/cowslipproxy/planner"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
@@ -22,10 +19,7 @@
 
 const (
 	period       = time.Second
-	longPoll     = 2 * time.Second
-	appendTime   = time.Second
 	orderTime    = 2 * time.Minute // loading the weights of an engine
-	retryWait    = 500 * time.Millisecond
 	settlePeriod = 5 * time.Second // daemons see engines within this; a plan on fewer would move too much
 	freeRate     = 1e15            // bytes per second, when no weight store is set
 )
@@ -39,8 +33,7 @@
 
 // Commander follows the lease and carries out plans. Its fields are set before Run.
 type Commander struct {
-	Log     cowslipproxy.Log
-	Leaser  *leaser.Leaser
+	Lease   *holder.Holder
 	Settled func() (cowslipproxy.Settled, bool)
 	Engines func() []Engine // engines that are connected and get new work
 	Engine  func(name string) (cowslipproxy.Engine, bool)
@@ -59,7 +52,7 @@
 func (c *Commander) Run(ctx context.Context) error {
 	c.ordered = map[string]planner.Holding{}
 	c.sizes = map[string]int64{}
-	c.group.Go(func() { c.follow(ctx) })
+	c.group.Go(func() { c.Lease.Follow(ctx) })
 	defer c.group.Wait()
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
@@ -67,7 +60,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			c.release()
+			c.Lease.Release()
 			return nil
 		case <-ticker.C:
 		}
@@ -75,8 +68,8 @@
 			continue
 		}
 		now := c.Clock()
-		c.claim(ctx, now)
-		if _, holds := c.Leaser.Holds(c.Clock()); !holds {
+		c.Lease.Claim(ctx, now)
+		if _, holds := c.Lease.Holds(); !holds {
 			since = time.Time{}
 			continue
 		}
@@ -103,58 +96,3 @@
 	}
 	return false
 }
-
-func (c *Commander) follow(ctx context.Context) {
-	for ctx.Err() == nil {
-		var batch cowslipproxy.Batch
-		var err error
-		if batch, err = c.Log.Read(ctx, Stream, c.Leaser.Offset(), longPoll); err != nil {
-			pause(ctx, retryWait) // while the log is out the lease runs out and no orders are given
-			continue
-		}
-		c.Leaser.Fold(c.Clock(), batch)
-	}
-}
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
-// claim takes or renews the lease when that is possible. Its answer may be
-// lost: the lease counts once its record was read.
-func (c *Commander) claim(ctx context.Context, now time.Time) {
-	if now.Before(c.Leaser.Next(now)) {
-		return
-	}
-	record, ok := c.Leaser.Claim(now, uuid.NewString())
-	if !ok {
-		return
-	}
-	data, err := json.Marshal(record)
-	if err == nil {
-		ctx, cancel := context.WithTimeout(ctx, appendTime)
-		defer cancel()
-		_, err = c.Log.Append(ctx, Stream, data)
-	}
-	if err != nil {
-		reporter.EventLeaseFailed.Log(ctx, c.Logger, slog.Any("error", err))
-	}
-}
-
-// release lets a successor begin at once after a planned stop.
-func (c *Commander) release() {
-	record, held := c.Leaser.Release(c.Clock(), uuid.NewString())
-	if !held {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), appendTime)
-	defer cancel()
-	if data, err := json.Marshal(record); err == nil {
-		_, _ = c.Log.Append(ctx, Stream, data) // if it is lost, the successor waits the lease out
-	}
-}
--- a/commander/plan.go
+++ b/commander/plan.go
@@ -41,7 +41,7 @@
 	c.mu.Unlock()
 	c.group.Go(func() {
 		defer c.done(move.VM)
-		fence, holds := c.Leaser.Holds(c.Clock())
+		fence, holds := c.Lease.Holds()
 		if !holds {
 			return
 		}
--- a/cowslipd/main.go
+++ b/cowslipd/main.go
@@ -24,6 +24,13 @@
 )
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == relayCommand {
+		if err := runRelay(os.Args[2:]); err != nil {
+			fmt.Fprintln(os.Stderr, "cowslipd relay:", err)
+			os.Exit(exitFailed)
+		}
+		return
+	}
 	settings, err := loader.Load(os.Args[1:])
 	if errors.Is(err, flag.ErrHelp) {
 		os.Exit(exitUsage)
--- /dev/null
+++ b/cowslipd/relay.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/cowslipd/relay"
+	"github.com/cowslipproxy/cowslipproxy/loader"
+	"github.com/cowslipproxy/cowslipproxy/platform"
+)
+
+// relayCommand is the first argument with which the daemon relays whole
+// requests instead of serving the product's own interface.
+const relayCommand = "relay"
+
+// runRelay runs the daemon on the users' platform.
+func runRelay(args []string) error {
+	flags := flag.NewFlagSet("cowslipd relay", flag.ContinueOnError)
+	file := flags.String("settings", "", "YAML `file` with the settings")
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("COWSLIPD")); err != nil {
+		return errors.WithStack(err)
+	}
+	settings, err := loader.LoadRelay(*file)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	context.AfterFunc(ctx, stop) // a second signal ends the process
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	daemon := &relay.Daemon{
+		File:     *file,
+		Hangup:   hangup,
+		Settings: settings,
+		Platform: newPlatform(settings),
+		Clock:    time.Now,
+		Logger:   slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: level(settings.Level)})),
+		Metrics:  metrics.NewRegistry(),
+	}
+	return daemon.Run(ctx)
+}
+
+func newPlatform(settings loader.Relay) relay.Platform {
+	store := &platform.Store{Address: settings.Store, Transport: relay.Transport(true)}
+	return relay.Platform{
+		Log:       store,
+		Tables:    &platform.Feed[cowslipproxy.Table]{Store: store, Topic: platform.TopicOperator, Key: platform.KeyConfig, Decode: platform.DecodeTable},
+		Instances: &platform.Feed[cowslipproxy.Instance]{Store: store, Topic: platform.TopicServers, Decode: platform.DecodeInstance},
+		Dialect:   platform.Dialect{},
+		Engines:   &platform.Engines{Transport: relay.Transport(false)},
+		Directory: func(addresses func(time.Time, string) cowslipproxy.Addresses) http.Handler {
+			return (&platform.Directory{Addresses: addresses, Clock: time.Now}).Handler()
+		},
+		Ready: platform.Ready,
+	}
+}
--- /dev/null
+++ b/cowslipd/relay/build.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"strconv"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/gossiper"
+	"github.com/cowslipproxy/cowslipproxy/holder"
+	"github.com/cowslipproxy/cowslipproxy/leaser"
+	"github.com/cowslipproxy/cowslipproxy/matcher"
+	"github.com/cowslipproxy/cowslipproxy/relayer"
+)
+
+// leaseStream is the log stream of the lease for placing layers.
+const leaseStream = "leases"
+
+// build sets up the parts. The name is new at each start, since the time of day
+// that incarnations are made of may step back.
+func (d *Daemon) build() {
+	start := d.Clock()
+	name := d.Settings.Name + "." + strconv.FormatUint(rand.Uint64()>>32, 36)
+	d.owner = cowslipproxy.Owner{Name: name[max(0, len(name)-maxName):], Incarnation: uint64(start.UnixNano())}
+	d.pools = pools{centre: d.Settings.Centre, settings: d.Settings}
+	d.gossiper = &gossiper.Gossiper{
+		Self:   d.owner,
+		Hello:  cowslipproxy.Hello{Caller: d.Settings.Callers, Peer: d.Settings.Peers, Centre: d.Settings.Centre, Starting: true},
+		Logger: d.Logger,
+	}
+	d.lease = &holder.Holder{
+		Log: d.Platform.Log, Stream: leaseStream,
+		Leaser: &leaser.Leaser{Name: "placement", Self: d.owner.Key(), Length: leaseLength},
+		Clock:  d.Clock, Logger: d.Logger,
+	}
+	d.server = &relayer.Server{
+		Matcher:   func() *matcher.Matcher { return d.matcher.Load() },
+		Upstreams: &d.pools,
+		Dialect:   d.Platform.Dialect,
+		Transport: Transport(false),
+		Stopping:  d.stopping.Load,
+		Finished:  d.finished.Load,
+		Clock:     d.Clock,
+		Logger:    d.Logger,
+		Metrics:   d.Metrics,
+	}
+}
+
+// maxName is the longest name of an entry daemon, in bytes.
+const maxName = 64
--- /dev/null
+++ b/cowslipd/relay/fold.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/matcher"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+)
+
+const (
+	// tableWait is how long a read waits for a newer configuration. A connection
+	// to the store may go silent, so that it is shorter than the store allows.
+	tableWait = 4 * time.Second
+	tableGap  = 0
+	// listGap is the time between two reads of the list. A leaving upstream must
+	// get no new work 2 s after the store knows of it.
+	listGap = 700 * time.Millisecond
+)
+
+// foldTables takes in configurations from the store.
+func (d *Daemon) foldTables(_ time.Time, changes cowslipproxy.Changes[cowslipproxy.Table]) {
+	for _, item := range changes.Items {
+		if item.Err != nil {
+			reporter.EventTableRefused.Log(context.Background(), d.Logger, slog.Any("error", item.Err))
+			continue
+		}
+		if !item.Gone {
+			d.apply(item.Value, "store")
+		}
+	}
+}
+
+// apply puts a configuration in force if it is newer than the one before.
+func (d *Daemon) apply(table cowslipproxy.Table, source string) {
+	now := d.Clock()
+	if old := d.matcher.Load(); old != nil && old.Table.Version >= table.Version {
+		return
+	}
+	d.matcher.Store(matcher.New(table))
+	reporter.EventTable.Log(context.Background(), d.Logger, slog.Uint64("version", table.Version), slog.String("source", source))
+	d.pools.set(now, table, d.registrar.Instances())
+	d.announce()
+}
+
+// foldInstances takes in changes of the list.
+func (d *Daemon) foldInstances(now time.Time, changes cowslipproxy.Changes[cowslipproxy.Instance]) {
+	for _, item := range changes.Items {
+		if item.Err != nil {
+			reporter.EventBadEntry.Log(context.Background(), d.Logger, slog.String("key", item.Key), slog.Any("error", item.Err))
+		}
+	}
+	changed := d.registrar.Fold(now, changes)
+	if d.listed.Load() && !changed {
+		return
+	}
+	d.listed.Store(true)
+	instances := d.registrar.Instances()
+	var live, leaving int
+	for _, instance := range instances {
+		if instance.State == cowslipproxy.VMLive {
+			live++
+		} else {
+			leaving++
+		}
+	}
+	reporter.EventInstances.Log(context.Background(), d.Logger, slog.Int("live", live), slog.Int("leaving", leaving))
+	if m := d.matcher.Load(); m != nil {
+		d.pools.set(now, m.Table, instances)
+	}
+	d.announce()
+}
+
+// announce tells the other daemons once this one can serve.
+func (d *Daemon) announce() {
+	if !d.isReady() || d.ready.Swap(true) {
+		return
+	}
+	reporter.EventReady.Log(context.Background(), d.Logger, slog.Bool("ready", true))
+	if err := d.gossiper.Start(); err != nil {
+		reporter.EventExchangeFailed.Log(context.Background(), d.Logger, slog.Any("error", err))
+	}
+}
--- /dev/null
+++ b/cowslipd/relay/place.go
@@ -0,0 +1,198 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/placer"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+)
+
+const (
+	placePeriod = 250 * time.Millisecond
+	// leaseLength lets a successor place lost layers within seconds.
+	leaseLength = 4 * time.Second
+	// settleTime is how long the list must not change before the first
+	// placement, and settleLimit how long that is waited for. All servers
+	// register within a heartbeat of about 1.2 s.
+	settleTime  = 700 * time.Millisecond
+	settleLimit = 3 * time.Second
+	// unsureTime is how long an order without an answer may still be carried
+	// out before the engine is asked.
+	unsureTime = 1500 * time.Millisecond
+	// loadSlack is added to the time that a load takes before it counts as failed.
+	loadSlack = 5 * time.Second
+)
+
+// pending is an order that the list doesn't show as carried out yet.
+type pending struct {
+	layers cowslipproxy.LayerRange
+	born   time.Time
+	until  time.Time
+}
+
+// orders counts the orders that an engine accepted since its start.
+type orders struct {
+	born  time.Time
+	count int
+}
+
+// placement is what the holder of the lease remembers of its orders.
+type placement struct {
+	mu       sync.Mutex
+	pending  map[string]pending
+	accepted map[string]orders
+	version  uint64
+	since    time.Time // when the list last changed
+	first    time.Time // when engines were first seen
+}
+
+func newPlacement() *placement {
+	return &placement{pending: map[string]pending{}, accepted: map[string]orders{}}
+}
+
+// begin remembers an order and returns how many the engine accepted before it.
+// A former holder may have given others: then the engine refuses this one.
+func (s *placement) begin(engine cowslipproxy.Instance, order pending) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending[engine.ID] = order
+	known := s.accepted[engine.ID]
+	if !known.born.Equal(engine.Born) {
+		known = orders{born: engine.Born}
+	}
+	s.accepted[engine.ID] = orders{born: engine.Born, count: known.count + 1}
+	return known.count
+}
+
+// placeLayers gives engines their layers while this daemon holds the lease.
+func (d *Daemon) placeLayers(ctx context.Context) {
+	state := newPlacement()
+	ticker := time.NewTicker(placePeriod)
+	defer ticker.Stop()
+	holds := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if d.stopping.Load() || !d.listed.Load() || d.matcher.Load() == nil {
+			continue
+		}
+		now := d.Clock()
+		d.lease.Claim(ctx, now)
+		_, held := d.lease.Holds()
+		if held && !holds {
+			reporter.EventLeaseTaken.Log(ctx, d.Logger)
+			state = newPlacement()
+		}
+		if holds = held; held && state.settled(now, d.registrar.Version()) {
+			d.plan(ctx, now, state)
+		}
+	}
+}
+
+// settled reports whether the list is complete enough for a plan.
+func (s *placement) settled(now time.Time, version uint64) bool {
+	if s.first.IsZero() {
+		s.first = now
+	}
+	if version != s.version {
+		s.version, s.since = version, now
+	}
+	return now.Sub(s.since) >= settleTime || now.Sub(s.first) >= settleLimit
+}
+
+func (d *Daemon) plan(ctx context.Context, now time.Time, state *placement) {
+	m := d.matcher.Load()
+	instances := map[string]cowslipproxy.Instance{}
+	for _, service := range m.Engines() {
+		var engines []placer.Engine
+		for _, instance := range d.registrar.Instances() {
+			if instance.Service != service.Name || instance.State != cowslipproxy.VMLive {
+				continue
+			}
+			instances[instance.ID] = instance
+			engines = append(engines, state.engine(now, instance))
+		}
+		for _, move := range placer.Plan(*service.Engine, engines) {
+			d.order(ctx, now, state, instances[move.ID], move.Range, loadTime(*service.Engine, move.Range))
+		}
+	}
+}
+
+func loadTime(profile cowslipproxy.EngineProfile, layers cowslipproxy.LayerRange) time.Duration {
+	var whole time.Duration
+	for _, model := range profile.Models {
+		whole = max(whole, model.Load)
+	}
+	return whole * time.Duration(layers.Len()) / time.Duration(max(profile.Layers, 1))
+}
+
+// engine returns an engine with the layers that it holds or will hold.
+func (s *placement) engine(now time.Time, instance cowslipproxy.Instance) placer.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	engine := placer.Engine{ID: instance.ID, Centre: instance.Centre, Kind: instance.Kind, Range: instance.Range}
+	order, ok := s.pending[instance.ID]
+	if !ok {
+		return engine
+	}
+	if instance.Range == order.layers || !instance.Born.Equal(order.born) || now.After(order.until) {
+		delete(s.pending, instance.ID)
+		return engine
+	}
+	engine.Range = order.layers
+	return engine
+}
+
+// order tells an engine which layers it shall hold. It names the wanted state
+// and how many orders the engine must have accepted, so that a repeated or late
+// order changes nothing.
+func (d *Daemon) order(ctx context.Context, now time.Time, state *placement, engine cowslipproxy.Instance, layers cowslipproxy.LayerRange, load time.Duration) {
+	accepted := state.begin(engine, pending{layers: layers, born: engine.Born, until: now.Add(3*load + loadSlack)})
+	go func() {
+		if _, holds := d.lease.Holds(); !holds {
+			return
+		}
+		err := d.Platform.Engines.Place(ctx, engine, layers, accepted)
+		reporter.EventOrder.Log(ctx, d.Logger, slog.String("engine", engine.ID), slog.String("order", layers.String()), slog.Int("accepted", accepted))
+		if err == nil {
+			return
+		}
+		reporter.EventOrderFailed.Log(ctx, d.Logger, slog.String("engine", engine.ID), slog.Any("error", err))
+		d.inquire(ctx, state, engine)
+	}()
+}
+
+// inquire asks an engine for its state after an order that failed or got no
+// answer. The order may still be carried out.
+func (d *Daemon) inquire(ctx context.Context, state *placement, engine cowslipproxy.Instance) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(unsureTime):
+	}
+	found, err := d.Platform.Engines.State(ctx, engine)
+	now := d.Clock()
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	if err != nil {
+		reporter.EventOrderFailed.Log(ctx, d.Logger, slog.String("engine", engine.ID), slog.Any("error", err))
+		delete(state.pending, engine.ID)
+		return
+	}
+	order := state.pending[engine.ID]
+	state.accepted[engine.ID] = orders{born: engine.Born, count: found.Sequence}
+	if found.Busy {
+		return // what it loads shows in the list
+	}
+	if order.layers = found.Range; found.Range.Len() == 0 {
+		order.until = now
+	}
+	state.pending[engine.ID] = order
+}
--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -30,6 +30,7 @@
 	"github.com/cowslipproxy/cowslipproxy/follower"
 	"github.com/cowslipproxy/cowslipproxy/forwarder"
 	"github.com/cowslipproxy/cowslipproxy/gossiper"
+	"github.com/cowslipproxy/cowslipproxy/holder"
 	"github.com/cowslipproxy/cowslipproxy/joiner"
 	"github.com/cowslipproxy/cowslipproxy/leaser"
 	"github.com/cowslipproxy/cowslipproxy/limiter"
@@ -229,8 +230,10 @@
 
 func (r *Router) buildCommander(log cowslipproxy.Log) {
 	r.commander = &commander.Commander{
-		Log:     log,
-		Leaser:  &leaser.Leaser{Name: "placement", Self: r.owner.Key()},
+		Lease: &holder.Holder{
+			Log: log, Stream: commander.Stream, Leaser: &leaser.Leaser{Name: "placement", Self: r.owner.Key()},
+			Clock: r.Clock, Logger: r.Logger,
+		},
 		Settled: r.follower.Current,
 		Engines: r.usableEngines,
 		Engine:  r.pool.Engine,
--- /dev/null
+++ b/loader/relay.go
@@ -0,0 +1,61 @@
+package loader
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/decoder"
+)
+
+// Relay is the settings of a daemon that relays whole requests. The bounds are
+// what operators promise their users.
+type Relay struct {
+	Name      string                `json:"name" validate:"required,max=128"`
+	Centre    string                `json:"centre" validate:"required,max=64"`
+	Callers   netip.AddrPort        `json:"callers" validate:"required"`
+	Ready     netip.AddrPort        `json:"ready" validate:"required"`
+	Directory netip.AddrPort        `json:"directory" validate:"required"`
+	Peers     netip.AddrPort        `json:"peers" validate:"required"`
+	Store     netip.AddrPort        `json:"store" validate:"required"`
+	Seeds     []netip.AddrPort      `json:"seeds"`
+	Metrics   uint16                `json:"metrics"`
+	Grace     cowslipproxy.Duration `json:"grace" validate:"gt=0"`
+	Lifetime  cowslipproxy.Duration `json:"lifetime" validate:"gt=0"`
+	Drain     cowslipproxy.Duration `json:"drain" validate:"gt=0"`
+	Apply     cowslipproxy.Duration `json:"apply" validate:"gt=0"`
+	Window    cowslipproxy.Duration `json:"window" validate:"gt=0"`
+	Retries   float64               `json:"retries" validate:"gte=0"`
+	Floor     int                   `json:"floor" validate:"gte=0"`
+	Memory    int64                 `json:"memory" validate:"gte=16"`
+	Level     string                `json:"level" validate:"oneof=debug info warn error"`
+}
+
+// UsualRelay returns the settings that hold where none are given.
+func UsualRelay() Relay {
+	return Relay{
+		Grace:    cowslipproxy.Duration(8 * time.Second),
+		Lifetime: cowslipproxy.Duration(2 * time.Second),
+		Drain:    cowslipproxy.Duration(2 * time.Second),
+		Apply:    cowslipproxy.Duration(2 * time.Second),
+		Window:   cowslipproxy.Duration(10 * time.Second),
+		Retries:  0.2,
+		Floor:    100,
+		Memory:   128,
+		Level:    "info",
+	}
+}
+
+// LoadRelay reads the settings of a relay from a YAML file.
+func LoadRelay(path string) (Relay, error) {
+	settings := UsualRelay()
+	var data []byte
+	var err error
+	if data, err = os.ReadFile(path); err != nil {
+		return settings, errors.WithStack(err)
+	}
+	return settings, errors.Wrap(decoder.YAML(data, &settings), path)
+}
--- /dev/null
+++ b/matcher/matcher.go
@@ -0,0 +1,101 @@
+// Package matcher decides which route, service and customer a request belongs
+// to under one configuration.
+package matcher
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+// Matcher is a configuration with its indexes. It doesn't change after New.
+type Matcher struct {
+	Table cowslipproxy.Table
+
+	hosts     map[string][]cowslipproxy.Route // longest prefix first
+	customers map[string]cowslipproxy.RelayCustomer
+	services  map[string]cowslipproxy.RelayService
+}
+
+// New indexes a configuration.
+func New(table cowslipproxy.Table) *Matcher {
+	m := &Matcher{
+		Table:     table,
+		hosts:     map[string][]cowslipproxy.Route{},
+		customers: map[string]cowslipproxy.RelayCustomer{},
+		services:  map[string]cowslipproxy.RelayService{},
+	}
+	for _, route := range table.Routes {
+		host := strings.ToLower(route.Host)
+		m.hosts[host] = append(m.hosts[host], route)
+	}
+	for _, routes := range m.hosts {
+		slices.SortStableFunc(routes, func(a, b cowslipproxy.Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for _, customer := range table.Customers {
+		for _, key := range customer.Keys {
+			m.customers[key] = customer
+		}
+	}
+	for _, service := range table.Services {
+		m.services[service.Name] = service
+	}
+	return m
+}
+
+// Route returns the route with the longest prefix of the path.
+func (m *Matcher) Route(host, path string) (cowslipproxy.Route, bool) {
+	for _, route := range m.hosts[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return cowslipproxy.Route{}, false
+}
+
+// Customer returns the customer who holds a key. It reports false for a route
+// that needs a key which nobody holds.
+func (m *Matcher) Customer(route cowslipproxy.Route, key string) (cowslipproxy.RelayCustomer, bool) {
+	if len(m.Table.Customers) == 0 {
+		return cowslipproxy.RelayCustomer{}, true
+	}
+	customer, ok := m.customers[key]
+	return customer, ok || route.Public
+}
+
+// Priority returns the rank of a customer's requests on a route.
+func (m *Matcher) Priority(route cowslipproxy.Route, customer cowslipproxy.RelayCustomer) int {
+	if customer.Priority != nil {
+		return *customer.Priority
+	}
+	return route.Priority
+}
+
+// Service returns the service for a request on a route. The draw lies in
+// [0,1) and falls to services by their weights.
+func (m *Matcher) Service(route cowslipproxy.Route, draw float64) cowslipproxy.RelayService {
+	var sum float64
+	for _, share := range route.Shares {
+		sum += share.Weight
+	}
+	draw *= sum
+	for _, share := range route.Shares {
+		if draw -= share.Weight; draw < 0 {
+			return m.services[share.Service]
+		}
+	}
+	return m.services[route.Shares[0].Service]
+}
+
+// Engines returns the services whose engines hold ranges of a model's layers.
+func (m *Matcher) Engines() []cowslipproxy.RelayService {
+	var found []cowslipproxy.RelayService
+	for _, service := range m.Table.Services {
+		if service.Engine != nil && service.Engine.Layers > 0 {
+			found = append(found, service)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/pathfinder/finder.go
@@ -0,0 +1,246 @@
+// Package pathfinder decides which engines run a request's layers, where the
+// engines pass the work on among themselves. It starts no goroutine and reads
+// no clock.
+package pathfinder
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+const (
+	// suspectTime is how long an engine gets no new work after paths through it
+	// stalled. A crashed engine is dropped from the list after three heartbeats.
+	suspectTime = 3 * time.Second
+	// aliveTime is how old a sign of life may be for an engine not to be
+	// suspected of a stall.
+	aliveTime = 150 * time.Millisecond
+	// fullTime is how long an engine that had no memory left gets less new work.
+	fullTime = 300 * time.Millisecond
+)
+
+// Finder chooses paths through the engines of one service. Its exported fields
+// are set before the first use. It is safe for concurrent use.
+type Finder struct {
+	Centre string // data centre of this daemon
+	Random *rand.Rand
+
+	mu      sync.Mutex
+	profile cowslipproxy.EngineProfile
+	engines map[string]*engine
+	order   []*engine // by id
+	flows   []flow
+	changed time.Time // when the engines last changed
+}
+
+// engine is what is known of an engine.
+type engine struct {
+	cowslipproxy.Instance
+	room    float64 // tokens x layers of memory for requests
+	held    float64 // tokens x layers of this daemon's requests
+	alive   time.Time
+	suspect time.Time // until when it is suspected
+	full    time.Time // until when its memory is taken to be full
+}
+
+// Need is what a request asks of a path.
+type Need struct {
+	Tokens int      // of prompt and answer
+	Avoid  []string // engines that failed the request
+}
+
+// Path is a chosen path.
+type Path struct {
+	Hops    []cowslipproxy.Hop
+	engines []*engine
+	tokens  float64
+}
+
+// First returns the engine that the request is sent to.
+func (p *Path) First() cowslipproxy.Hop { return p.Hops[0] }
+
+// Set takes in the engines that may get new work.
+func (f *Finder) Set(now time.Time, profile cowslipproxy.EngineProfile, instances []cowslipproxy.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.profile = profile
+	old := f.engines
+	f.engines = map[string]*engine{}
+	f.order = f.order[:0]
+	for _, instance := range instances {
+		if instance.State != cowslipproxy.VMLive || !instance.HasLayers() || instance.Range.End > profile.Layers {
+			continue
+		}
+		e := &engine{Instance: instance}
+		if before := old[instance.ID]; before != nil && before.Born.Equal(instance.Born) {
+			e = before
+			e.Instance = instance
+		}
+		e.room = Room(profile, instance.Kind, instance.Range.Len())
+		f.engines[instance.ID] = e
+		f.order = append(f.order, e)
+	}
+	f.flows = f.spread(f.order)
+	f.changed = now
+}
+
+// Room returns the tokens x layers of requests that an engine has memory for
+// beside the given number of layers.
+func Room(profile cowslipproxy.EngineProfile, kind string, layers int) float64 {
+	const megabyte = 1e6
+	perToken := profile.TokenSize / float64(max(profile.Layers, 1))
+	if perToken <= 0 {
+		return 1
+	}
+	return max((profile.Kinds[kind].Memory-float64(layers)*profile.LayerSize)*megabyte/perToken, 1)
+}
+
+// Choose returns a path for a request, or false if no engines hold some layer.
+func (f *Finder) Choose(now time.Time, need Need) (*Path, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best *flow
+	var least float64
+	for range tries {
+		if len(f.flows) == 0 {
+			break
+		}
+		candidate := &f.flows[f.Random.IntN(len(f.flows))]
+		if !usable(now, candidate, need) {
+			continue
+		}
+		if cost := f.cost(now, candidate, need); best == nil || cost < least {
+			best, least = candidate, cost
+		}
+	}
+	if best != nil {
+		return newPath(best.steps, need), true
+	}
+	steps := f.detour(now, need)
+	if steps == nil {
+		return nil, false
+	}
+	return newPath(steps, need), true
+}
+
+// tries is how many paths are drawn for a choice.
+const tries = 3
+
+func usable(now time.Time, candidate *flow, need Need) bool {
+	for _, step := range candidate.steps {
+		if now.Before(step.engine.suspect) || now.Before(step.engine.full) || slices.Contains(need.Avoid, step.engine.ID) {
+			return false
+		}
+	}
+	return true
+}
+
+// cost weighs this daemon's own share of the fullest engine.
+func (f *Finder) cost(_ time.Time, candidate *flow, need Need) float64 {
+	var worst float64
+	for _, step := range candidate.steps {
+		held := step.engine.held + float64(need.Tokens*step.layers.Len())
+		worst = max(worst, held/step.engine.room)
+	}
+	if candidate.steps[0].engine.Centre != f.Centre {
+		worst *= farStart
+	}
+	return worst
+}
+
+// farStart raises the cost of a path that begins in another data centre, since
+// bytes between data centres are priced.
+const farStart = 1.3
+
+// detour finds a path around engines that are suspected, full or to be avoided,
+// and takes the full ones and then the suspected ones where there is no other.
+func (f *Finder) detour(now time.Time, need Need) []step {
+	for _, accept := range []func(e *engine) bool{
+		func(e *engine) bool { return !now.Before(e.suspect) && !now.Before(e.full) },
+		func(e *engine) bool { return !now.Before(e.suspect) },
+		func(*engine) bool { return true },
+	} {
+		var usable []*engine
+		for _, e := range f.order {
+			if accept(e) && !slices.Contains(need.Avoid, e.ID) {
+				usable = append(usable, e)
+			}
+		}
+		if steps := f.shortest(usable, f.loadOf); steps != nil {
+			return steps
+		}
+	}
+	return nil
+}
+
+func newPath(steps []step, need Need) *Path {
+	p := &Path{tokens: float64(need.Tokens)}
+	for _, s := range steps {
+		p.Hops = append(p.Hops, cowslipproxy.Hop{Instance: s.engine.ID, Address: s.engine.Address, Range: s.layers})
+		p.engines = append(p.engines, s.engine)
+	}
+	return p
+}
+
+// Begin counts a request that runs on a path.
+func (f *Finder) Begin(path *Path) { f.count(path, 1) }
+
+// End counts a request that no longer runs on a path.
+func (f *Finder) End(path *Path) { f.count(path, -1) }
+
+func (f *Finder) count(path *Path, sign float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, e := range path.engines {
+		e.held += sign * path.tokens * float64(path.Hops[i].Range.Len())
+	}
+}
+
+// Progress takes in an event of a request: all engines of its path work.
+func (f *Finder) Progress(now time.Time, path *Path) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range path.engines {
+		e.alive, e.suspect = now, time.Time{}
+	}
+}
+
+// Stalled takes in that a request made no progress. Engines that served no
+// other request meanwhile are suspected. It returns the suspects.
+func (f *Finder) Stalled(now time.Time, path *Path) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var suspects []string
+	for _, e := range path.engines {
+		if now.Sub(e.alive) > aliveTime {
+			e.suspect = now.Add(suspectTime)
+			suspects = append(suspects, e.ID)
+		}
+	}
+	return suspects
+}
+
+// Broken takes in that an engine refused work or broke off.
+func (f *Finder) Broken(now time.Time, address netip.AddrPort) {
+	f.mark(address, func(e *engine) { e.suspect = now.Add(suspectTime) })
+}
+
+// Full takes in that an engine had no memory left.
+func (f *Finder) Full(now time.Time, address netip.AddrPort) {
+	f.mark(address, func(e *engine) { e.full = now.Add(fullTime) })
+}
+
+func (f *Finder) mark(address netip.AddrPort, change func(e *engine)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.order {
+		if e.Address == address {
+			change(e)
+		}
+	}
+}
--- /dev/null
+++ b/pathfinder/flow.go
@@ -0,0 +1,177 @@
+package pathfinder
+
+import (
+	"math"
+	"slices"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+const (
+	// flowCount is the number of paths among which requests are spread. More
+	// paths follow the engines' room more closely and take longer to compute.
+	flowCount = 48
+	// fill is the part of the engines' room that the spread plans to use.
+	fill = 0.6
+	// steep is how much the cost of an engine grows with its planned use.
+	steep = 4.0
+	// crossCost is the cost of a path's crossing between data centres, in
+	// milliseconds of decode time. All paths share the pipes between them.
+	crossCost = 4.0
+	// hopCost keeps paths short, in milliseconds.
+	hopCost = 0.3
+	// roomCost weighs the planned use of an engine's room, in milliseconds.
+	roomCost = 20.0
+)
+
+// step is an engine of a path with the layers that it runs.
+type step struct {
+	engine *engine
+	layers cowslipproxy.LayerRange
+}
+
+// flow is one of the paths among which requests are spread evenly.
+type flow struct{ steps []step }
+
+// planned is the room that planned flows take, by engine.
+type planned map[*engine]float64
+
+// spread returns paths that together use the engines by their room.
+func (f *Finder) spread(engines []*engine) []flow {
+	if len(engines) == 0 {
+		return nil
+	}
+	var room float64
+	for _, e := range engines {
+		room += e.room
+	}
+	unit := fill * room / float64(f.profile.Layers) / flowCount // tokens of one flow
+	used := planned{}
+	load := func(e *engine) float64 { return used[e] / e.room }
+	var flows []flow
+	for range flowCount {
+		steps := f.shortest(engines, load)
+		if steps == nil {
+			return nil
+		}
+		for _, s := range steps {
+			used[s.engine] += unit * float64(s.layers.Len())
+		}
+		flows = append(flows, flow{steps})
+	}
+	return flows
+}
+
+// loadOf is the part of an engine's room that this daemon's requests use.
+func (f *Finder) loadOf(e *engine) float64 { return e.held / e.room }
+
+// reached is the cheapest way to run the layers before a boundary that ends in
+// a data centre.
+type reached struct {
+	cost   float64
+	engine *engine
+	from   int // index of the boundary before
+	centre int // index of the data centre before; -1 at the start
+}
+
+// shortest returns the cheapest path over all layers, or nil. An engine may run
+// any part of its layers between two boundaries of other engines' ranges.
+func (f *Finder) shortest(engines []*engine, load func(*engine) float64) []step {
+	bounds, centres := f.axes(engines)
+	if len(bounds) < 2 || bounds[0] != 0 || bounds[len(bounds)-1] != f.profile.Layers {
+		return nil
+	}
+	table := make([]reached, len(bounds)*len(centres))
+	for i := range table {
+		table[i].cost = math.Inf(1)
+	}
+	costs := make([]float64, len(engines))
+	for i, e := range engines {
+		costs[i] = f.layerCost(e, load(e))
+	}
+	for at := range len(bounds) - 1 {
+		for i, e := range engines {
+			if e.Range.First > bounds[at] || e.Range.End <= bounds[at] {
+				continue
+			}
+			f.extend(table, bounds, centres, at, e, costs[i])
+		}
+	}
+	return backtrack(table, bounds, centres)
+}
+
+// axes returns the boundaries of all ranges and the data centres.
+func (f *Finder) axes(engines []*engine) (bounds []int, centres []string) {
+	for _, e := range engines {
+		bounds = append(bounds, e.Range.First, e.Range.End)
+		if !slices.Contains(centres, e.Centre) {
+			centres = append(centres, e.Centre)
+		}
+	}
+	slices.Sort(bounds)
+	return slices.Compact(bounds), centres
+}
+
+// layerCost is the cost of one layer, in milliseconds.
+func (f *Finder) layerCost(e *engine, load float64) float64 {
+	pace := f.profile.Kinds[e.Kind].Pace
+	if pace <= 0 {
+		pace = 1
+	}
+	decode := pace * float64(f.profile.Step.Microseconds()) / 1000 / float64(f.profile.Layers)
+	reference := float64(f.profile.Prompt+f.profile.Answer+1) / e.room // of its room, for one request's layer
+	return decode + roomCost*reference*math.Exp(steep*load)
+}
+
+// extend tries an engine from a boundary on, up to each boundary that it reaches.
+func (f *Finder) extend(table []reached, bounds []int, centres []string, at int, e *engine, cost float64) {
+	centre := slices.Index(centres, e.Centre)
+	start, before := math.Inf(1), -1
+	if at == 0 {
+		start = 0
+	}
+	for c := range centres {
+		if at == 0 {
+			break
+		}
+		previous := table[at*len(centres)+c]
+		total := previous.cost
+		if c != centre {
+			total += crossCost
+		}
+		if total < start && previous.engine != e {
+			start, before = total, c
+		}
+	}
+	for to := at + 1; to < len(bounds) && bounds[to] <= e.Range.End; to++ {
+		total := start + hopCost + cost*float64(bounds[to]-bounds[at])
+		if cell := &table[to*len(centres)+centre]; total < cell.cost {
+			*cell = reached{cost: total, engine: e, from: at, centre: before}
+		}
+	}
+}
+
+func backtrack(table []reached, bounds []int, centres []string) []step {
+	at, centre := len(bounds)-1, -1
+	best := math.Inf(1)
+	for c := range centres {
+		if cost := table[at*len(centres)+c].cost; cost < best {
+			best, centre = cost, c
+		}
+	}
+	if centre < 0 {
+		return nil
+	}
+	var steps []step
+	for at > 0 {
+		cell := table[at*len(centres)+centre]
+		layers := cowslipproxy.LayerRange{First: bounds[cell.from], End: bounds[at]}
+		if slices.ContainsFunc(steps, func(s step) bool { return s.engine == cell.engine }) {
+			return nil // an engine may stand only once in a path
+		}
+		steps = append(steps, step{cell.engine, layers})
+		at, centre = cell.from, cell.centre
+	}
+	slices.Reverse(steps)
+	return steps
+}
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,79 @@
+// Package watcher follows a feed of the platform's store.
+package watcher
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+)
+
+// retryWait is the time between two reads while the store can't be read. Calls
+// that the store refuses are priced too.
+const retryWait = 500 * time.Millisecond
+
+// Watcher follows one feed. Its exported fields are set before Run.
+type Watcher[T any] struct {
+	Name   string // of what is followed, for the log
+	Feed   cowslipproxy.Feed[T]
+	Wait   time.Duration // for the first change; 0 to return at once
+	Gap    time.Duration // between two reads
+	Fold   func(now time.Time, changes cowslipproxy.Changes[T])
+	Failed func(now time.Time) // the feed could not be read
+	Clock  func() time.Time
+	Logger *slog.Logger
+
+	next uint64
+	lost time.Time // since when the feed can't be read
+}
+
+// Run follows the feed until the context ends.
+func (w *Watcher[T]) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		gap := w.Gap
+		changes, err := w.Feed.Read(ctx, w.next, w.Wait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			w.fail(ctx, err)
+			gap = retryWait
+		} else {
+			w.take(ctx, changes)
+		}
+		pause(ctx, gap)
+	}
+}
+
+func (w *Watcher[T]) fail(ctx context.Context, err error) {
+	now := w.Clock()
+	if w.lost.IsZero() {
+		w.lost = now
+		reporter.EventFeedLost.Log(ctx, w.Logger, slog.String("feed", w.Name), slog.Any("error", err))
+	}
+	w.Failed(now)
+}
+
+func (w *Watcher[T]) take(ctx context.Context, changes cowslipproxy.Changes[T]) {
+	now := w.Clock()
+	if !w.lost.IsZero() {
+		reporter.EventFeedBack.Log(ctx, w.Logger, slog.String("feed", w.Name), slog.Duration("lost", now.Sub(w.lost)))
+		w.lost = time.Time{}
+	}
+	w.next = changes.Next
+	w.Fold(now, changes)
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
