relay: change the path of a stalled request; move engines to scarce layers

A request without an event for a while was sent again elsewhere although its engines were only busy, and all engines of its path were suspected. Now the first engine is asked which one the request waits for; that one is replaced in the path, or the request goes on elsewhere. Engines move to layers with little room.

--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -36,6 +36,7 @@
 		Matcher:   func() *matcher.Matcher { return d.matcher.Load() },
 		Upstreams: &d.pools,
 		Dialect:   d.Platform.Dialect,
+		Engines:   d.Platform.Engines,
 		Transport: Transport(false),
 		Stopping:  d.stopping.Load,
 		Finished:  d.finished.Load,
--- a/cowslipd/relay/place.go
+++ b/cowslipd/relay/place.go
@@ -23,6 +23,8 @@
 	// unsureTime is how long an order without an answer may still be carried
 	// out before the engine is asked.
 	unsureTime = 1500 * time.Millisecond
+	// restTime is how long an engine keeps its layers before it is moved again.
+	restTime = 5 * time.Second
 	// loadSlack is added to the time that a load takes before it counts as failed.
 	loadSlack = 5 * time.Second
 )
@@ -45,13 +47,14 @@
 	mu       sync.Mutex
 	pending  map[string]pending
 	accepted map[string]orders
+	rest     map[string]time.Time // until when an engine is not moved again
 	version  uint64
 	since    time.Time // when the list last changed
 	first    time.Time // when engines were first seen
 }
 
 func newPlacement() *placement {
-	return &placement{pending: map[string]pending{}, accepted: map[string]orders{}}
+	return &placement{pending: map[string]pending{}, accepted: map[string]orders{}, rest: map[string]time.Time{}}
 }
 
 // begin remembers an order and returns how many the engine accepted before it.
@@ -60,6 +63,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pending[engine.ID] = order
+	s.rest[engine.ID] = order.until.Add(restTime)
 	known := s.accepted[engine.ID]
 	if !known.born.Equal(engine.Born) {
 		known = orders{born: engine.Born}
@@ -119,7 +123,8 @@
 			instances[instance.ID] = instance
 			engines = append(engines, state.engine(now, instance))
 		}
-		for _, move := range placer.Plan(*service.Engine, engines) {
+		loads := max(service.Engine.Loads, 1) - state.loading()
+		for _, move := range placer.Plan(*service.Engine, engines, loads) {
 			d.order(ctx, now, state, instances[move.ID], move.Range, loadTime(*service.Engine, move.Range))
 		}
 	}
@@ -138,6 +143,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	engine := placer.Engine{ID: instance.ID, Centre: instance.Centre, Kind: instance.Kind, Range: instance.Range}
+	engine.Fixed = now.Before(s.rest[instance.ID])
 	order, ok := s.pending[instance.ID]
 	if !ok {
 		return engine
@@ -146,10 +152,17 @@
 		delete(s.pending, instance.ID)
 		return engine
 	}
-	engine.Range = order.layers
+	engine.Range, engine.Fixed = order.layers, true
 	return engine
 }
 
+// loading returns how many engines carry out orders.
+func (s *placement) loading() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.pending)
+}
+
 // order tells an engine which layers it shall hold. It names the wanted state
 // and how many orders the engine must have accepted, so that a repeated or late
 // order changes nothing.
--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -17,11 +17,13 @@
 	// suspectTime is how long an engine gets no new work after paths through it
 	// stalled. A crashed engine is dropped from the list after three heartbeats.
 	suspectTime = 3 * time.Second
-	// aliveTime is how old a sign of life may be for an engine not to be
-	// suspected of a stall.
-	aliveTime = 150 * time.Millisecond
 	// fullTime is how long an engine that had no memory left gets less new work.
 	fullTime = 300 * time.Millisecond
+	// fullCost is the cost of an engine that had no memory left.
+	fullCost = 1.0
+	// noise is the part by which costs of a detour vary at random, so that
+	// daemons which avoid the same engine don't all choose the same other one.
+	noise = 0.5
 )
 
 // Finder chooses paths through the engines of one service. Its exported fields
@@ -41,9 +43,8 @@
 // engine is what is known of an engine.
 type engine struct {
 	cowslipproxy.Instance
-	room    float64 // tokens x layers of memory for requests
-	held    float64 // tokens x layers of this daemon's requests
-	alive   time.Time
+	room    float64   // tokens x layers of memory for requests
+	held    float64   // tokens x layers of this daemon's requests
 	suspect time.Time // until when it is suspected
 	full    time.Time // until when its memory is taken to be full
 }
@@ -105,16 +106,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var best *flow
-	var least float64
-	for range tries {
-		if len(f.flows) == 0 {
-			break
-		}
-		candidate := &f.flows[f.Random.IntN(len(f.flows))]
+	least := fullCost
+	start := 0
+	if len(f.flows) > 0 {
+		start = f.Random.IntN(len(f.flows))
+	}
+	for i, found := 0, 0; i < len(f.flows) && found < tries; i++ {
+		candidate := &f.flows[(start+i*stride)%len(f.flows)]
 		if !usable(now, candidate, need) {
 			continue
 		}
-		if cost := f.cost(now, candidate, need); best == nil || cost < least {
+		found++
+		if cost := f.cost(now, candidate, need); cost < least {
 			best, least = candidate, cost
 		}
 	}
@@ -128,12 +131,17 @@
 	return newPath(steps, need), true
 }
 
-// tries is how many paths are drawn for a choice.
-const tries = 3
+const (
+	// tries is how many usable paths are compared for a choice.
+	tries = 3
+	// stride visits all flows in an order in which neighbours differ; it has no
+	// factor in common with their number.
+	stride = 19
+)
 
 func usable(now time.Time, candidate *flow, need Need) bool {
 	for _, step := range candidate.steps {
-		if now.Before(step.engine.suspect) || now.Before(step.engine.full) || slices.Contains(need.Avoid, step.engine.ID) {
+		if now.Before(step.engine.suspect) || slices.Contains(need.Avoid, step.engine.ID) {
 			return false
 		}
 	}
@@ -141,11 +149,14 @@
 }
 
 // cost weighs this daemon's own share of the fullest engine.
-func (f *Finder) cost(_ time.Time, candidate *flow, need Need) float64 {
+func (f *Finder) cost(now time.Time, candidate *flow, need Need) float64 {
 	var worst float64
 	for _, step := range candidate.steps {
-		held := step.engine.held + float64(need.Tokens*step.layers.Len())
-		worst = max(worst, held/step.engine.room)
+		use := (step.engine.held + float64(need.Tokens*step.layers.Len())) / step.engine.room
+		if now.Before(step.engine.full) {
+			use += fullCost
+		}
+		worst = max(worst, use)
 	}
 	if candidate.steps[0].engine.Centre != f.Centre {
 		worst *= farStart
@@ -157,11 +168,10 @@
 // bytes between data centres are priced.
 const farStart = 1.3
 
-// detour finds a path around engines that are suspected, full or to be avoided,
-// and takes the full ones and then the suspected ones where there is no other.
+// detour finds a path around engines that are suspected or to be avoided, and
+// takes suspected ones where there is no other.
 func (f *Finder) detour(now time.Time, need Need) []step {
 	for _, accept := range []func(e *engine) bool{
-		func(e *engine) bool { return !now.Before(e.suspect) && !now.Before(e.full) },
 		func(e *engine) bool { return !now.Before(e.suspect) },
 		func(*engine) bool { return true },
 	} {
@@ -171,13 +181,55 @@
 				usable = append(usable, e)
 			}
 		}
-		if steps := f.shortest(usable, f.loadOf); steps != nil {
+		whole := cowslipproxy.LayerRange{First: 0, End: f.profile.Layers}
+		if steps := f.shortest(usable, whole, f.noisyLoad(now)); steps != nil {
 			return steps
 		}
 	}
 	return nil
 }
 
+// noisyLoad returns what this daemon knows of an engine's load, with noise.
+func (f *Finder) noisyLoad(now time.Time) func(e *engine) float64 {
+	return func(e *engine) float64 {
+		load := e.held/e.room + noise*f.Random.Float64()
+		if now.Before(e.full) {
+			load += fullCost
+		}
+		return load
+	}
+}
+
+// Mend returns the path with other engines in place of the one at an address,
+// or false if that is the first engine or nothing can stand in for it.
+func (f *Finder) Mend(now time.Time, path *Path, address netip.AddrPort) (*Path, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at := slices.IndexFunc(path.Hops, func(hop cowslipproxy.Hop) bool { return hop.Address == address })
+	if at <= 0 {
+		return nil, false
+	}
+	var usable []*engine
+	for _, e := range f.order {
+		if !now.Before(e.suspect) && !slices.Contains(path.engines, e) {
+			usable = append(usable, e)
+		}
+	}
+	steps := f.shortest(usable, path.Hops[at].Range, f.noisyLoad(now))
+	if steps == nil {
+		return nil, false
+	}
+	var all []step
+	for i, hop := range path.Hops {
+		if i == at {
+			all = append(all, steps...)
+			continue
+		}
+		all = append(all, step{path.engines[i], hop.Range})
+	}
+	return newPath(all, Need{Tokens: int(path.tokens)}), true
+}
+
 func newPath(steps []step, need Need) *Path {
 	p := &Path{tokens: float64(need.Tokens)}
 	for _, s := range steps {
@@ -201,28 +253,16 @@
 	}
 }
 
-// Progress takes in an event of a request: all engines of its path work.
-func (f *Finder) Progress(now time.Time, path *Path) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, e := range path.engines {
-		e.alive, e.suspect = now, time.Time{}
-	}
-}
-
-// Stalled takes in that a request made no progress. Engines that served no
-// other request meanwhile are suspected. It returns the suspects.
-func (f *Finder) Stalled(now time.Time, path *Path) []string {
+// Suspect returns the first engine of a path that is suspected.
+func (f *Finder) Suspect(now time.Time, path *Path) (netip.AddrPort, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var suspects []string
 	for _, e := range path.engines {
-		if now.Sub(e.alive) > aliveTime {
-			e.suspect = now.Add(suspectTime)
-			suspects = append(suspects, e.ID)
+		if now.Before(e.suspect) {
+			return e.Address, true
 		}
 	}
-	return suspects
+	return netip.AddrPort{}, false
 }
 
 // Broken takes in that an engine refused work or broke off.
--- a/pathfinder/flow.go
+++ b/pathfinder/flow.go
@@ -50,7 +50,7 @@
 	load := func(e *engine) float64 { return used[e] / e.room }
 	var flows []flow
 	for range flowCount {
-		steps := f.shortest(engines, load)
+		steps := f.shortest(engines, cowslipproxy.LayerRange{First: 0, End: f.profile.Layers}, load)
 		if steps == nil {
 			return nil
 		}
@@ -62,9 +62,6 @@
 	return flows
 }
 
-// loadOf is the part of an engine's room that this daemon's requests use.
-func (f *Finder) loadOf(e *engine) float64 { return e.held / e.room }
-
 // reached is the cheapest way to run the layers before a boundary that ends in
 // a data centre.
 type reached struct {
@@ -74,13 +71,10 @@
 	centre int // index of the data centre before; -1 at the start
 }
 
-// shortest returns the cheapest path over all layers, or nil. An engine may run
+// shortest returns the cheapest path over the layers, or nil. An engine may run
 // any part of its layers between two boundaries of other engines' ranges.
-func (f *Finder) shortest(engines []*engine, load func(*engine) float64) []step {
-	bounds, centres := f.axes(engines)
-	if len(bounds) < 2 || bounds[0] != 0 || bounds[len(bounds)-1] != f.profile.Layers {
-		return nil
-	}
+func (f *Finder) shortest(engines []*engine, layers cowslipproxy.LayerRange, load func(*engine) float64) []step {
+	bounds, centres := axes(engines, layers)
 	table := make([]reached, len(bounds)*len(centres))
 	for i := range table {
 		table[i].cost = math.Inf(1)
@@ -100,10 +94,15 @@
 	return backtrack(table, bounds, centres)
 }
 
-// axes returns the boundaries of all ranges and the data centres.
-func (f *Finder) axes(engines []*engine) (bounds []int, centres []string) {
+// axes returns the boundaries of ranges within the layers, and the data centres.
+func axes(engines []*engine, layers cowslipproxy.LayerRange) (bounds []int, centres []string) {
+	bounds = append(bounds, layers.First, layers.End)
 	for _, e := range engines {
-		bounds = append(bounds, e.Range.First, e.Range.End)
+		for _, bound := range []int{e.Range.First, e.Range.End} {
+			if bound > layers.First && bound < layers.End {
+				bounds = append(bounds, bound)
+			}
+		}
 		if !slices.Contains(centres, e.Centre) {
 			centres = append(centres, e.Centre)
 		}
@@ -134,12 +133,14 @@
 		if at == 0 {
 			break
 		}
-		previous := table[at*len(centres)+c]
-		total := previous.cost
+		total := table[at*len(centres)+c].cost
+		if math.IsInf(total, 1) {
+			continue
+		}
 		if c != centre {
 			total += crossCost
 		}
-		if total < start && previous.engine != e {
+		if total < start && !stands(table, len(centres), at, c, e) {
 			start, before = total, c
 		}
 	}
@@ -151,6 +152,19 @@
 	}
 }
 
+// stands reports whether the engine is in the way that leads to a boundary. An
+// engine may stand only once in a path.
+func stands(table []reached, centres, at, centre int, e *engine) bool {
+	for at > 0 {
+		cell := &table[at*centres+centre]
+		if cell.engine == e {
+			return true
+		}
+		at, centre = cell.from, cell.centre
+	}
+	return false
+}
+
 func backtrack(table []reached, bounds []int, centres []string) []step {
 	at, centre := len(bounds)-1, -1
 	best := math.Inf(1)
@@ -166,9 +180,6 @@
 	for at > 0 {
 		cell := table[at*len(centres)+centre]
 		layers := cowslipproxy.LayerRange{First: bounds[cell.from], End: bounds[at]}
-		if slices.ContainsFunc(steps, func(s step) bool { return s.engine == cell.engine }) {
-			return nil // an engine may stand only once in a path
-		}
 		steps = append(steps, step{cell.engine, layers})
 		at, centre = cell.from, cell.centre
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -15,6 +15,7 @@
 	Centre string
 	Kind   string
 	Range  cowslipproxy.LayerRange // that it holds or was ordered to hold; empty for none
+	Fixed  bool                    // it was ordered lately, and is not moved again
 }
 
 // Move is an order for an engine.
@@ -41,14 +42,15 @@
 	return min(max(int(memory/perLayer), min(most, 1)), profile.Layers, most)
 }
 
-// Plan returns the moves that the engines need.
-func Plan(profile cowslipproxy.EngineProfile, engines []Engine) []Move {
+// Plan returns the moves that the engines need, at most the given number once
+// some engine holds layers.
+func Plan(profile cowslipproxy.EngineProfile, engines []Engine, most int) []Move {
 	engines = slices.Clone(engines)
 	slices.SortFunc(engines, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
 	if !slices.ContainsFunc(engines, func(e Engine) bool { return e.Range.Len() > 0 }) {
 		return layOut(profile, engines)
 	}
-	return repair(profile, engines)
+	return repair(profile, engines, most)
 }
 
 // layOut places all layers on empty engines. Each data centre gets as many
@@ -121,78 +123,3 @@
 	}
 	return moves
 }
-
-// repair gives empty engines the layers that have the fewest copies.
-func repair(profile cowslipproxy.EngineProfile, engines []Engine) []Move {
-	cover := newCover(profile.Layers)
-	for _, e := range engines {
-		cover.add(e.Range, e.Centre)
-	}
-	var moves []Move
-	for _, e := range engines {
-		size := Capacity(profile, e.Kind)
-		if e.Range.Len() > 0 || size == 0 {
-			continue
-		}
-		layers := cover.weakest(size, e.Centre)
-		cover.add(layers, e.Centre)
-		moves = append(moves, Move{e.ID, layers})
-	}
-	return moves
-}
-
-// cover counts the copies of each layer.
-type cover struct {
-	all    []int
-	near   map[string][]int // by data centre
-	layers int
-	starts []int // boundaries of the ranges that are held
-}
-
-func newCover(layers int) *cover {
-	return &cover{all: make([]int, layers), near: map[string][]int{}, layers: layers, starts: []int{0}}
-}
-
-func (c *cover) add(r cowslipproxy.LayerRange, centre string) {
-	if c.near[centre] == nil {
-		c.near[centre] = make([]int, c.layers)
-	}
-	if r.Len() <= 0 || r.First < 0 || r.End > c.layers {
-		return
-	}
-	for layer := r.First; layer < r.End; layer++ {
-		c.all[layer]++
-		c.near[centre][layer]++
-	}
-	c.starts = append(c.starts, r.First, r.End)
-}
-
-// weakest returns the range of the given size with the fewest copies. Layers
-// with the fewest copies of all weigh most; among equals those that the data
-// centre itself lacks. Ranges begin or end at boundaries of others, so that
-// engines can stand in for each other.
-func (c *cover) weakest(size int, centre string) cowslipproxy.LayerRange {
-	if c.near[centre] == nil {
-		c.near[centre] = make([]int, c.layers)
-	}
-	var best cowslipproxy.LayerRange
-	var least float64
-	for _, start := range c.starts {
-		for _, first := range []int{start, start - size} {
-			first = max(min(first, c.layers-size), 0)
-			r := cowslipproxy.LayerRange{First: first, End: min(first+size, c.layers)}
-			var weight float64
-			for layer := r.First; layer < r.End; layer++ {
-				weight -= 1/(0.1+float64(c.all[layer])) + nearWeight/(0.1+float64(c.near[centre][layer]))
-			}
-			if weight /= float64(r.Len()); best.Len() == 0 || weight < least {
-				best, least = r, weight
-			}
-		}
-	}
-	return best
-}
-
-// nearWeight is the weight of copies in the engine's own data centre against
-// copies anywhere.
-const nearWeight = 0.2
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -47,6 +47,7 @@
 	Matcher   func() *matcher.Matcher // nil until a configuration is known
 	Upstreams Upstreams
 	Dialect   cowslipproxy.Dialect
+	Engines   cowslipproxy.Operable
 	Transport http.RoundTripper
 	Stopping  func() bool // whether callers shall connect elsewhere
 	Finished  func() bool // whether no new requests are taken
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -18,29 +19,24 @@
 
 const (
 	// maxSends bounds how often a request is sent, whatever the reasons.
-	maxSends = 6
-	// firstPatience is how many times the route's target the first event may take.
-	firstPatience = 2
-	// pausePatience is how many times the route's longest pause the next event may take.
-	pausePatience = 2
+	maxSends = 4
+	// fullWait is the wait after engines had no memory left, doubled each time.
+	// A request leaves its memory after some seconds, and many share an engine.
+	fullWait = 40 * time.Millisecond
 	// pathWait is the time between two looks for a path while some layer has no engine.
 	pathWait = 50 * time.Millisecond
 	// buffer holds some events of a stream, in bytes.
 	buffer = 2 << 10
 )
 
-var (
-	errStalled = errors.New("no event in time")
-	errNoPath  = errors.New("some layer has no engine")
-)
+var errNoPath = errors.New("some layer has no engine")
 
 // streaming relays a request that engines run on a path.
 type streaming struct {
 	*exchange
 	last   string // id of the last event that the caller got
 	events int    // that the caller got
-	runs   int    // runs that engines began
-	first  time.Time
+	runs   int    // runs that engines may have begun
 }
 
 // run sends the request until an engine has ended the answer or no further try
@@ -49,7 +45,7 @@
 	s.last = s.query.Last
 	finder := s.Upstreams.Finder(s.service.Name)
 	var err error
-	for sends := 0; sends < maxSends; sends++ {
+	for sends := 1; ; sends++ {
 		var path *pathfinder.Path
 		if path, err = s.await(ctx, finder); err != nil {
 			break
@@ -58,28 +54,39 @@
 		if notRun, err = s.try(ctx, finder, path); err == nil {
 			return nil
 		}
-		if ctx.Err() != nil || !s.again(notRun) {
+		if ctx.Err() != nil || sends == maxSends || !s.again(notRun) {
+			break
+		}
+		if notRun && !sleep(ctx, fullWait<<(sends-1)+rand.N(fullWait)) {
 			break
 		}
 	}
 	return s.giveUp(ctx, err)
 }
 
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // await returns a path, and waits for one while engines load layers.
 func (s *streaming) await(ctx context.Context, finder *pathfinder.Finder) (*pathfinder.Path, error) {
 	limit := s.Clock().Add(s.route.Target)
 	for {
-		need := pathfinder.Need{Tokens: s.query.Prompt + s.expected()}
-		if path, ok := finder.Choose(s.Clock(), need); ok {
+		if path, ok := finder.Choose(s.Clock(), pathfinder.Need{Tokens: s.query.Prompt + s.expected()}); ok {
 			return path, nil
 		}
 		if s.Clock().After(limit) {
 			return nil, errors.WithStack(errNoPath)
 		}
-		select {
-		case <-ctx.Done():
+		if !sleep(ctx, pathWait) {
 			return nil, errors.WithStack(ctx.Err())
-		case <-time.After(pathWait):
 		}
 	}
 }
@@ -87,7 +94,7 @@
 // expected returns the answer's expected tokens.
 func (s *streaming) expected() int {
 	if s.query.Hint > 0 {
-		return min(s.query.Hint, max(s.query.Output, s.query.Hint))
+		return s.query.Hint
 	}
 	return s.service.Engine.Answer
 }
@@ -119,48 +126,49 @@
 // try sends the request on a path and relays the events. It reports whether
 // the engines provably didn't run it.
 func (s *streaming) try(ctx context.Context, finder *pathfinder.Finder, path *pathfinder.Path) (notRun bool, err error) {
-	finder.Begin(path)
-	defer finder.End(path)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	watch := time.AfterFunc(firstPatience*s.route.Target, func() { cancel(errStalled) })
-	defer watch.Stop()
+	r := s.begin(ctx, finder, path)
+	defer r.end()
 	first := path.First()
-	got, err := s.send(ctx, cowslipproxy.Dispatch{Instance: first.Instance, Address: first.Address, Path: path.Hops, Last: s.last})
-	if err == nil && got.StatusCode != http.StatusOK {
-		notRun, err = s.rejected(finder, path, got)
-	} else if err == nil {
-		s.tries++
-		s.runs++
-		err = s.relay(got, finder, path, watch)
-	} else if notRun = errors.Is(err, cowslipproxy.ErrNotStarted); notRun {
+	got, err := s.send(r.ctx, cowslipproxy.Dispatch{Instance: first.Instance, Address: first.Address, Path: path.Hops, Last: s.last})
+	switch {
+	case err == nil && got.StatusCode == http.StatusOK:
+		s.count()
+		err = r.relay(got)
+	case err == nil:
+		notRun, err = r.rejected(got)
+	case errors.Is(err, cowslipproxy.ErrNotStarted):
+		notRun = true
 		finder.Broken(s.Clock(), first.Address)
-	} else {
-		s.tries++
-		s.runs++
+	default:
+		s.count()
 	}
-	if err == nil {
-		return false, nil
+	if err != nil {
+		reporter.EventTryFailed.Log(ctx, s.Logger, slog.String("request", s.query.ID), slog.String("upstream", first.Instance),
+			slog.Bool("started", !notRun), slog.Int("events", s.events), slog.Any("error", err))
 	}
-	s.learn(ctx, finder, path, err, notRun)
 	return notRun, err
 }
 
+// count counts a try that engines may have begun to run.
+func (s *streaming) count() {
+	s.tries++
+	s.runs++
+}
+
 // rejected takes in an answer that is no stream.
-func (s *streaming) rejected(finder *pathfinder.Finder, path *pathfinder.Path, got answered) (notRun bool, err error) {
+func (r *run) rejected(got answered) (notRun bool, err error) {
 	_, err = whole(got)
 	address := got.Fault
 	if !address.IsValid() {
-		address = path.First().Address
+		address = r.path.First().Address
 	}
 	switch {
 	case got.StatusCode == http.StatusMisdirectedRequest:
-		finder.Broken(s.Clock(), address)
+		r.finder.Broken(r.Clock(), address)
 	case got.NotRun:
-		finder.Full(s.Clock(), address)
+		r.finder.Full(r.Clock(), address)
 	default:
-		s.tries++
-		s.runs++
+		r.count()
 	}
 	if err != nil {
 		return got.NotRun, err
@@ -168,19 +176,8 @@
 	return got.NotRun, errors.Errorf("status %d of %s", got.StatusCode, address)
 }
 
-// learn tells the finder what a failed try shows of the engines.
-func (s *streaming) learn(ctx context.Context, finder *pathfinder.Finder, path *pathfinder.Path, err error, notRun bool) {
-	if errors.Is(context.Cause(ctx), errStalled) {
-		suspects := finder.Stalled(s.Clock(), path)
-		reporter.EventStalled.Log(ctx, s.Logger, slog.String("request", s.query.ID), slog.Int("events", s.events), slog.Any("suspects", suspects))
-		return
-	}
-	reporter.EventTryFailed.Log(ctx, s.Logger, slog.String("request", s.query.ID), slog.String("upstream", path.First().Instance),
-		slog.Bool("started", !notRun), slog.Int("events", s.events), slog.Any("error", err))
-}
-
 // relay passes events on as they arrive.
-func (s *streaming) relay(got answered, finder *pathfinder.Finder, path *pathfinder.Path, watch *time.Timer) error {
+func (r *run) relay(got answered) error {
 	defer got.Body.Close()
 	events := eventReader{from: bufio.NewReaderSize(got.Body, buffer)}
 	for {
@@ -188,15 +185,11 @@
 		if err != nil && !errors.Is(err, io.EOF) {
 			return err
 		}
-		ended := err != nil
-		watch.Reset(pausePatience * s.route.Pause)
-		if !ended || len(next.data) > 0 {
-			finder.Progress(s.Clock(), path)
-		}
-		if err := s.pass(got, next); err != nil {
+		r.progress()
+		if err := r.pass(got, next); err != nil {
 			return err
 		}
-		if ended {
+		if err != nil {
 			return nil
 		}
 	}
@@ -208,7 +201,6 @@
 		s.copyHeader(got.Header)
 		s.w.Header().Del("Content-Length")
 		s.status = got.StatusCode
-		s.first = s.Clock()
 		s.w.WriteHeader(s.status)
 	}
 	if len(next.data) == 0 {
