pathfinder: plan the use of the pipes between data centres

Paths are now planned with the pipes as a resource, placement weighs the room in single data centres more, and an engine keeps room for 85,000 tokens. Requests that stall together ask their engine once: questions are priced as probes.

--- a/cowslipd/relay/fold.go
+++ b/cowslipd/relay/fold.go
@@ -35,13 +35,12 @@
 
 // apply puts a configuration in force if it is newer than the one before.
 func (d *Daemon) apply(table cowslipproxy.Table, source string) {
-	now := d.Clock()
 	if old := d.matcher.Load(); old != nil && old.Table.Version >= table.Version {
 		return
 	}
 	d.matcher.Store(matcher.New(table))
 	reporter.EventTable.Log(context.Background(), d.Logger, slog.Uint64("version", table.Version), slog.String("source", source))
-	d.pools.set(now, table, d.registrar.Instances())
+	d.pools.set(table, d.registrar.Instances())
 	d.announce()
 }
 
@@ -68,7 +67,7 @@
 	}
 	reporter.EventInstances.Log(context.Background(), d.Logger, slog.Int("live", live), slog.Int("leaving", leaving))
 	if m := d.matcher.Load(); m != nil {
-		d.pools.set(now, m.Table, instances)
+		d.pools.set(m.Table, instances)
 	}
 	d.announce()
 }
--- a/cowslipd/relay/pools.go
+++ b/cowslipd/relay/pools.go
@@ -31,7 +31,7 @@
 const budgetMargin = 0.8
 
 // set takes in the services and their instances.
-func (p *pools) set(now time.Time, table cowslipproxy.Table, instances []cowslipproxy.Instance) {
+func (p *pools) set(table cowslipproxy.Table, instances []cowslipproxy.Instance) {
 	byService := map[string][]cowslipproxy.Instance{}
 	for _, instance := range instances {
 		byService[instance.Service] = append(byService[instance.Service], instance)
@@ -39,7 +39,7 @@
 	for _, service := range table.Services {
 		p.Picker(service.Name).Set(byService[service.Name])
 		if service.Engine != nil && service.Engine.Layers > 0 {
-			p.Finder(service.Name).Set(now, *service.Engine, byService[service.Name])
+			p.Finder(service.Name).Set(*service.Engine, byService[service.Name])
 		}
 	}
 }
--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -37,7 +37,7 @@
 	engines map[string]*engine
 	order   []*engine // by id
 	flows   []flow
-	changed time.Time // when the engines last changed
+	pipes   map[pair]float64 // parts of the pipes that the flows are planned to use
 }
 
 // engine is what is known of an engine.
@@ -66,7 +66,7 @@
 func (p *Path) First() cowslipproxy.Hop { return p.Hops[0] }
 
 // Set takes in the engines that may get new work.
-func (f *Finder) Set(now time.Time, profile cowslipproxy.EngineProfile, instances []cowslipproxy.Instance) {
+func (f *Finder) Set(profile cowslipproxy.EngineProfile, instances []cowslipproxy.Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.profile = profile
@@ -87,7 +87,6 @@
 		f.order = append(f.order, e)
 	}
 	f.flows = f.spread(f.order)
-	f.changed = now
 }
 
 // Room returns the tokens x layers of requests that an engine has memory for
@@ -189,15 +188,16 @@
 	return nil
 }
 
-// noisyLoad returns what this daemon knows of an engine's load, with noise.
-func (f *Finder) noisyLoad(now time.Time) func(e *engine) float64 {
-	return func(e *engine) float64 {
-		load := e.held/e.room + noise*f.Random.Float64()
+// noisyLoad returns what this daemon knows of the loads, with noise.
+func (f *Finder) noisyLoad(now time.Time) load {
+	room := func(e *engine) float64 {
+		use := e.held/e.room + noise*f.Random.Float64()
 		if now.Before(e.full) {
-			load += fullCost
+			use += fullCost
 		}
-		return load
+		return use
 	}
+	return load{room: room, pipe: func(a, b string) float64 { return f.pipes[pairOf(a, b)] }}
 }
 
 // Mend returns the path with other engines in place of the one at an address,
--- a/pathfinder/flow.go
+++ b/pathfinder/flow.go
@@ -16,8 +16,11 @@
 	// steep is how much the cost of an engine grows with its planned use.
 	steep = 4.0
 	// crossCost is the cost of a path's crossing between data centres, in
-	// milliseconds of decode time. All paths share the pipes between them.
+	// milliseconds of decode time. It grows with the planned use of the pipe.
 	crossCost = 4.0
+	// holdTime is how long a request holds its memory, in seconds: some 150
+	// tokens at 25 ms each.
+	holdTime = 4.0
 	// hopCost keeps paths short, in milliseconds.
 	hopCost = 0.3
 	// roomCost weighs the planned use of an engine's room, in milliseconds.
@@ -33,8 +36,22 @@
 // flow is one of the paths among which requests are spread evenly.
 type flow struct{ steps []step }
 
-// planned is the room that planned flows take, by engine.
-type planned map[*engine]float64
+// load is what a decision takes to be in use: parts of the engines' rooms and of
+// the pipes between data centres.
+type load struct {
+	room func(*engine) float64
+	pipe func(a, b string) float64
+}
+
+// pair names the pipe between two data centres.
+type pair struct{ a, b string }
+
+func pairOf(a, b string) pair {
+	if a > b {
+		a, b = b, a
+	}
+	return pair{a, b}
+}
 
 // spread returns paths that together use the engines by their room.
 func (f *Finder) spread(engines []*engine) []flow {
@@ -46,19 +63,31 @@
 		room += e.room
 	}
 	unit := fill * room / float64(f.profile.Layers) / flowCount // tokens of one flow
-	used := planned{}
-	load := func(e *engine) float64 { return used[e] / e.room }
+	crossing := 0.0                                             // part of a pipe that a crossing of one flow takes
+	if f.profile.Pipe > 0 {
+		const bitsPerMegabit, bitsPerByte = 1e6, 8
+		crossing = unit / holdTime * f.profile.Activation * bitsPerByte / (f.profile.Pipe * bitsPerMegabit)
+	}
+	used, pipes := map[*engine]float64{}, map[pair]float64{}
+	planned := load{
+		room: func(e *engine) float64 { return used[e] / e.room },
+		pipe: func(a, b string) float64 { return pipes[pairOf(a, b)] },
+	}
 	var flows []flow
 	for range flowCount {
-		steps := f.shortest(engines, cowslipproxy.LayerRange{First: 0, End: f.profile.Layers}, load)
+		steps := f.shortest(engines, cowslipproxy.LayerRange{First: 0, End: f.profile.Layers}, planned)
 		if steps == nil {
 			return nil
 		}
-		for _, s := range steps {
+		for i, s := range steps {
 			used[s.engine] += unit * float64(s.layers.Len())
+			if i > 0 && steps[i-1].engine.Centre != s.engine.Centre {
+				pipes[pairOf(steps[i-1].engine.Centre, s.engine.Centre)] += crossing
+			}
 		}
 		flows = append(flows, flow{steps})
 	}
+	f.pipes = pipes
 	return flows
 }
 
@@ -73,22 +102,30 @@
 
 // shortest returns the cheapest path over the layers, or nil. An engine may run
 // any part of its layers between two boundaries of other engines' ranges.
-func (f *Finder) shortest(engines []*engine, layers cowslipproxy.LayerRange, load func(*engine) float64) []step {
+func (f *Finder) shortest(engines []*engine, layers cowslipproxy.LayerRange, use load) []step {
 	bounds, centres := axes(engines, layers)
 	table := make([]reached, len(bounds)*len(centres))
 	for i := range table {
 		table[i].cost = math.Inf(1)
 	}
+	crossings := make([]float64, len(centres)*len(centres))
+	for i, a := range centres {
+		for j, b := range centres {
+			if i != j {
+				crossings[i*len(centres)+j] = crossCost * math.Exp(steep*use.pipe(a, b))
+			}
+		}
+	}
 	costs := make([]float64, len(engines))
 	for i, e := range engines {
-		costs[i] = f.layerCost(e, load(e))
+		costs[i] = f.layerCost(e, use.room(e))
 	}
 	for at := range len(bounds) - 1 {
 		for i, e := range engines {
 			if e.Range.First > bounds[at] || e.Range.End <= bounds[at] {
 				continue
 			}
-			f.extend(table, bounds, centres, at, e, costs[i])
+			extend(table, grid{bounds, centres, crossings}, at, e, costs[i])
 		}
 	}
 	return backtrack(table, bounds, centres)
@@ -122,8 +159,16 @@
 	return decode + roomCost*reference*math.Exp(steep*load)
 }
 
+// grid is what a path may be made of.
+type grid struct {
+	bounds    []int
+	centres   []string
+	crossings []float64 // cost from one data centre to another
+}
+
 // extend tries an engine from a boundary on, up to each boundary that it reaches.
-func (f *Finder) extend(table []reached, bounds []int, centres []string, at int, e *engine, cost float64) {
+func extend(table []reached, g grid, at int, e *engine, cost float64) {
+	bounds, centres := g.bounds, g.centres
 	centre := slices.Index(centres, e.Centre)
 	start, before := math.Inf(1), -1
 	if at == 0 {
@@ -137,9 +182,7 @@
 		if math.IsInf(total, 1) {
 			continue
 		}
-		if c != centre {
-			total += crossCost
-		}
+		total += g.crossings[c*len(centres)+centre]
 		if total < start && !stands(table, len(centres), at, c, e) {
 			start, before = total, c
 		}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -27,7 +27,7 @@
 // room is the memory that is kept for requests in an engine, in tokens of all
 // the layers that it holds. Less memory lets the engines hold more copies of
 // the model but preempts requests under load.
-const room = 40_000
+const room = 85_000
 
 // Capacity returns the layers that an engine of a kind holds beside its room
 // for requests.
--- a/placer/repair.go
+++ b/placer/repair.go
@@ -16,7 +16,7 @@
 	scarce = 1000.0
 	// nearWeight is the weight of the room in single data centres against the
 	// room of all. Paths that stay in one need no pipe between them.
-	nearWeight = 0.1
+	nearWeight = 0.3
 	// nearScarce is the same as scarce for single data centres, which need not
 	// hold every layer.
 	nearScarce = 30_000.0
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -25,8 +25,6 @@
 	// mendTime is how long a run may take to go on after its path was changed:
 	// the new engines read all tokens so far.
 	mendTime = 500 * time.Millisecond
-	// inspectTime bounds a question to an engine.
-	inspectTime = 300 * time.Millisecond
 )
 
 var errStalled = errors.New("no event in time")
@@ -91,7 +89,7 @@
 	}
 	switch {
 	case !found && now.Sub(since) < giveUpAfter:
-		r.rearm(since, inspectGap)
+		r.rearm(since, min(max(now.Sub(since), inspectGap), giveUpAfter-now.Sub(since)+time.Millisecond))
 	case !found:
 		r.cancel(errStalled)
 	default:
@@ -115,10 +113,8 @@
 
 // ask asks the first engine which one the request waits for.
 func (r *run) ask(path *pathfinder.Path) (netip.AddrPort, bool) {
-	ctx, cancel := context.WithTimeout(r.ctx, inspectTime)
-	defer cancel()
 	first := path.First()
-	state, err := r.Engines.State(ctx, cowslipproxy.Instance{ID: first.Instance, Address: first.Address})
+	state, err := r.inspector.state(r.ctx, r.Engines, r.Clock(), cowslipproxy.Instance{ID: first.Instance, Address: first.Address})
 	if r.ctx.Err() != nil {
 		return netip.AddrPort{}, false
 	}
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -55,7 +55,8 @@
 	Logger    *slog.Logger
 	Metrics   metrics.Registry
 
-	inFlight atomic.Int64
+	inFlight  atomic.Int64
+	inspector inspector
 }
 
 // InFlight returns the number of requests that have not ended.
