sharer: let one daemon of each data centre read the store for the others

Now the reader tells the others what changed, and daemons that hear nothing for 0.9 s read themselves; one that can't reach the store asks any other. Shares carry what requests take of each engine, so that paths are chosen by the use of all daemons.

--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -12,9 +12,6 @@
 	"github.com/cowslipproxy/cowslipproxy/relayer"
 )
 
-// leaseStream is the log stream of the lease for placing layers.
-const leaseStream = "leases"
-
 // build sets up the parts. The name is new at each start, since the time of day
 // that incarnations are made of may step back.
 func (d *Daemon) build() {
@@ -23,12 +20,15 @@
 	d.owner = cowslipproxy.Owner{Name: name[max(0, len(name)-maxName):], Incarnation: uint64(start.UnixNano())}
 	d.pools = pools{centre: d.Settings.Centre, settings: d.Settings}
 	d.gossiper = &gossiper.Gossiper{
-		Self:   d.owner,
-		Hello:  cowslipproxy.Hello{Caller: d.Settings.Callers, Peer: d.Settings.Peers, Centre: d.Settings.Centre, Starting: true},
-		Logger: d.Logger,
+		Self:     d.owner,
+		Hello:    cowslipproxy.Hello{Caller: d.Settings.Callers, Peer: d.Settings.Peers, Centre: d.Settings.Centre, Starting: true},
+		Snapshot: d.snapshot,
+		Shares:   d.takeShare,
+		Logger:   d.Logger,
 	}
+	d.sharing.known, d.sharing.busy = map[string]uint64{}, map[string]bool{}
 	d.lease = &holder.Holder{
-		Log: d.Platform.Log, Stream: leaseStream,
+		Log: d.Platform.Log, Stream: leaser.Stream, Skip: func() bool { return !d.sharing.isReader() },
 		Leaser: &leaser.Leaser{Name: "placement", Self: d.owner.Key(), Length: leaseLength},
 		Clock:  d.Clock, Logger: d.Logger,
 	}
--- a/cowslipd/relay/fold.go
+++ b/cowslipd/relay/fold.go
@@ -10,15 +10,9 @@
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
 
-const (
-	// tableWait is how long a read waits for a newer configuration. A connection
-	// to the store may go silent, so that it is shorter than the store allows.
-	tableWait = 4 * time.Second
-	tableGap  = 0
-	// listGap is the time between two reads of the list. A leaving upstream must
-	// get no new work 2 s after the store knows of it.
-	listGap = 700 * time.Millisecond
-)
+// tableWait is how long a read waits for a newer configuration. A connection to
+// the store may go silent, so that it is shorter than the store allows.
+const tableWait = 2 * time.Second
 
 // foldTables takes in configurations from the store.
 func (d *Daemon) foldTables(_ time.Time, changes cowslipproxy.Changes[cowslipproxy.Table]) {
@@ -35,13 +29,16 @@
 
 // apply puts a configuration in force if it is newer than the one before.
 func (d *Daemon) apply(table cowslipproxy.Table, source string) {
-	if old := d.matcher.Load(); old != nil && old.Table.Version >= table.Version {
+	d.applying.Lock()
+	defer d.applying.Unlock()
+	if d.version() >= table.Version {
 		return
 	}
 	d.matcher.Store(matcher.New(table))
 	reporter.EventTable.Log(context.Background(), d.Logger, slog.Uint64("version", table.Version), slog.String("source", source))
 	d.pools.set(table, d.registrar.Instances())
 	d.announce()
+	d.share(context.Background())
 }
 
 // foldInstances takes in changes of the list.
@@ -52,10 +49,18 @@
 		}
 	}
 	changed := d.registrar.Fold(now, changes)
-	if d.listed.Load() && !changed {
+	d.sharing.mu.Lock()
+	d.sharing.read, d.sharing.from = now, d.owner.Name
+	d.sharing.mu.Unlock()
+	d.listChanged(changed)
+	d.share(context.Background())
+}
+
+// listChanged takes in the list after a read or a share.
+func (d *Daemon) listChanged(changed bool) {
+	if d.listed.Swap(true) && !changed {
 		return
 	}
-	d.listed.Store(true)
 	instances := d.registrar.Instances()
 	var live, leaving int
 	for _, instance := range instances {
--- a/cowslipd/relay/members.go
+++ b/cowslipd/relay/members.go
@@ -41,12 +41,11 @@
 func (d *Daemon) countMembers(now time.Time, down map[cowslipproxy.Owner]time.Time) {
 	newest := map[netip.AddrPort]cowslipproxy.Member{}
 	members := d.gossiper.Members()
-	live := 0
+	var live []cowslipproxy.Member
 	for _, member := range members {
 		if member.Down {
 			continue
 		}
-		live++
 		if other, ok := newest[member.Peer]; !ok || other.Incarnation < member.Incarnation {
 			newest[member.Peer] = member
 		}
@@ -64,5 +63,9 @@
 			delete(down, member.Owner)
 		}
 	}
-	d.pools.setDaemons(live)
+	for _, member := range newest {
+		live = append(live, member)
+	}
+	d.sharing.setMembers(d.owner, d.Settings.Centre, live)
+	d.pools.setDaemons(len(live))
 }
--- a/cowslipd/relay/place.go
+++ b/cowslipd/relay/place.go
@@ -88,7 +88,9 @@
 			continue
 		}
 		now := d.Clock()
-		d.lease.Claim(ctx, now)
+		if d.sharing.isReader() {
+			d.lease.Claim(ctx, now)
+		}
 		_, held := d.lease.Holds()
 		if held && !holds {
 			reporter.EventLeaseTaken.Log(ctx, d.Logger)
--- a/cowslipd/relay/pools.go
+++ b/cowslipd/relay/pools.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +46,28 @@
 	}
 }
 
+// held returns what this daemon's requests take of engines.
+func (p *pools) held() map[string]float64 {
+	all := map[string]float64{}
+	for _, finder := range p.all() {
+		maps.Copy(all, finder.Held())
+	}
+	return all
+}
+
+// setOthers takes in what other daemons' requests take of engines.
+func (p *pools) setOthers(loads map[string]float64) {
+	for _, finder := range p.all() {
+		finder.SetOthers(loads)
+	}
+}
+
+func (p *pools) all() []*pathfinder.Finder {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Values(p.finders))
+}
+
 // Picker implements relayer.Upstreams.
 func (p *pools) Picker(service string) *picker.Picker {
 	return entryOf(p, &p.pickers, service, func() *picker.Picker {
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,7 @@
 	"github.com/cowslipproxy/cowslipproxy/registrar"
 	"github.com/cowslipproxy/cowslipproxy/relayer"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/sharer"
 	"github.com/cowslipproxy/cowslipproxy/watcher"
 )
 
@@ -66,6 +68,9 @@
 
 	changed   atomic.Pointer[loader.Relay] // settings read again
 	ready     atomic.Bool
+	sharing   sharing
+	applying  sync.Mutex  // held while a configuration is put in force
+	fetching  atomic.Bool // a configuration is on its way from another daemon
 	owner     cowslipproxy.Owner
 	matcher   atomic.Pointer[matcher.Matcher]
 	registrar registrar.Registrar
@@ -119,6 +124,7 @@
 	group.Go(func() error { d.watchTables(work); return nil })
 	group.Go(func() error { d.watchInstances(work); return nil })
 	group.Go(func() error { d.lease.Follow(work); return nil })
+	group.Go(func() error { d.askOthers(work); return nil })
 	group.Go(func() error { d.placeLayers(work); return nil })
 	group.Go(func() error { d.trackMembers(work); return nil })
 	group.Go(func() error { d.reload(work); return nil })
@@ -145,18 +151,25 @@
 
 func (d *Daemon) watchTables(ctx context.Context) {
 	(&watcher.Watcher[cowslipproxy.Table]{
-		Name: "configuration", Feed: d.Platform.Tables, Wait: tableWait, Gap: tableGap, Fold: d.foldTables,
+		Name: "configuration", Feed: d.Platform.Tables, Wait: tableWait, Skip: d.sharing.skips, Fold: d.foldTables,
 		Failed: func(time.Time) {}, Clock: d.Clock, Logger: d.Logger,
 	}).Run(ctx)
 }
 
 func (d *Daemon) watchInstances(ctx context.Context) {
 	(&watcher.Watcher[cowslipproxy.Instance]{
-		Name: "instances", Feed: d.Platform.Instances, Gap: listGap, Fold: d.foldInstances,
-		Failed: func(time.Time) { d.registrar.Failed() }, Clock: d.Clock, Logger: d.Logger,
+		Name: "instances", Feed: d.Platform.Instances, Gap: sharer.Period, Skip: d.sharing.skips, Fold: d.foldInstances,
+		Failed: d.listFailed, Clock: d.Clock, Logger: d.Logger,
 	}).Run(ctx)
 }
 
+// listFailed takes in that the list can't be read. The others are told all the
+// same, so that they know how old it is.
+func (d *Daemon) listFailed(time.Time) {
+	d.registrar.Failed()
+	d.share(context.Background())
+}
+
 // isReady reports whether the daemon can serve callers.
 func (d *Daemon) isReady() bool {
 	return d.matcher.Load() != nil && d.listed.Load() && !d.stopping.Load()
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -42,6 +42,7 @@
 	Snapshot func(ctx context.Context) (at uint64, data []byte, err error) // of the configuration
 	Suspects func(data []byte) (held []byte, err error)                    // takes in records of suspects
 	Holds    func(data []byte) (answer []byte, err error)                  // decides on a suspect's hold of an upstream
+	Shares   func(data []byte) (answer []byte, err error)                  // takes in what a reader of the platform's store tells
 	Handler  http.Handler                                                  // serves forwarded requests
 	Changed  func(item Item)                                               // is told of items from other daemons
 	Logger   *slog.Logger                                                  // nil means the default one
--- a/gossiper/service.go
+++ b/gossiper/service.go
@@ -37,10 +37,8 @@
 	Data []byte `json:"data"`
 }
 
-// Suspects are records of requests that may be poison, as their owner encoded
-// them. They go to each daemon directly, since their sender has to know which
-// daemons hold them.
-type Suspects struct {
+// Payload is data that goes to one daemon directly, as its owner encoded it.
+type Payload struct {
 	Data []byte `json:"data"`
 }
 
@@ -58,8 +56,9 @@
 		unary("Snapshot", func(g *Gossiper, ctx context.Context, _ *SnapshotRequest) (*SnapshotAnswer, error) {
 			return g.snapshot(ctx)
 		}),
-		unary("Hold", func(g *Gossiper, _ context.Context, s *Suspects) (*Suspects, error) { return g.take(g.Holds, s) }),
-		unary("Suspects", func(g *Gossiper, _ context.Context, s *Suspects) (*Suspects, error) { return g.take(g.Suspects, s) }),
+		unary("Hold", func(g *Gossiper, _ context.Context, s *Payload) (*Payload, error) { return g.take(g.Holds, s) }),
+		unary("Share", func(g *Gossiper, _ context.Context, s *Payload) (*Payload, error) { return g.take(g.Shares, s) }),
+		unary("Suspects", func(g *Gossiper, _ context.Context, s *Payload) (*Payload, error) { return g.take(g.Suspects, s) }),
 	},
 	Streams: []grpc.StreamDesc{{
 		StreamName:    "Forward",
@@ -121,7 +120,7 @@
 	return answer, err
 }
 
-func (g *Gossiper) take(hook func([]byte) ([]byte, error), sent *Suspects) (*Suspects, error) {
+func (g *Gossiper) take(hook func([]byte) ([]byte, error), sent *Payload) (*Payload, error) {
 	if hook == nil {
 		return nil, status.Error(codes.Unavailable, "not ready")
 	}
@@ -130,23 +129,31 @@
 	if data, err = hook(sent.Data); err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	return &Suspects{Data: data}, nil
+	return &Payload{Data: data}, nil
 }
 
 // SendSuspects sends records to another daemon and returns what it holds of the
 // same requests.
 func (g *Gossiper) SendSuspects(ctx context.Context, address string, data []byte) ([]byte, error) {
 	g.setup()
-	var held Suspects
-	err := g.invoke(ctx, address, "Suspects", &Suspects{Data: data}, &held)
+	var held Payload
+	err := g.invoke(ctx, address, "Suspects", &Payload{Data: data}, &held)
 	return held.Data, err
 }
 
 // SendHold asks another daemon for the use of an upstream by a suspect.
 func (g *Gossiper) SendHold(ctx context.Context, address string, data []byte) ([]byte, error) {
 	g.setup()
-	var answer Suspects
-	err := g.invoke(ctx, address, "Hold", &Suspects{Data: data}, &answer)
+	var answer Payload
+	err := g.invoke(ctx, address, "Hold", &Payload{Data: data}, &answer)
+	return answer.Data, err
+}
+
+// SendShare tells another daemon what was read of the platform's store.
+func (g *Gossiper) SendShare(ctx context.Context, address string, data []byte) ([]byte, error) {
+	g.setup()
+	var answer Payload
+	err := g.invoke(ctx, address, "Share", &Payload{Data: data}, &answer)
 	return answer.Data, err
 }
 
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -17,7 +17,8 @@
 const (
 	longPoll   = 2 * time.Second
 	appendTime = time.Second
-	retryWait  = 500 * time.Millisecond
+	retryWait  = time.Second
+	skipGap    = 500 * time.Millisecond
 )
 
 // Holder follows the lease's stream and claims the lease. Its fields are set
@@ -25,14 +26,21 @@
 type Holder struct {
 	Log    cowslipproxy.Log
 	Stream string
+	Skip   func() bool // whether other daemons stand for the lease; nil means never
 	Leaser *leaser.Leaser
 	Clock  func() time.Time
 	Logger *slog.Logger
+
+	failed time.Time // when the newest claim failed
 }
 
 // Follow reads the lease's stream until the context ends.
 func (h *Holder) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
+		if h.Skip != nil && h.Skip() {
+			pause(ctx, skipGap)
+			continue
+		}
 		var batch cowslipproxy.Batch
 		var err error
 		if batch, err = h.Log.Read(ctx, h.Stream, h.Leaser.Offset(), longPoll); err != nil {
@@ -55,7 +63,7 @@
 // Claim takes or renews the lease when that is possible. Its answer may be
 // lost: the lease counts once its record was read.
 func (h *Holder) Claim(ctx context.Context, now time.Time) {
-	if now.Before(h.Leaser.Next(now)) {
+	if now.Before(h.Leaser.Next(now)) || now.Sub(h.failed) < retryWait {
 		return
 	}
 	record, ok := h.Leaser.Claim(now, uuid.NewString())
@@ -69,6 +77,7 @@
 		_, err = h.Log.Append(ctx, h.Stream, data)
 	}
 	if err != nil {
+		h.failed = now
 		reporter.EventLeaseFailed.Log(ctx, h.Logger, slog.Any("error", err))
 	}
 }
--- a/instances.go
+++ b/instances.go
@@ -17,6 +17,7 @@
 	Slots   int            `json:"slots"`
 	Cold    time.Duration  `json:"cold,omitempty"` // how much longer it is slow after its start
 	Born    time.Time      `json:"born"`           // distinguishes runs under one id
+	Beat    uint64         `json:"beat"`           // heartbeats of this run; a later entry has more
 	Kind    string         `json:"kind,omitempty"` // of its accelerator
 	Model   string         `json:"model,omitempty"`
 	Range   LayerRange     `json:"range"` // layers that it serves; empty when it holds none
--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -45,10 +45,14 @@
 	cowslipproxy.Instance
 	room    float64   // tokens x layers of memory for requests
 	held    float64   // tokens x layers of this daemon's requests
+	others  float64   // the same of other daemons' requests
 	suspect time.Time // until when it is suspected
 	full    time.Time // until when its memory is taken to be full
 }
 
+// use returns the tokens x layers that requests are known to take.
+func (e *engine) use() float64 { return e.held + e.others }
+
 // Need is what a request asks of a path.
 type Need struct {
 	Tokens int      // of prompt and answer
@@ -105,7 +109,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var best *flow
-	least := fullCost
+	var least float64
 	start := 0
 	if len(f.flows) > 0 {
 		start = f.Random.IntN(len(f.flows))
@@ -116,7 +120,7 @@
 			continue
 		}
 		found++
-		if cost := f.cost(now, candidate, need); cost < least {
+		if cost := f.cost(now, candidate, need); best == nil || cost < least {
 			best, least = candidate, cost
 		}
 	}
@@ -151,7 +155,7 @@
 func (f *Finder) cost(now time.Time, candidate *flow, need Need) float64 {
 	var worst float64
 	for _, step := range candidate.steps {
-		use := (step.engine.held + float64(need.Tokens*step.layers.Len())) / step.engine.room
+		use := (step.engine.use() + float64(need.Tokens*step.layers.Len())) / step.engine.room
 		if now.Before(step.engine.full) {
 			use += fullCost
 		}
@@ -191,7 +195,7 @@
 // noisyLoad returns what this daemon knows of the loads, with noise.
 func (f *Finder) noisyLoad(now time.Time) load {
 	room := func(e *engine) float64 {
-		use := e.held/e.room + noise*f.Random.Float64()
+		use := e.use()/e.room + noise*f.Random.Float64()
 		if now.Before(e.full) {
 			use += fullCost
 		}
@@ -239,6 +243,28 @@
 	return p
 }
 
+// Held returns the tokens x layers of this daemon's requests by engine.
+func (f *Finder) Held() map[string]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	held := map[string]float64{}
+	for _, e := range f.order {
+		if e.held > 0 {
+			held[e.ID] = e.held
+		}
+	}
+	return held
+}
+
+// SetOthers takes in what other daemons' requests take, by engine.
+func (f *Finder) SetOthers(loads map[string]float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.order {
+		e.others = loads[e.ID]
+	}
+}
+
 // Begin counts a request that runs on a path.
 func (f *Finder) Begin(path *Path) { f.count(path, 1) }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -11,14 +11,20 @@
 	"github.com/cowslipproxy/cowslipproxy"
 )
 
-// settle is how long after an outage of the list a dropped entry may come back,
-// by the platform's protocol about two seconds.
-const settle = 2200 * time.Millisecond
+const (
+	// settle is how long after an outage of the list a dropped entry may come
+	// back, by the platform's protocol about two seconds.
+	settle = 2200 * time.Millisecond
+	// remember is how long a dropped entry is remembered, so that an older list
+	// doesn't bring it back.
+	remember = 30 * time.Second
+)
 
 // Registrar folds the list's changes. It is safe for concurrent use.
 type Registrar struct {
 	mu      sync.Mutex
 	known   map[string]entry
+	gone    map[string]tomb
 	blind   bool      // the last read failed
 	settled time.Time // when drops count at once again
 	version uint64
@@ -26,7 +32,13 @@
 
 type entry struct {
 	cowslipproxy.Instance
-	dropped time.Time // when the list dropped it during or after an outage; zero if it didn't
+	missing bool // the list dropped it during or just after an outage
+}
+
+// tomb is an entry that the list dropped.
+type tomb struct {
+	cowslipproxy.Instance
+	at time.Time
 }
 
 // Failed takes in that the list could not be read.
@@ -42,79 +54,118 @@
 func (r *Registrar) Fold(now time.Time, changes cowslipproxy.Changes[cowslipproxy.Instance]) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.known == nil {
-		r.known = map[string]entry{}
-	}
 	if r.blind {
 		r.blind = false
 		r.settled = now.Add(settle)
 	}
-	changed := false
+	before := r.version
 	seen := map[string]bool{}
 	for _, item := range changes.Items {
 		seen[item.Key] = true
-		switch {
-		case item.Gone || item.Err != nil:
-			changed = r.drop(now, item.Key) || changed
-		default:
-			changed = r.put(item.Value) || changed
+		if item.Gone || item.Err != nil {
+			r.drop(now, item.Key)
+		} else {
+			r.put(item.Value)
 		}
 	}
 	if changes.Whole {
-		for id := range r.known {
-			if !seen[id] {
-				changed = r.drop(now, id) || changed
-			}
+		r.dropOthers(now, seen)
+	}
+	r.expire(now)
+	return r.version != before
+}
+
+// Replace takes in the whole list as another daemon holds it.
+func (r *Registrar) Replace(now time.Time, instances []cowslipproxy.Instance) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.version
+	seen := map[string]bool{}
+	for _, instance := range instances {
+		seen[instance.ID] = true
+		r.put(instance)
+	}
+	r.settled = time.Time{}
+	r.dropOthers(now, seen)
+	r.expire(now)
+	return r.version != before
+}
+
+func (r *Registrar) dropOthers(now time.Time, seen map[string]bool) {
+	for id := range r.known {
+		if !seen[id] {
+			r.drop(now, id)
 		}
 	}
-	return r.expire(now) || changed
 }
 
-func (r *Registrar) put(instance cowslipproxy.Instance) bool {
+// newer reports whether a says more of its server than b. A server that leaves
+// doesn't come back in the same run.
+func newer(a, b cowslipproxy.Instance) bool {
+	if !a.Born.Equal(b.Born) {
+		return a.Born.After(b.Born)
+	}
+	if b.State == cowslipproxy.VMLeaving && a.State != cowslipproxy.VMLeaving {
+		return false
+	}
+	return a.Beat >= b.Beat
+}
+
+func (r *Registrar) put(instance cowslipproxy.Instance) {
+	if r.known == nil {
+		r.known, r.gone = map[string]entry{}, map[string]tomb{}
+	}
+	if tomb, ok := r.gone[instance.ID]; ok {
+		if instance.Born.Equal(tomb.Born) && instance.Beat <= tomb.Beat || instance.Born.Before(tomb.Born) {
+			return
+		}
+		delete(r.gone, instance.ID)
+	}
 	old, ok := r.known[instance.ID]
-	if ok && instance.Born.Before(old.Born) {
-		return false // a late entry of a former run
+	if ok && !newer(instance, old.Instance) {
+		return
 	}
 	r.known[instance.ID] = entry{Instance: instance}
-	same := ok && old.dropped.IsZero() && old.Address == instance.Address && old.State == instance.State &&
-		old.Range == instance.Range && old.Born.Equal(instance.Born) && old.Service == instance.Service
-	if !same {
+	instance.Beat, instance.Cold = old.Beat, old.Cold // change with each heartbeat
+	if !ok || instance != old.Instance {
 		r.version++
 	}
-	return !same
 }
 
-func (r *Registrar) drop(now time.Time, id string) bool {
+func (r *Registrar) drop(now time.Time, id string) {
 	old, ok := r.known[id]
 	if !ok {
-		return false
+		return
 	}
-	if !now.Before(r.settled) {
-		delete(r.known, id)
-		r.version++
-		return true
-	}
-	if old.dropped.IsZero() {
-		old.dropped = now
+	if now.Before(r.settled) {
+		old.missing = true
 		r.known[id] = old
+		return
 	}
-	return false
+	r.forget(now, old)
+}
+
+func (r *Registrar) forget(now time.Time, old entry) {
+	delete(r.known, old.ID)
+	r.gone[old.ID] = tomb{old.Instance, now}
+	r.version++
 }
 
 // expire forgets entries that didn't come back after an outage.
-func (r *Registrar) expire(now time.Time) bool {
+func (r *Registrar) expire(now time.Time) {
+	for id, tomb := range r.gone {
+		if now.Sub(tomb.at) > remember {
+			delete(r.gone, id)
+		}
+	}
 	if now.Before(r.settled) {
-		return false
+		return
 	}
-	changed := false
-	for id, known := range r.known {
-		if !known.dropped.IsZero() {
-			delete(r.known, id)
-			r.version++
-			changed = true
+	for _, known := range r.known {
+		if known.missing {
+			r.forget(now, known)
 		}
 	}
-	return changed
 }
 
 // Instances returns the known instances by id.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -12,14 +12,18 @@
 
 // retryWait is the time between two reads while the store can't be read. Calls
 // that the store refuses are priced too.
-const retryWait = 500 * time.Millisecond
+const retryWait = 700 * time.Millisecond
+
+// skipGap is the time between two looks whether another daemon still reads.
+const skipGap = 200 * time.Millisecond
 
 // Watcher follows one feed. Its exported fields are set before Run.
 type Watcher[T any] struct {
 	Name   string // of what is followed, for the log
 	Feed   cowslipproxy.Feed[T]
-	Wait   time.Duration // for the first change; 0 to return at once
-	Gap    time.Duration // between two reads
+	Wait   time.Duration            // for the first change; 0 to return at once
+	Gap    time.Duration            // between two reads
+	Skip   func(now time.Time) bool // whether another daemon reads for this one; nil means never
 	Fold   func(now time.Time, changes cowslipproxy.Changes[T])
 	Failed func(now time.Time) // the feed could not be read
 	Clock  func() time.Time
@@ -32,6 +36,11 @@
 // Run follows the feed until the context ends.
 func (w *Watcher[T]) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if w.Skip != nil && w.Skip(w.Clock()) {
+			w.next, w.lost = 0, time.Time{}
+			pause(ctx, skipGap)
+			continue
+		}
 		gap := w.Gap
 		changes, err := w.Feed.Read(ctx, w.next, w.Wait)
 		if ctx.Err() != nil {
