--- a/cowslipd/relay.go
+++ b/cowslipd/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"log/slog"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -14,7 +13,6 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/cowslipd/relay"
 	"github.com/cowslipproxy/cowslipproxy/loader"
 	"github.com/cowslipproxy/cowslipproxy/platform"
@@ -43,25 +41,10 @@
 		File:     *file,
 		Hangup:   hangup,
 		Settings: settings,
-		Platform: newPlatform(settings),
+		Platform: platform.Open(settings.Store, relay.Transport(true), relay.Transport(false)),
 		Clock:    time.Now,
 		Logger:   slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: level(settings.Level)})),
 		Metrics:  metrics.NewRegistry(),
 	}
 	return daemon.Run(ctx)
 }
-
-func newPlatform(settings loader.Relay) relay.Platform {
-	store := &platform.Store{Address: settings.Store, Transport: relay.Transport(true)}
-	return relay.Platform{
-		Log:       store,
-		Tables:    &platform.Feed[cowslipproxy.Table]{Store: store, Topic: platform.TopicOperator, Key: platform.KeyConfig, Decode: platform.DecodeTable},
-		Instances: &platform.Feed[cowslipproxy.Instance]{Store: store, Topic: platform.TopicServers, Decode: platform.DecodeInstance},
-		Dialect:   platform.Dialect{},
-		Engines:   &platform.Engines{Transport: relay.Transport(false)},
-		Directory: func(addresses func(time.Time, string) cowslipproxy.Addresses) http.Handler {
-			return (&platform.Directory{Addresses: addresses, Clock: time.Now}).Handler()
-		},
-		Ready: platform.Ready,
-	}
-}
--- /dev/null
+++ b/cowslipd/relay/answers_test.go
@@ -0,0 +1,114 @@
+package relay_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy/standin/worker"
+)
+
+// only returns one server of a service and ends the other ones.
+func (d *deployment) only(service string) *worker.Server {
+	for _, server := range d.fleet.Servers(service)[1:] {
+		server.Leave()
+	}
+	found := d.fleet.Servers(service)[0]
+	d.settle()
+	return found
+}
+
+// Guards against a success that the upstream didn't give: unsigned, of another
+// request, broken off, encoded or no answer at all.
+func TestMixedAnswersAreNoSuccess(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	server := d.only("ledger")
+	for _, kind := range []worker.Kind{
+		worker.KindUnsigned, worker.KindForeign, worker.KindBreak, worker.KindEncoded, worker.KindGarbage, worker.KindReset,
+	} {
+		server.Misbehave(kind)
+		got := d.send(d.daemons[0], query{path: fees + "1"})
+		require.Equal(t, http.StatusBadGateway, got.status, kind)
+		require.Len(t, d.fleet.RunsOf(got.id), 1, kind)
+	}
+	server.Misbehave(worker.KindExtra)
+	first := d.send(d.daemons[0], query{path: fees + "1"})
+	require.Equal(t, http.StatusOK, first.status)
+	require.Equal(t, worker.Text(first.id), first.body)
+	server.Misbehave(worker.KindNone)
+	second := d.send(d.daemons[0], query{path: fees + "1"})
+	require.Equal(t, worker.Text(second.id), second.body, "bytes of another answer were passed on")
+}
+
+// Guards against an upstream's failure that reaches the caller changed.
+func TestFailuresPassUnchanged(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	server := d.only("ledger")
+	server.Misbehave(worker.KindError)
+	got := d.send(d.daemons[0], query{path: fees + "1"})
+	require.Equal(t, http.StatusInternalServerError, got.status)
+	require.Equal(t, "sig-"+server.ID, got.header.Get("X-Response-Signature"))
+	require.Equal(t, worker.Text(got.id), got.body)
+}
+
+// Guards against requests that reach the upstream changed, with the caller's
+// key, or with headers that only the daemon may set.
+func TestRequestsPassUnchanged(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	got := d.send(d.daemons[0], query{
+		path: fees + "a%2Fb/../c//d?x=1&y=%20", body: "the body",
+		header: http.Header{"X-Tenant": {"another"}, "X-Expect-Instance": {"i-9"}, "X-Hop-Count": {"1.2.3.4:5=0-9"}, "X-Own": {"kept"}, "Connection": {"X-Hop"}, "X-Hop": {"dropped"}},
+	})
+	require.Equal(t, http.StatusOK, got.status)
+	runs := d.fleet.RunsOf(got.id)
+	require.Len(t, runs, 1)
+	require.Equal(t, fees+"a%2Fb/../c//d?x=1&y=%20", runs[0].Target)
+	require.Equal(t, "the body", runs[0].Body)
+	require.Equal(t, http.MethodPost, runs[0].Method)
+	require.Equal(t, "clerks", runs[0].Header.Get("X-Tenant"))
+	require.Equal(t, runs[0].Server, runs[0].Header.Get("X-Expect-Instance"))
+	require.Equal(t, "kept", runs[0].Header.Get("X-Own"))
+	for _, name := range []string{"Authorization", "X-Hop", "X-Hop-Count"} {
+		require.Empty(t, runs[0].Header.Get(name), name)
+	}
+}
+
+// Guards against a request that is hidden in another one's body, and against
+// bytes after a refusal being taken for a request.
+func TestNoRequestIsSmuggled(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	hidden := "POST " + fees + "hidden HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: hidden\r\nAuthorization: Bearer " + key + "\r\nContent-Length: 0\r\n\r\n"
+	for _, head := range []string{
+		"Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		fmt.Sprintf("Content-Length: %d\r\nContent-Length: 0\r\n\r\n", len(hidden)),
+		fmt.Sprintf("Content-Length: %d\r\n\r\n", len(hidden)),
+	} {
+		conn, err := net.Dial("tcp", d.daemons[0].settings.Callers.String())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "POST "+fees+"outer HTTP/1.1\r\nHost: "+host+"\r\nX-Request-Id: outer\r\nConnection: close\r\nAuthorization: Bearer "+key+"\r\n"+head+hidden)
+		require.NoError(t, err)
+		_, _ = io.ReadAll(bufio.NewReader(conn)) // the daemon may reset the connection
+		conn.Close()
+	}
+	require.Empty(t, d.fleet.RunsOf("hidden"))
+}
+
+// Guards against bodies over the bound being passed on, and against a daemon
+// that ends by bad input.
+func TestBadInputIsRefused(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	require.Equal(t, http.StatusRequestEntityTooLarge, d.send(d.daemons[0], query{path: fees + "1", body: strings.Repeat("x", 65537)}).status)
+	require.Equal(t, http.StatusBadRequest, d.send(d.daemons[0], query{path: fees + "1", header: http.Header{"X-Deadline-Ms": {"soon"}}, wait: -1}).status)
+	require.Equal(t, http.StatusOK, d.send(d.daemons[0], query{path: fees + "1"}).status)
+}
--- /dev/null
+++ b/cowslipd/relay/deployment_test.go
@@ -0,0 +1,267 @@
+package relay_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/cowslipd/relay"
+	"github.com/cowslipproxy/cowslipproxy/loader"
+	"github.com/cowslipproxy/cowslipproxy/platform"
+	"github.com/cowslipproxy/cowslipproxy/standin/keeper"
+	"github.com/cowslipproxy/cowslipproxy/standin/worker"
+)
+
+// Bounds that the platform's pages state for its deployments.
+const (
+	drainBound  = 2 * time.Second
+	configBound = 2 * time.Second
+	leftBound   = 500 * time.Millisecond // after a caller has gone
+	grace       = 8 * time.Second
+	waitLimit   = 15 * time.Second
+)
+
+const (
+	key      = "key-of-clerks"
+	host     = "calls.example"
+	layers   = 12
+	fees     = "/fees/"
+	reads    = "/reads/"
+	letters  = "/letters/"
+	contract = 4 // layers that the small kind of accelerator has memory for
+)
+
+// deployment is daemons before a stand-in of the platform.
+type deployment struct {
+	t       *testing.T
+	store   *keeper.Store
+	fleet   *worker.Fleet
+	address netip.AddrPort // of the store
+	daemons []*daemon
+	version int
+	ids     atomic.Int64
+}
+
+type daemon struct {
+	settings loader.Relay
+	stop     context.CancelFunc // as SIGTERM does
+	done     chan error
+}
+
+func free(t *testing.T) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// deploy starts a store, two ledgers, engines of two whole chains and daemons.
+func deploy(t *testing.T, daemons int) *deployment {
+	d := &deployment{t: t, store: &keeper.Store{}}
+	server := httptest.NewServer(d.store.Handler())
+	t.Cleanup(server.CloseClientConnections)
+	d.address = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	d.fleet = &worker.Fleet{Store: d.store}
+	t.Cleanup(d.fleet.Close)
+	for range 2 {
+		d.start("ledger", "")
+	}
+	for range 2 * layers / contract {
+		d.start("scribe", "small")
+	}
+	d.publish(d.table())
+	var seeds []netip.AddrPort
+	for range daemons {
+		settings := d.settings()
+		seeds = append(seeds, settings.Peers)
+		settings.Seeds = seeds
+		d.run(settings)
+	}
+	for _, one := range d.daemons {
+		d.awaitReady(one)
+	}
+	return d
+}
+
+func (d *deployment) start(service, kind string) *worker.Server {
+	server, err := d.fleet.Start(worker.Settings{Service: service, Zone: "a", Kind: kind, Layers: layers})
+	require.NoError(d.t, err)
+	return server
+}
+
+func (d *deployment) settings() loader.Relay {
+	settings := loader.UsualRelay()
+	settings.Name = "vm-" + strconv.Itoa(len(d.daemons))
+	settings.Centre = "a"
+	settings.Callers, settings.Ready, settings.Directory, settings.Peers = free(d.t), free(d.t), free(d.t), free(d.t)
+	settings.Store = d.address
+	settings.Grace = cowslipproxy.Duration(grace)
+	return settings
+}
+
+func (d *deployment) run(settings loader.Relay) *daemon {
+	ctx, cancel := context.WithCancel(context.Background())
+	one := &daemon{settings: settings, stop: cancel, done: make(chan error, 1)}
+	process := &relay.Daemon{
+		Settings: settings,
+		Platform: platform.Open(settings.Store, relay.Transport(true), relay.Transport(false)),
+		Clock:    time.Now,
+		Logger:   logger(),
+		Metrics:  metrics.NewRegistry(),
+	}
+	go func() { one.done <- process.Run(ctx) }()
+	d.daemons = append(d.daemons, one)
+	d.t.Cleanup(cancel)
+	return one
+}
+
+// awaitReady waits until the daemon is ready and all layers are loaded.
+func (d *deployment) awaitReady(one *daemon) {
+	require.Eventually(d.t, func() bool {
+		response, err := http.Get("http://" + one.settings.Ready.String() + "/api/ready")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}, waitLimit, 20*time.Millisecond)
+	require.Eventually(d.t, func() bool {
+		return d.send(one, query{path: letters + "warm", tokens: 1}).status == http.StatusOK
+	}, waitLimit, 50*time.Millisecond)
+}
+
+// table is a configuration in the platform's words.
+func (d *deployment) table() map[string]any {
+	route := func(name, prefix, kind, service string, attempts int) map[string]any {
+		return map[string]any{
+			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "service": service, "attempts": attempts,
+			"timeout_ms": 5000, "target_latency_ms": 500, "priority": 1, "gap_target_ms": 200, "resumable": kind == "streaming",
+		}
+	}
+	return map[string]any{
+		"routes": []map[string]any{
+			route("fees", fees, "unsafe", "ledger", 1),
+			route("reads", reads, "idempotent", "ledger", 2),
+			route("letters", letters, "streaming", "scribe", 2),
+		},
+		"services": []map[string]any{
+			{"name": "ledger", "health_path": "/healthz", "max_connections": 100},
+			{"name": "scribe", "health_path": "/healthz", "max_connections": 100, "engine": map[string]any{
+				"slots": 192, "kv_token_bytes": layers, "stride": 2, "step_ms": 1, "per_seq_ms": 0.01, "read_per_s": 100000, "chunk": 512,
+				"usual": map[string]any{"prompt": 1, "answer": 1}, "layers": layers, "layer_mb": 100.0, "activation_bytes": 100, "pipe_mbps": 1000,
+				"loads_at_once": 6, "models": []map[string]any{{"name": "m0", "pace": 1, "load_s": 1}},
+				"kinds": []map[string]any{{"name": "small", "size_mb": (contract + 0.5) * 100, "pace": 1, "read_factor": 1}},
+			}},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": "clerks", "api_keys": []string{key}, "priority": 1}},
+	}
+}
+
+func (d *deployment) publish(table map[string]any) {
+	d.version += 3
+	table["version"] = d.version
+	data, err := json.Marshal(table)
+	require.NoError(d.t, err)
+	d.store.Put("keyed.op", "config", data)
+}
+
+// query is a caller's request. Empty fields take usual values.
+type query struct {
+	method, path, key, body string
+	tokens                  int
+	last                    string
+	wait                    time.Duration
+	header                  http.Header
+	ctx                     context.Context
+}
+
+// result is what a caller got.
+type result struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	err    error // the answer didn't end regularly
+}
+
+func (d *deployment) send(to *daemon, q query) result {
+	id := fmt.Sprintf("%016x", d.ids.Add(1))
+	if q.ctx == nil {
+		q.ctx = context.Background()
+	}
+	if q.method == "" {
+		q.method = http.MethodPost
+	}
+	request, err := http.NewRequestWithContext(q.ctx, q.method, "http://"+to.settings.Callers.String()+q.path, bytes.NewReader([]byte(q.body)))
+	require.NoError(d.t, err)
+	request.Host = host
+	for name, values := range q.header {
+		request.Header[name] = values
+	}
+	request.Header.Set("X-Request-Id", id)
+	if q.key != "none" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	if q.key != "" && q.key != "none" {
+		request.Header.Set("Authorization", "Bearer "+q.key)
+	}
+	if q.wait == 0 {
+		q.wait = 4 * time.Second
+	}
+	if q.wait > 0 {
+		request.Header.Set("X-Deadline-Ms", strconv.FormatInt(q.wait.Milliseconds(), 10))
+	}
+	if q.tokens > 0 {
+		request.Header.Set("X-Model", "m0")
+		request.Header.Set("X-Token-Usage", "1,"+strconv.Itoa(q.tokens))
+	}
+	if q.last != "" {
+		request.Header.Set("Last-Event-Id", q.last)
+	}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return result{id: id, err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return result{id, response.StatusCode, response.Header, string(body), err}
+}
+
+// settle waits until all daemons know what the store says now.
+func (d *deployment) settle() { time.Sleep(drainBound) }
+
+// events is the whole stream of a request from an event on.
+func events(id string, from, to int) string {
+	var text strings.Builder
+	for number := from; number <= to; number++ {
+		text.WriteString(worker.Event(id, number))
+	}
+	return text.String()
+}
+
+// logger writes to standard output if COWSLIP_LOG is set.
+func logger() *slog.Logger {
+	if os.Getenv("COWSLIP_LOG") == "" {
+		return slog.New(slog.DiscardHandler)
+	}
+	return slog.New(slog.NewJSONHandler(os.Stdout, nil))
+}
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -45,21 +45,10 @@
 	silence = 5 * time.Second
 )
 
-// Platform is what the daemon needs of the platform that it runs on.
-type Platform struct {
-	Log       cowslipproxy.Log
-	Tables    cowslipproxy.Feed[cowslipproxy.Table]
-	Instances cowslipproxy.Feed[cowslipproxy.Instance]
-	Dialect   cowslipproxy.Dialect
-	Engines   cowslipproxy.Operable
-	Directory func(addresses func(now time.Time, centre string) cowslipproxy.Addresses) http.Handler
-	Ready     func(isReady func() bool) http.Handler
-}
-
 // Daemon is a relaying daemon. Its exported fields are set before Run.
 type Daemon struct {
 	Settings loader.Relay
-	Platform Platform
+	Platform cowslipproxy.Platform
 	Clock    func() time.Time
 	Logger   *slog.Logger
 	Metrics  metrics.Registry
--- /dev/null
+++ b/cowslipd/relay/streams_test.go
@@ -0,0 +1,130 @@
+package relay_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy/standin/worker"
+)
+
+func addresses(t *testing.T, data []byte) []netip.AddrPort {
+	var found struct {
+		Addresses []netip.AddrPort `json:"addresses"`
+		Lifetime  float64          `json:"ttl_s"`
+	}
+	require.NoError(t, json.Unmarshal(data, &found))
+	require.Positive(t, found.Lifetime)
+	return found.Addresses
+}
+
+// Guards against paths that leave out a layer, run one twice or out of order.
+func TestPathsRunEachLayerOnce(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 2)
+	for range 20 {
+		for _, one := range d.daemons {
+			got := d.send(one, query{path: letters + "1", tokens: 5})
+			require.Equal(t, events(got.id, 1, 5), got.body)
+		}
+	}
+	checkPaths(t, d.fleet.Runs())
+}
+
+func checkPaths(t *testing.T, runs []worker.Run) {
+	for _, run := range runs {
+		text := run.Header.Get("X-Hop-Count")
+		if text == "" {
+			continue
+		}
+		at := "0"
+		seen := map[string]bool{}
+		for _, part := range strings.Split(text, ",") {
+			address, span, _ := strings.Cut(part, "=")
+			from, target, _ := strings.Cut(span, "-")
+			require.Equal(t, at, from, text)
+			require.False(t, seen[address], text)
+			seen[address], at = true, target
+		}
+		require.Equal(t, "12", at, text)
+	}
+}
+
+// Guards against pieces that are lost, doubled or cut when a stream goes on at
+// another engine.
+func TestBrokenStreamGoesOn(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	for _, server := range d.fleet.Servers("scribe") {
+		if from, _ := server.Layers(); from == 0 {
+			server.Misbehave(worker.KindBreak)
+			break
+		}
+	}
+	resumed := 0
+	for range 20 {
+		got := d.send(d.daemons[0], query{path: letters + "1", tokens: 20})
+		require.Equal(t, http.StatusOK, got.status)
+		require.NoError(t, got.err)
+		require.Equal(t, events(got.id, 1, 20), got.body)
+		if len(d.fleet.RunsOf(got.id)) > 1 {
+			resumed++
+		}
+	}
+	require.Positive(t, resumed)
+}
+
+// Guards against a caller's own resumption that starts again or skips events.
+func TestCallerResumesStream(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	got := d.send(d.daemons[0], query{path: letters + "1", tokens: 9, last: "4"})
+	require.Equal(t, events(got.id, 5, 9), got.body)
+}
+
+// Guards against an answer that looks whole although it broke off and could
+// not be ended.
+func TestLostStreamDoesNotLookWhole(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	for _, server := range d.fleet.Servers("scribe") {
+		server.Misbehave(worker.KindBreak)
+	}
+	got := d.send(d.daemons[0], query{path: letters + "1", tokens: 40})
+	require.Equal(t, http.StatusOK, got.status)
+	require.Error(t, got.err)
+	require.True(t, strings.HasPrefix(events(got.id, 1, 40), got.body), "a part of an event was passed on")
+}
+
+// Guards against streams that end because an engine in the middle of their
+// path died: the others of the path keep what they have, and callers leave
+// after a pause of 2 s.
+func TestPathChangesAroundADeadEngine(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 2)
+	var group sync.WaitGroup
+	results := make([]result, 12)
+	for i := range results {
+		group.Go(func() {
+			results[i] = d.send(d.daemons[i%2], query{path: letters + "1", tokens: 150, wait: 20 * time.Second})
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, server := range d.fleet.Servers("scribe") {
+		if from, _ := server.Layers(); from == contract {
+			server.Misbehave(worker.KindStall)
+			break
+		}
+	}
+	group.Wait()
+	for _, got := range results {
+		require.NoError(t, got.err)
+		require.Equal(t, events(got.id, 1, 150), got.body)
+	}
+}
--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -172,15 +172,16 @@
 const farStart = 1.3
 
 // detour finds a path around engines that are suspected or to be avoided, and
-// takes suspected ones where there is no other.
+// takes suspected ones, and then those to be avoided, where there are no others.
 func (f *Finder) detour(now time.Time, need Need) []step {
 	for _, accept := range []func(e *engine) bool{
-		func(e *engine) bool { return !now.Before(e.suspect) },
+		func(e *engine) bool { return !now.Before(e.suspect) && !slices.Contains(need.Avoid, e.ID) },
+		func(e *engine) bool { return !slices.Contains(need.Avoid, e.ID) },
 		func(*engine) bool { return true },
 	} {
 		var usable []*engine
 		for _, e := range f.order {
-			if accept(e) && !slices.Contains(need.Avoid, e.ID) {
+			if accept(e) {
 				usable = append(usable, e)
 			}
 		}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -40,6 +40,7 @@
 	mu    sync.Mutex
 	path  *pathfinder.Path
 	since time.Time // of the last event, or of the start
+	seen  int       // events of this run
 	watch *time.Timer
 	ended bool
 }
@@ -67,6 +68,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.since = r.Clock()
+	r.seen++
 	r.watch.Reset(r.pauseLimit())
 }
 
@@ -77,7 +79,7 @@
 // inspect finds out why no event came. It runs on the timer's goroutine.
 func (r *run) inspect() {
 	r.mu.Lock()
-	path, since := r.path, r.since
+	path, since, seen := r.path, r.since, r.seen
 	r.mu.Unlock()
 	now := r.Clock()
 	if r.ctx.Err() != nil {
@@ -93,7 +95,7 @@
 	case !found:
 		r.cancel(errStalled)
 	default:
-		reporter.EventStalled.Log(r.ctx, r.Logger, slog.String("request", r.query.ID), slog.Int("events", r.events),
+		reporter.EventStalled.Log(r.ctx, r.Logger, slog.String("request", r.query.ID), slog.Int("events", seen),
 			slog.String("engine", culprit.String()), slog.Duration("pause", now.Sub(since)))
 		r.finder.Broken(now, culprit)
 		if !r.mend(path, culprit) {
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -34,9 +34,10 @@
 // streaming relays a request that engines run on a path.
 type streaming struct {
 	*exchange
-	last   string // id of the last event that the caller got
-	events int    // that the caller got
-	runs   int    // runs that engines may have begun
+	last   string   // id of the last event that the caller got
+	events int      // that the caller got
+	runs   int      // runs that engines may have begun
+	avoid  []string // first engines that broke off
 }
 
 // run sends the request until an engine has ended the answer or no further try
@@ -79,7 +80,7 @@
 func (s *streaming) await(ctx context.Context, finder *pathfinder.Finder) (*pathfinder.Path, error) {
 	limit := s.Clock().Add(s.route.Target)
 	for {
-		if path, ok := finder.Choose(s.Clock(), pathfinder.Need{Tokens: s.query.Prompt + s.expected()}); ok {
+		if path, ok := finder.Choose(s.Clock(), pathfinder.Need{Tokens: s.query.Prompt + s.expected(), Avoid: s.avoid}); ok {
 			return path, nil
 		}
 		if s.Clock().After(limit) {
@@ -142,6 +143,9 @@
 	default:
 		s.count()
 	}
+	if err != nil && !notRun {
+		s.avoid = append(s.avoid, first.Instance)
+	}
 	if err != nil {
 		reporter.EventTryFailed.Log(ctx, s.Logger, slog.String("request", s.query.ID), slog.String("upstream", first.Instance),
 			slog.Bool("started", !notRun), slog.Int("events", s.events), slog.Any("error", err))
--- /dev/null
+++ b/standin/keeper/keeper.go
@@ -0,0 +1,256 @@
+// Package keeper stands in for the users' platform store: a log of topics, some
+// of them with a newest record for each key.
+package keeper
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// Fault is how the store misbehaves.
+type Fault string
+
+// Faults of the store.
+const (
+	FaultNone   Fault = ""
+	FaultBusy   Fault = "busy"   // answers 503 and does nothing
+	FaultReset  Fault = "reset"  // closes the connection and does nothing
+	FaultSilent Fault = "silent" // doesn't answer and does nothing
+	FaultLost   Fault = "lost"   // appends and doesn't answer
+)
+
+// Store is the stand-in. The zero value is ready.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*topic
+	faults map[string]Fault // by the caller's address; "" for all
+	calls  map[string]int   // by path
+	change chan struct{}    // closed at the next append
+}
+
+type topic struct {
+	first   uint64
+	records [][]byte
+}
+
+func (t *topic) end() uint64 { return t.first + uint64(len(t.records)) }
+
+// SetFault lets the store misbehave towards all callers.
+func (s *Store) SetFault(fault Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = map[string]Fault{"": fault}
+}
+
+// Calls returns how often a path was called.
+func (s *Store) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// Put writes a key of a keyed topic; without a value the key is dropped.
+func (s *Store) Put(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.append(name, append(append([]byte{byte(len(key))}, key...), value...))
+}
+
+// Forget drops the records of a topic but the newest of each key.
+func (s *Store) Forget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	kept := t.newest()
+	t.first = t.end()
+	t.records = nil
+	for _, record := range kept {
+		t.records = append(t.records, record.data)
+	}
+}
+
+func (s *Store) topic(name string) *topic {
+	if s.topics == nil {
+		s.topics = map[string]*topic{}
+	}
+	if s.topics[name] == nil {
+		s.topics[name] = &topic{}
+	}
+	return s.topics[name]
+}
+
+func (s *Store) append(name string, record []byte) uint64 {
+	t := s.topic(name)
+	t.records = append(t.records, record)
+	if s.change != nil {
+		close(s.change)
+		s.change = nil
+	}
+	return t.end() - 1
+}
+
+// changed returns a channel that is closed at the next append.
+func (s *Store) changed() <-chan struct{} {
+	if s.change == nil {
+		s.change = make(chan struct{})
+	}
+	return s.change
+}
+
+// Handler returns the store's HTTP handler.
+func (s *Store) Handler() http.Handler {
+	routes := mux.NewRouter()
+	routes.HandleFunc("/api/log-append", s.serveAppend).Methods(http.MethodPost)
+	routes.HandleFunc("/api/log-read", s.serveRead).Methods(http.MethodGet)
+	routes.HandleFunc("/api/log-newest", s.serveNewest).Methods(http.MethodGet)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		if s.calls == nil {
+			s.calls = map[string]int{}
+		}
+		s.calls[r.URL.Path]++
+		fault := s.faults[""]
+		s.mu.Unlock()
+		switch fault {
+		case FaultBusy:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case FaultReset:
+			panic(http.ErrAbortHandler)
+		case FaultSilent:
+			<-r.Context().Done()
+		default:
+			routes.ServeHTTP(w, r)
+		}
+	})
+}
+
+func answer(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value) // fails only when the caller is gone
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil || len(body) < 4 || int(binary.BigEndian.Uint32(body)) != len(body)-4 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	name := r.FormValue("topic")
+	if name == "keyed.op" || name == "keyed.servers" {
+		w.WriteHeader(http.StatusForbidden)
+		return
+	}
+	s.mu.Lock()
+	offset := s.append(name, body[4:])
+	lost := s.faults[""] == FaultLost
+	s.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, http.StatusOK, map[string]uint64{"offset": offset, "end": offset + 1})
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.FormValue("from"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, _ := strconv.Atoi(r.FormValue("wait_ms")) // not given: no wait
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for waiting := wait > 0; ; {
+		s.mu.Lock()
+		t := s.topic(r.FormValue("topic"))
+		first, end := t.first, t.end()
+		records := t.records[min(max(from, first)-first, uint64(len(t.records))):]
+		changed := s.changed()
+		s.mu.Unlock()
+		if from < first {
+			answer(w, http.StatusGone, map[string]uint64{"first": first})
+			return
+		}
+		if len(records) == 0 && waiting {
+			select {
+			case <-changed:
+			case <-deadline:
+				waiting = false
+			case <-r.Context().Done():
+				return
+			}
+			continue
+		}
+		data := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, end), first)
+		for _, record := range records {
+			data = append(binary.BigEndian.AppendUint32(data, uint32(len(record))), record...)
+		}
+		_, _ = w.Write(data) // fails only when the caller is gone
+		return
+	}
+}
+
+type keyed struct {
+	key    string
+	value  []byte
+	offset uint64
+	data   []byte
+}
+
+// newest returns the newest record of each key that was not dropped.
+func (t *topic) newest() []keyed {
+	byKey := map[string]keyed{}
+	for i, record := range t.records {
+		if len(record) < 1 || len(record) < 1+int(record[0]) {
+			continue
+		}
+		size := 1 + int(record[0])
+		key := string(record[1:size])
+		byKey[key] = keyed{key, record[size:], t.first + uint64(i), record}
+	}
+	var all []keyed
+	for _, record := range byKey {
+		if len(record.value) > 0 {
+			all = append(all, record)
+		}
+	}
+	slices.SortFunc(all, func(a, b keyed) int { return strings.Compare(a.key, b.key) })
+	return all
+}
+
+// page is how many records one answer of the newest ones holds.
+const page = 20
+
+type item struct {
+	Key    string `json:"key"`
+	Value  string `json:"value"`
+	Offset uint64 `json:"offset"`
+}
+
+func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	t := s.topic(r.FormValue("topic"))
+	all, end := t.newest(), t.end()
+	s.mu.Unlock()
+	items := []item{}
+	truncated := false
+	for _, record := range all {
+		if record.key <= r.FormValue("after") {
+			continue
+		}
+		if truncated = len(items) == page; truncated {
+			break
+		}
+		items = append(items, item{record.key, base64.StdEncoding.EncodeToString(record.value), record.offset})
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "truncated": truncated, "end": end})
+}
