relay: ask readers before the store, and seeds at the first start

126 daemons read the store in waves: at the start until gossip had told the readers of all, and whenever a reader spent a second on encoding the configuration for its whole data centre. Daemons now ask a reader before they read, leave the first reads to the seeds when the deployment starts for the first time, and a configuration is encoded once.

--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 
 	"github.com/cowslipproxy/cowslipproxy"
@@ -26,6 +27,8 @@
 		Shares:   d.takeShare,
 		Logger:   d.Logger,
 	}
+	d.sharing.started = start
+	d.sharing.eager = !d.Settings.First || len(d.Settings.Seeds) == 0 || slices.Contains(d.Settings.Seeds, d.Settings.Peers)
 	d.sharing.known, d.sharing.busy = map[string]uint64{}, map[string]bool{}
 	d.lease = &holder.Holder{
 		Log: d.Platform.Log, Stream: leaser.Stream, Skip: func() bool { return !d.sharing.isReader() },
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -60,6 +60,8 @@
 	sharing   sharing
 	applying  sync.Mutex  // held while a configuration is put in force
 	fetching  atomic.Bool // a configuration is on its way from another daemon
+	encoding  sync.Mutex
+	encoded   encoded
 	owner     cowslipproxy.Owner
 	matcher   atomic.Pointer[matcher.Matcher]
 	registrar registrar.Registrar
--- a/cowslipd/relay/share.go
+++ b/cowslipd/relay/share.go
@@ -20,12 +20,19 @@
 const (
 	// shareTime bounds one exchange with another daemon.
 	shareTime = 500 * time.Millisecond
-	// askGap is the time between two questions of a daemon that can't read the store.
-	askGap = time.Second
+	// askGap is the time between two questions to other daemons.
+	askGap = 250 * time.Millisecond
+	// bootTime is how long a daemon leaves it to the seeds to read the store when
+	// the whole deployment starts for the first time, long before any caller
+	// comes. A daemon that starts later reads at once.
+	bootTime = 2 * time.Second
 )
 
 // sharing is what a daemon knows of the reading of the store.
 type sharing struct {
+	started time.Time
+	eager   bool // this daemon reads the store at once after its start
+
 	mu      sync.Mutex
 	members []cowslipproxy.Member // live ones, this one included
 	reader  bool                  // this daemon reads for its data centre
@@ -50,7 +57,10 @@
 func (s *sharing) skips(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.reader && now.Sub(s.shared) < sharer.Patience
+	if s.reader {
+		return false
+	}
+	return now.Sub(s.shared) < sharer.Patience || !s.eager && now.Sub(s.started) < bootTime
 }
 
 // isReader reports whether this daemon reads for its data centre.
@@ -208,39 +218,59 @@
 	return out, errors.WithStack(err)
 }
 
-// askOthers asks another daemon for what this one can't read.
+// askOthers asks other daemons for what this one doesn't read, when the reader
+// of its data centre doesn't tell: it doesn't know this daemon yet, or is gone.
 func (d *Daemon) askOthers(ctx context.Context) {
 	ticker := time.NewTicker(askGap)
 	defer ticker.Stop()
 	for {
+		if peer, ok := d.sharing.whomToAsk(d.Clock(), d.Settings.Seeds); ok && peer != d.Settings.Peers {
+			d.ask(ctx, peer)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
-		if d.sharing.age(d.Clock()) < sharer.MaxAge {
-			continue
-		}
-		d.sharing.mu.Lock()
-		members := d.sharing.members
-		d.sharing.mu.Unlock()
-		if len(members) < 2 {
+	}
+}
+
+// whomToAsk returns the daemon to ask, or false while none needs to be asked:
+// a reader, or a seed while no reader is known.
+func (s *sharing) whomToAsk(now time.Time, seeds []netip.AddrPort) (netip.AddrPort, bool) {
+	if s.age(now) < sharer.AskAge {
+		return netip.AddrPort{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var known []netip.AddrPort
+	centres := map[string]bool{}
+	for _, member := range s.members {
+		if centres[member.Centre] {
 			continue
 		}
-		if member := members[rand.IntN(len(members))]; member.Owner != d.owner {
-			d.ask(ctx, member)
+		centres[member.Centre] = true
+		if reader, ok := sharer.Reader(s.members, member.Centre); ok {
+			known = append(known, reader.Peer)
 		}
 	}
+	if len(known) == 0 && !s.eager {
+		known = seeds
+	}
+	if s.reader || len(known) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return known[rand.IntN(len(known))], true
 }
 
-func (d *Daemon) ask(ctx context.Context, member cowslipproxy.Member) {
-	answer, err := d.exchange(ctx, member.Peer, sharer.Share{From: d.owner.Name, Ask: true, Table: d.version()})
+func (d *Daemon) ask(ctx context.Context, peer netip.AddrPort) {
+	answer, err := d.exchange(ctx, peer, sharer.Share{From: d.owner.Name, Ask: true, Table: d.version()})
 	if err != nil {
-		return // another one is asked a second later
+		return // another one is asked soon
 	}
 	now := d.Clock()
 	if answer.Table > d.version() {
-		d.fetchTable(ctx, member.Peer)
+		d.fetchTable(ctx, peer)
 	}
 	if answer.Age > sharer.MaxAge || len(answer.Instances) == 0 {
 		return
@@ -271,14 +301,30 @@
 	d.apply(table, peer.String())
 }
 
-// snapshot hands the configuration to another daemon.
+// encoded is a configuration as it is handed to other daemons.
+type encoded struct {
+	version uint64
+	data    []byte
+}
+
+// snapshot hands the configuration to another daemon. It is encoded once, since
+// all daemons of a data centre ask for it at the same time.
 func (d *Daemon) snapshot(context.Context) (uint64, []byte, error) {
 	m := d.matcher.Load()
 	if m == nil {
 		return 0, nil, nil
 	}
+	d.encoding.Lock()
+	defer d.encoding.Unlock()
+	if d.encoded.version == m.Table.Version {
+		return d.encoded.version, d.encoded.data, nil
+	}
 	data, err := json.Marshal(m.Table)
-	return m.Table.Version, data, errors.WithStack(err)
+	if err != nil {
+		return 0, nil, errors.WithStack(err)
+	}
+	d.encoded = encoded{m.Table.Version, data}
+	return m.Table.Version, data, nil
 }
 
 // version returns the version of the configuration in force.
--- a/loader/relay.go
+++ b/loader/relay.go
@@ -22,6 +22,7 @@
 	Peers     netip.AddrPort        `json:"peers" validate:"required"`
 	Store     netip.AddrPort        `json:"store" validate:"required"`
 	Seeds     []netip.AddrPort      `json:"seeds"`
+	First     bool                  `json:"first"` // the whole deployment starts for the first time
 	Metrics   uint16                `json:"metrics"`
 	Grace     cowslipproxy.Duration `json:"grace" validate:"gt=0"`
 	Lifetime  cowslipproxy.Duration `json:"lifetime" validate:"gt=0"`
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -17,10 +17,12 @@
 const (
 	// Period is the time between two shares.
 	Period = 700 * time.Millisecond
+	// AskAge is the age of the list from which on a daemon asks another one.
+	AskAge = 800 * time.Millisecond
 	// Patience is how long a daemon goes without a share before it reads the
 	// store itself. Together with the reader's own period it stays within the
 	// 2 s in which a leaving upstream must be known.
-	Patience = 900 * time.Millisecond
+	Patience = 1100 * time.Millisecond
 	// MaxAge is the age of a reader's last read from which on its share doesn't count.
 	MaxAge = 1500 * time.Millisecond
 	// loadAge is how long a daemon's word on loads counts.
