relay: keep the retry budget when the number of daemons changes

Each change of the number of live daemons made new budgets, each with its first tokens, and a daemon that started took the whole floor for itself until it knew of others. The parts now follow the largest number of daemons of the last 15 s. A request that was sent to as many engines as its route allows goes on at one of them; an engine that refuses twice in a row gets no work for a moment.

--- a/cowslipd/relay/members.go
+++ b/cowslipd/relay/members.go
@@ -67,5 +67,5 @@
 		live = append(live, member)
 	}
 	d.sharing.setMembers(d.owner, d.Settings.Centre, live)
-	d.pools.setDaemons(len(live))
+	d.pools.setDaemons(now, len(live))
 }
--- a/cowslipd/relay/pools.go
+++ b/cowslipd/relay/pools.go
@@ -20,7 +20,8 @@
 	settings loader.Relay
 
 	mu      sync.Mutex
-	daemons int
+	daemons int       // that share the budgets; 0 while not known
+	counted time.Time // when that many were last seen
 	pickers map[string]*picker.Picker
 	finders map[string]*pathfinder.Finder
 	budgets map[string]*retrier.Retrier
@@ -28,9 +29,16 @@
 
 func source() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// budgetMargin keeps the retries of all daemons below the bound although they
-// don't know of each other's requests.
-const budgetMargin = 0.8
+const (
+	// budgetMargin keeps the retries of all daemons below the bound although they
+	// don't know of each other's requests.
+	budgetMargin = 0.75
+	// assumedDaemons share the retry budgets until a daemon knows of others.
+	assumedDaemons = 16
+	// countedFor is how long a daemon counts after it was last seen. It may go on
+	// spending its part unseen, and its window of the budget is as long.
+	countedFor = 15 * time.Second
+)
 
 // set takes in the services and their instances.
 func (p *pools) set(table cowslipproxy.Table, instances []cowslipproxy.Instance) {
@@ -89,7 +97,7 @@
 		window := time.Duration(p.settings.Window)
 		return &retrier.Retrier{
 			Share:   budgetMargin * p.settings.Retries,
-			Minimum: budgetMargin * float64(p.settings.Floor) / window.Seconds() / float64(max(p.daemons, 1)),
+			Minimum: p.minimum(),
 			Window:  window,
 			Tries:   8, // the relay bounds the tries of a request itself
 			Seed:    rand.Uint64(),
@@ -111,6 +119,15 @@
 	return found
 }
 
+// minimum returns the retries per second that are this daemon's at any load.
+func (p *pools) minimum() float64 {
+	daemons := p.daemons
+	if daemons == 0 {
+		daemons = assumedDaemons
+	}
+	return budgetMargin * float64(p.settings.Floor) / time.Duration(p.settings.Window).Seconds() / float64(daemons)
+}
+
 // resize takes in changed settings.
 func (p *pools) resize(settings loader.Relay) {
 	p.mu.Lock()
@@ -118,13 +135,22 @@
 	p.settings, p.budgets = settings, nil
 }
 
-// setDaemons takes in how many daemons share the retry budgets.
-func (p *pools) setDaemons(count int) {
+// setDaemons takes in how many daemons share the retry budgets. A smaller number
+// counts only after some time.
+func (p *pools) setDaemons(now time.Time, count int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if count == p.daemons {
+	if p.counted.IsZero() {
+		p.counted = now
+	}
+	if count >= p.daemons && p.daemons > 0 {
+		p.counted = now
+	}
+	if count < max(p.daemons, assumedDaemons) && now.Sub(p.counted) < countedFor || count == p.daemons {
 		return
 	}
-	p.daemons = count
-	p.budgets = nil
+	p.daemons, p.counted = count, now
+	for _, budget := range p.budgets {
+		budget.SetMinimum(now, p.minimum())
+	}
 }
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -142,14 +142,14 @@
 
 func (d *Daemon) watchTables(ctx context.Context) {
 	(&watcher.Watcher[cowslipproxy.Table]{
-		Name: "configuration", Feed: d.Platform.Tables, Wait: tableWait, Skip: d.sharing.skips, Fold: d.foldTables,
+		Name: "configuration", Feed: d.Platform.Tables, Wait: tableWait, Skip: d.sharing.skips, Reader: d.sharing.isReader, Fold: d.foldTables,
 		Failed: func(time.Time) {}, Clock: d.Clock, Logger: d.Logger,
 	}).Run(ctx)
 }
 
 func (d *Daemon) watchInstances(ctx context.Context) {
 	(&watcher.Watcher[cowslipproxy.Instance]{
-		Name: "instances", Feed: d.Platform.Instances, Gap: sharer.Period, Skip: d.sharing.skips, Fold: d.foldInstances,
+		Name: "instances", Feed: d.Platform.Instances, Gap: sharer.Period, Skip: d.sharing.skips, Reader: d.sharing.isReader, Fold: d.foldInstances,
 		Failed: d.listFailed, Clock: d.Clock, Logger: d.Logger,
 	}).Run(ctx)
 }
--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -19,6 +19,9 @@
 	suspectTime = 3 * time.Second
 	// fullTime is how long an engine that had no memory left gets less new work.
 	fullTime = 300 * time.Millisecond
+	// refusedTime is how long an engine that refused twice within fullTime gets
+	// no new work: it may leave or give up layers without the list's word yet.
+	refusedTime = 600 * time.Millisecond
 	// fullCost is the cost of an engine that had no memory left.
 	fullCost = 1.0
 	// noise is the part by which costs of a detour vary at random, so that
@@ -57,6 +60,7 @@
 type Need struct {
 	Tokens int      // of prompt and answer
 	Avoid  []string // engines that failed the request
+	Begin  []string // engines that the path may begin at; empty for all
 }
 
 // Path is a chosen path.
@@ -116,7 +120,7 @@
 	}
 	for i, found := 0, 0; i < len(f.flows) && found < tries; i++ {
 		candidate := &f.flows[(start+i*stride)%len(f.flows)]
-		if !usable(now, candidate, need) {
+		if !usable(now, candidate, need) || !need.begins(candidate.steps[0].engine) {
 			continue
 		}
 		found++
@@ -142,6 +146,9 @@
 	stride = 19
 )
 
+// begins reports whether a path may begin at an engine.
+func (n Need) begins(e *engine) bool { return len(n.Begin) == 0 || slices.Contains(n.Begin, e.ID) }
+
 func usable(now time.Time, candidate *flow, need Need) bool {
 	for _, step := range candidate.steps {
 		if now.Before(step.engine.suspect) || slices.Contains(need.Avoid, step.engine.ID) {
@@ -181,7 +188,7 @@
 	} {
 		var usable []*engine
 		for _, e := range f.order {
-			if accept(e) {
+			if accept(e) && (e.Range.First > 0 || need.begins(e)) {
 				usable = append(usable, e)
 			}
 		}
@@ -299,7 +306,12 @@
 
 // Full takes in that an engine had no memory left.
 func (f *Finder) Full(now time.Time, address netip.AddrPort) {
-	f.mark(address, func(e *engine) { e.full = now.Add(fullTime) })
+	f.mark(address, func(e *engine) {
+		if now.Before(e.full) {
+			e.suspect = now.Add(refusedTime) // refuses again and again
+		}
+		e.full = now.Add(fullTime)
+	})
 }
 
 func (f *Finder) mark(address netip.AddrPort, change func(e *engine)) {
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,7 +20,7 @@
 
 const (
 	// maxSends bounds how often a request is sent, whatever the reasons.
-	maxSends = 4
+	maxSends = 5
 	// fullWait is the wait after engines had no memory left, doubled each time.
 	// A request leaves its memory after some seconds, and many share an engine.
 	fullWait = 40 * time.Millisecond
@@ -37,6 +38,7 @@
 	last   string   // id of the last event that the caller got
 	events int      // that the caller got
 	runs   int      // runs that engines may have begun
+	begun  []string // first engines that the request was sent to
 	avoid  []string // first engines that broke off
 }
 
@@ -80,7 +82,7 @@
 func (s *streaming) await(ctx context.Context, finder *pathfinder.Finder) (*pathfinder.Path, error) {
 	limit := s.Clock().Add(s.route.Target)
 	for {
-		if path, ok := finder.Choose(s.Clock(), pathfinder.Need{Tokens: s.query.Prompt + s.expected(), Avoid: s.avoid}); ok {
+		if path, ok := finder.Choose(s.Clock(), s.need()); ok {
 			return path, nil
 		}
 		if s.Clock().After(limit) {
@@ -92,6 +94,16 @@
 	}
 }
 
+// need returns what the next try asks of a path. A request that was sent to as
+// many engines as its route allows goes on at one of them.
+func (s *streaming) need() pathfinder.Need {
+	need := pathfinder.Need{Tokens: s.query.Prompt + s.expected(), Avoid: s.avoid}
+	if s.runs >= s.route.Attempts {
+		need.Avoid, need.Begin = nil, s.begun
+	}
+	return need
+}
+
 // expected returns the answer's expected tokens.
 func (s *streaming) expected() int {
 	if s.query.Hint > 0 {
@@ -102,9 +114,6 @@
 
 // again decides whether the request is sent once more.
 func (s *streaming) again(notRun bool) bool {
-	if !notRun && s.runs >= s.route.Attempts {
-		return false
-	}
 	return s.Upstreams.Budget(s.service.Name).Retry(s.Clock(), retrier.Attempt{
 		Effect: s.route.Effect, NotStarted: notRun, Tries: 1, Left: s.left(),
 	}).Again
@@ -133,7 +142,7 @@
 	got, err := s.send(r.ctx, cowslipproxy.Dispatch{Instance: first.Instance, Address: first.Address, Path: path.Hops, Last: s.last})
 	switch {
 	case err == nil && got.StatusCode == http.StatusOK:
-		s.count()
+		s.count(first)
 		err = r.relay(got)
 	case err == nil:
 		notRun, err = r.rejected(got)
@@ -141,7 +150,7 @@
 		notRun = true
 		finder.Broken(s.Clock(), first.Address)
 	default:
-		s.count()
+		s.count(first)
 	}
 	if err != nil && !notRun {
 		s.avoid = append(s.avoid, first.Instance)
@@ -154,9 +163,12 @@
 }
 
 // count counts a try that engines may have begun to run.
-func (s *streaming) count() {
+func (s *streaming) count(first cowslipproxy.Hop) {
 	s.tries++
-	s.runs++
+	if !slices.Contains(s.begun, first.Instance) {
+		s.begun = append(s.begun, first.Instance)
+		s.runs++
+	}
 }
 
 // rejected takes in an answer that is no stream.
@@ -172,7 +184,7 @@
 	case got.NotRun:
 		r.finder.Full(r.Clock(), address)
 	default:
-		r.count()
+		r.count(r.path.First())
 	}
 	if err != nil {
 		return got.NotRun, err
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -79,6 +79,15 @@
 	r.tokens = min(r.tokens+r.share(), r.most())
 }
 
+// SetMinimum changes Minimum while the retrier is in use.
+func (r *Retrier) SetMinimum(now time.Time, minimum float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.advance(now)
+	r.Minimum = minimum
+	r.tokens = min(r.tokens, r.most())
+}
+
 // Retry decides whether a failed request is tried again, and takes the retry
 // from the budget if so.
 func (r *Retrier) Retry(now time.Time, attempt Attempt) Decision {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -10,9 +10,13 @@
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
 
-// retryWait is the time between two reads while the store can't be read. Calls
-// that the store refuses are priced too.
-const retryWait = 700 * time.Millisecond
+const (
+	// retryWait is the time between two reads while the store can't be read, and
+	// retryMost the same for a daemon that hears from another one as soon as it
+	// can be read again. Calls that the store refuses are priced too.
+	retryWait = 700 * time.Millisecond
+	retryMost = 4 * time.Second
+)
 
 // skipGap is the time between two looks whether another daemon still reads.
 const skipGap = 200 * time.Millisecond
@@ -24,17 +28,20 @@
 	Wait   time.Duration            // for the first change; 0 to return at once
 	Gap    time.Duration            // between two reads
 	Skip   func(now time.Time) bool // whether another daemon reads for this one; nil means never
+	Reader func() bool              // whether others depend on this daemon's reads; nil means that they do
 	Fold   func(now time.Time, changes cowslipproxy.Changes[T])
 	Failed func(now time.Time) // the feed could not be read
 	Clock  func() time.Time
 	Logger *slog.Logger
 
-	next uint64
-	lost time.Time // since when the feed can't be read
+	next  uint64
+	retry time.Duration // wait after the next failure
+	lost  time.Time     // since when the feed can't be read
 }
 
 // Run follows the feed until the context ends.
 func (w *Watcher[T]) Run(ctx context.Context) {
+	w.retry = retryWait
 	for ctx.Err() == nil {
 		if w.Skip != nil && w.Skip(w.Clock()) {
 			w.next, w.lost = 0, time.Time{}
@@ -48,8 +55,12 @@
 		}
 		if err != nil {
 			w.fail(ctx, err)
-			gap = retryWait
+			gap = w.retry
+			if w.retry = min(2*w.retry, retryMost); w.Reader == nil || w.Reader() {
+				w.retry = retryWait
+			}
 		} else {
+			w.retry = retryWait
 			w.take(ctx, changes)
 		}
 		pause(ctx, gap)
