reporter: never block on the log; relay: serve metrics and a dump

Log lines went straight to standard output, where a slow reader would have held requests up. They wait in a bounded queue now, and dropped ones are counted.

--- a/cowslipd/relay.go
+++ b/cowslipd/relay.go
@@ -16,6 +16,7 @@
 	"github.com/cowslipproxy/cowslipproxy/cowslipd/relay"
 	"github.com/cowslipproxy/cowslipproxy/loader"
 	"github.com/cowslipproxy/cowslipproxy/platform"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
 
 // relayCommand is the first argument with which the daemon relays whole
@@ -35,6 +36,17 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	context.AfterFunc(ctx, stop) // a second signal ends the process
+	lines := &reporter.Writer{Out: os.Stdout}
+	writing, flush := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		lines.Run(writing)
+	}()
+	defer func() {
+		flush()
+		<-written
+	}()
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	daemon := &relay.Daemon{
@@ -43,7 +55,7 @@
 		Settings: settings,
 		Platform: platform.Open(settings.Store, relay.Transport(true), relay.Transport(false)),
 		Clock:    time.Now,
-		Logger:   slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: level(settings.Level)})),
+		Logger:   slog.New(slog.NewJSONHandler(lines, &slog.HandlerOptions{Level: level(settings.Level)})),
 		Metrics:  metrics.NewRegistry(),
 	}
 	return daemon.Run(ctx)
--- a/cowslipd/relay/deployment_test.go
+++ b/cowslipd/relay/deployment_test.go
@@ -56,6 +56,7 @@
 	address netip.AddrPort // of the store
 	daemons []*daemon
 	version int
+	floor   int
 	ids     atomic.Int64
 }
 
@@ -72,9 +73,16 @@
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
 
+// retryFloor is the retries that tests allow at any load, which leaves enough
+// to each daemon.
+const retryFloor = 2000
+
 // deploy starts a store, two ledgers, engines of two whole chains and daemons.
-func deploy(t *testing.T, daemons int) *deployment {
-	d := &deployment{t: t, store: &keeper.Store{}}
+func deploy(t *testing.T, daemons int) *deployment { return deployFloor(t, daemons, retryFloor) }
+
+// deployFloor deploys with another floor of the retry budget.
+func deployFloor(t *testing.T, daemons, floor int) *deployment {
+	d := &deployment{t: t, store: &keeper.Store{}, floor: floor}
 	server := httptest.NewServer(d.store.Handler())
 	t.Cleanup(server.CloseClientConnections)
 	d.address = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
@@ -112,6 +120,7 @@
 	settings.Centre = "a"
 	settings.Callers, settings.Ready, settings.Directory, settings.Peers = free(d.t), free(d.t), free(d.t), free(d.t)
 	settings.Store = d.address
+	settings.Floor = d.floor
 	settings.Grace = cowslipproxy.Duration(grace)
 	return settings
 }
--- /dev/null
+++ b/cowslipd/relay/dump.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+)
+
+// state is the dump of a daemon.
+type state struct {
+	Name      string                  `json:"name"`
+	Version   uint64                  `json:"version"`
+	Ready     bool                    `json:"ready"`
+	Stopping  bool                    `json:"stopping"`
+	Reader    bool                    `json:"reader"`
+	Leader    bool                    `json:"leader"`
+	Age       cowslipproxy.Duration   `json:"age"` // of the list
+	Flight    int64                   `json:"flight"`
+	Members   []cowslipproxy.Member   `json:"members"`
+	Instances []cowslipproxy.Instance `json:"instances"`
+	Loads     map[string]float64      `json:"loads"` // of this daemon's requests, by engine
+}
+
+// operators serves metrics and the dump.
+func (d *Daemon) operators() http.Handler {
+	routes := mux.NewRouter()
+	routes.HandleFunc("/metrics", d.serveMetrics).Methods(http.MethodGet)
+	routes.HandleFunc("/dump", d.serveDump).Methods(http.MethodGet)
+	return routes
+}
+
+func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	now := d.Clock()
+	live := int64(0)
+	for _, instance := range d.registrar.Instances() {
+		if instance.State == cowslipproxy.VMLive {
+			live++
+		}
+	}
+	_, leader := d.lease.Holds()
+	reporter.SetGauge(d.Metrics, reporter.MetricInflight, d.server.InFlight())
+	reporter.SetGauge(d.Metrics, reporter.MetricVersion, int64(d.version()))
+	reporter.SetGauge(d.Metrics, reporter.MetricAge, int64(d.sharing.age(now)))
+	reporter.SetGauge(d.Metrics, reporter.MetricLive, live)
+	reporter.SetGauge(d.Metrics, reporter.MetricReader, number(d.sharing.isReader()))
+	reporter.SetGauge(d.Metrics, reporter.MetricLeader, number(leader))
+	w.Header().Set("Content-Type", reporter.TextFormat)
+	_ = reporter.WriteText(w, d.Metrics) // fails only when the reader is gone
+}
+
+func number(value bool) int64 {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+func (d *Daemon) serveDump(w http.ResponseWriter, r *http.Request) {
+	_, leader := d.lease.Holds()
+	w.Header().Set("Content-Type", "application/json")
+	err := json.NewEncoder(w).Encode(state{
+		Name: d.owner.Key(), Version: d.version(), Ready: d.isReady(), Stopping: d.stopping.Load(),
+		Reader: d.sharing.isReader(), Leader: leader, Age: cowslipproxy.Duration(d.sharing.age(d.Clock()).Round(time.Millisecond)),
+		Flight: d.server.InFlight(), Members: d.gossiper.Members(), Instances: d.registrar.Instances(), Loads: d.pools.held(),
+	})
+	if err != nil {
+		reporter.EventExchangeFailed.Log(r.Context(), d.Logger, slog.Any("error", err))
+	}
+}
--- a/cowslipd/relay/once_test.go
+++ b/cowslipd/relay/once_test.go
@@ -76,7 +76,7 @@
 // Guards against retries of all requests together beyond the budget.
 func TestRetriesStayWithinTheBudget(t *testing.T) {
 	t.Parallel()
-	d := deploy(t, 1)
+	d := deployFloor(t, 1, 20)
 	for _, server := range d.fleet.Servers("ledger") {
 		server.Misbehave(worker.KindError)
 	}
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -100,7 +100,7 @@
 		d.Settings.Directory: d.Platform.Directory(d.addresses),
 	}
 	if d.Settings.Metrics != 0 {
-		servers[netip.AddrPortFrom(d.Settings.Callers.Addr(), d.Settings.Metrics)] = reporter.Handler(d.Metrics)
+		servers[netip.AddrPortFrom(d.Settings.Callers.Addr(), d.Settings.Metrics)] = d.operators()
 	}
 	for address, handler := range servers {
 		var listener net.Listener
--- /dev/null
+++ b/matcher/matcher_test.go
@@ -0,0 +1,63 @@
+package matcher_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/matcher"
+)
+
+func route(name, host, prefix string, services ...string) cowslipproxy.Route {
+	r := cowslipproxy.Route{Name: name, Host: host, Prefix: prefix}
+	for i, service := range services {
+		r.Shares = append(r.Shares, cowslipproxy.Share{Service: service, Weight: float64(i + 1)})
+	}
+	return r
+}
+
+// Guards against requests that go to another route than the one of their host
+// with the longest prefix.
+func TestRoute(t *testing.T) {
+	m := matcher.New(cowslipproxy.Table{Routes: []cowslipproxy.Route{
+		route("short", "A.example", "/a/"), route("long", "a.example", "/a/b/"), route("other", "b.example", "/a/b/c/"),
+	}})
+	for path, want := range map[string]string{"/a/x": "short", "/a/b/": "long", "/a/b/c/d": "long", "/a/bc": "short"} {
+		got, ok := m.Route("a.example", path)
+		require.True(t, ok, path)
+		require.Equal(t, want, got.Name, path)
+	}
+	for _, path := range []string{"/a", "/", "/b/a/"} {
+		_, ok := m.Route("a.example", path)
+		require.False(t, ok, path)
+	}
+}
+
+// Guards against keys that count although no customer holds them, and against
+// public routes that ask for one.
+func TestCustomer(t *testing.T) {
+	rank := 0
+	m := matcher.New(cowslipproxy.Table{Customers: []cowslipproxy.RelayCustomer{{Name: "c", Keys: []string{"k1", "k2"}, Priority: &rank}}})
+	private, public := cowslipproxy.Route{Priority: 3}, cowslipproxy.Route{Public: true, Priority: 3}
+	customer, ok := m.Customer(private, "k2")
+	require.True(t, ok)
+	require.Equal(t, "c", customer.Name)
+	require.Zero(t, m.Priority(private, customer), "a customer's rank goes before the route's")
+	_, ok = m.Customer(private, "")
+	require.False(t, ok)
+	customer, ok = m.Customer(public, "")
+	require.True(t, ok)
+	require.Equal(t, 3, m.Priority(public, customer))
+}
+
+// Guards against shares that don't follow their weights.
+func TestService(t *testing.T) {
+	m := matcher.New(cowslipproxy.Table{Services: []cowslipproxy.RelayService{{Name: "one"}, {Name: "two"}}})
+	r := route("r", "h", "/", "one", "two")
+	count := map[string]int{}
+	for i := range 300 {
+		count[m.Service(r, float64(i)/300).Name]++
+	}
+	require.Equal(t, map[string]int{"one": 100, "two": 200}, count)
+}
--- /dev/null
+++ b/names_test.go
@@ -0,0 +1,39 @@
+package cowslipproxy_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// platformNames are headers, paths, topics and fields of the users' platform.
+var platformNames = regexp.MustCompile(`X-(Request-Id|Deadline-Ms|Tenant|Expect-Instance|Hop-Count|Request-Priority|Token-Usage|Length-Hint|Prompt-Prefix|Response-Signature|Not-Executed|Server-Load|Weight-Versions)` +
+	`|At-Server|"keyed\.|log-(append|read|newest|join)|/api/(resolve|ready|report|order)|COWSLIPPROXY_BOOT|kv_token_bytes|target_latency_ms|path_prefix|api_keys|drain_mode`)
+
+// Guards against names of the platform outside the folder that translates them,
+// its stand-ins and the tests that speak to the daemon as the platform does.
+func TestPlatformNamesStayInPlatform(t *testing.T) {
+	checked := 0
+	require.NoError(t, filepath.WalkDir(".", func(path string, entry os.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || path == "names_test.go" {
+			return err
+		}
+		for _, folder := range []string{"platform/", "standin/keeper/", "standin/worker/"} {
+			if strings.HasPrefix(path, folder) {
+				return nil
+			}
+		}
+		if strings.HasPrefix(path, "cowslipd/relay/") && strings.HasSuffix(path, "_test.go") {
+			return nil
+		}
+		data, err := os.ReadFile(path)
+		require.Empty(t, platformNames.FindString(string(data)), path)
+		checked++
+		return err
+	}))
+	require.Greater(t, checked, 100)
+}
--- a/pages_test.go
+++ b/pages_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"reflect"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -41,7 +42,8 @@
 	var page strings.Builder
 	page.WriteString("# Log events\n\n" +
 		"For operators. Made from package `reporter` by `make docs`. Daemons write events to\n" +
-		"standard error, one JSON object a line, with the number in the field `event`. A\n" +
+		"standard error (`cowslipd relay`: to standard output), one JSON object a line, with\n" +
+		"the number in the field `event`. A\n" +
 		"number never changes its meaning. The setting `level` leaves out lower levels.\n\n" +
 		"| event | level | text | meaning, and what to do |\n|---|---|---|---|\n")
 	seen := map[int]bool{}
@@ -51,7 +53,7 @@
 		fmt.Fprintf(&page, "| %d | %s | %s | %s |\n", event.Number, event.Level, cell(event.Text), cell(event.Meaning))
 	}
 	holdPage(t, "events.md", page.String())
-	requireUsed(t, "Event")
+	requireUsed(t, "Event", "EventLinesDropped") // reporter writes it itself
 }
 
 // Guards against a settings page with missing settings, wrong ranges or other
@@ -107,7 +109,7 @@
 	for _, metric := range constants(t, "reporter", "Metric") {
 		fmt.Fprintf(&page, "| `%s` | `%s` | %s |\n", reporter.TextName(metric.value), metric.value, cell(metric.comment))
 	}
-	page.WriteString("\n`operations.md` says which ones to watch.\n")
+	page.WriteString("\n`OPERATIONS.md` says which ones to watch.\n")
 	holdPage(t, "metrics.md", page.String())
 	requireUsed(t, "Metric")
 }
@@ -164,7 +166,7 @@
 }
 
 // requireUsed fails for names of reporter that no other package's code uses.
-func requireUsed(t *testing.T, prefix string) {
+func requireUsed(t *testing.T, prefix string, own ...string) {
 	var declared, others strings.Builder
 	require.NoError(t, filepath.WalkDir(".", func(path string, _ os.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
@@ -180,6 +182,6 @@
 	}))
 	for _, match := range regexp.MustCompile(`(?m)^\t(`+prefix+`\w+)\s+=`).FindAllStringSubmatch(declared.String(), -1) {
 		used := regexp.MustCompile(`\breporter\.` + match[1] + `\b`).MatchString(others.String())
-		require.True(t, used, "nothing uses reporter.%s", match[1])
+		require.True(t, used || slices.Contains(own, match[1]), "nothing uses reporter.%s", match[1])
 	}
 }
--- /dev/null
+++ b/pathfinder/finder_test.go
@@ -0,0 +1,192 @@
+package pathfinder_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/pathfinder"
+)
+
+var (
+	start   = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	profile = cowslipproxy.EngineProfile{
+		Layers: 80, LayerSize: 1750, TokenSize: 459_000, Step: 850 * time.Microsecond, Prompt: 772, Answer: 154, Activation: 22_900, Pipe: 7_900,
+		Kinds: map[string]cowslipproxy.AcceleratorKind{"l4": {Memory: 21_600, Pace: 16}},
+	}
+	need = pathfinder.Need{Tokens: 926}
+)
+
+func engine(number int, centre string, first, end int) cowslipproxy.Instance {
+	return cowslipproxy.Instance{
+		ID: fmt.Sprintf("e%02d", number), Service: "s", Kind: "l4", Centre: centre, State: cowslipproxy.VMLive, Born: start,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 80), Range: cowslipproxy.LayerRange{First: first, End: end},
+	}
+}
+
+// chains returns engines of one whole chain in each data centre.
+func chains(centres ...string) (engines []cowslipproxy.Instance) {
+	for _, centre := range centres {
+		for first := 0; first < 80; first += 10 {
+			engines = append(engines, engine(len(engines), centre, first, first+10))
+		}
+	}
+	return engines
+}
+
+func finder(engines []cowslipproxy.Instance) *pathfinder.Finder {
+	f := &pathfinder.Finder{Centre: "a", Random: rand.New(rand.NewPCG(1, 2))}
+	f.Set(profile, engines)
+	return f
+}
+
+func crossings(path *pathfinder.Path, engines []cowslipproxy.Instance) (count int) {
+	centre := map[string]string{}
+	for _, e := range engines {
+		centre[e.ID] = e.Centre
+	}
+	for i := 1; i < len(path.Hops); i++ {
+		if centre[path.Hops[i].Instance] != centre[path.Hops[i-1].Instance] {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against paths with a gap, an overlap or an engine that stands twice,
+// over any layout that covers the model.
+func TestPathsTile(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engines := chains("a")
+		for range rapid.IntRange(0, 20).Draw(t, "more") {
+			first := rapid.IntRange(0, 70).Draw(t, "first")
+			engines = append(engines, engine(len(engines), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "centre"), first, first+rapid.IntRange(1, 10).Draw(t, "layers")))
+		}
+		f := finder(engines)
+		for range 5 {
+			path, ok := f.Choose(start, need)
+			require.True(t, ok)
+			f.Begin(path)
+			var ranges []cowslipproxy.LayerRange
+			seen := map[string]bool{}
+			for _, hop := range path.Hops {
+				require.False(t, seen[hop.Instance], "an engine stands twice")
+				seen[hop.Instance] = true
+				ranges = append(ranges, hop.Range)
+			}
+			require.NoError(t, cowslipproxy.CheckTiling(ranges, 80))
+		}
+	})
+}
+
+// Guards against paths that cross data centres although whole chains need not.
+func TestPathsStayInTheirDataCentre(t *testing.T) {
+	engines := chains("a", "b", "c")
+	f := finder(engines)
+	used := map[string]int{}
+	for range 60 {
+		path, ok := f.Choose(start, need)
+		require.True(t, ok)
+		f.Begin(path)
+		require.Zero(t, crossings(path, engines))
+		used[path.First().Instance]++
+	}
+	require.Len(t, used, 3, "a whole chain stays unused")
+}
+
+// Guards against work for engines that are suspected, and against no answer
+// when all of a range are.
+func TestSuspectsAreAvoided(t *testing.T) {
+	engines := chains("a", "b")
+	f := finder(engines)
+	f.Broken(start, engines[3].Address)
+	for range 30 {
+		path, ok := f.Choose(start, need)
+		require.True(t, ok)
+		for _, hop := range path.Hops {
+			require.NotEqual(t, engines[3].ID, hop.Instance)
+		}
+	}
+	f.Broken(start, engines[11].Address)
+	_, ok := f.Choose(start, need)
+	require.True(t, ok, "a suspect is better than a refusal")
+}
+
+// Guards against a mended path that changes more than the dead engine's part,
+// or that has the dead engine or one that stands in the path already.
+func TestMend(t *testing.T) {
+	engines := chains("a", "b")
+	f := finder(engines)
+	path, ok := f.Choose(start, need)
+	require.True(t, ok)
+	dead := path.Hops[4]
+	f.Broken(start, dead.Address)
+	mended, ok := f.Mend(start, path, dead.Address)
+	require.True(t, ok)
+	var ranges []cowslipproxy.LayerRange
+	for i, hop := range mended.Hops {
+		ranges = append(ranges, hop.Range)
+		require.NotEqual(t, dead.Instance, hop.Instance)
+		if i != 4 {
+			require.Equal(t, path.Hops[i], hop)
+		}
+	}
+	require.NoError(t, cowslipproxy.CheckTiling(ranges, 80))
+	_, ok = f.Mend(start, path, path.First().Address)
+	require.False(t, ok, "the first engine can't be replaced")
+}
+
+// Guards against a daemon that only looks at its own requests: engines that
+// other daemons use are used less.
+func TestOthersLoadsCount(t *testing.T) {
+	engines := chains("a", "b")
+	f := finder(engines)
+	loads := map[string]float64{}
+	for _, e := range engines[:8] {
+		loads[e.ID] = 0.9 * pathfinder.Room(profile, e.Kind, e.Range.Len())
+	}
+	f.SetOthers(loads)
+	other := 0
+	for range 50 {
+		if path, _ := f.Choose(start, need); path.First().Instance == engines[8].ID {
+			other++
+		}
+	}
+	require.Greater(t, other, 40)
+}
+
+// Guards against a path that begins at an engine that the request may not be
+// sent to.
+func TestPathBeginsWhereItMay(t *testing.T) {
+	engines := chains("a", "b")
+	f := finder(engines)
+	for range 20 {
+		path, ok := f.Choose(start, pathfinder.Need{Tokens: 926, Begin: []string{engines[8].ID}})
+		require.True(t, ok)
+		require.Equal(t, engines[8].ID, path.First().Instance)
+	}
+}
+
+// The time of a decision, and of a new plan of paths, at today's size.
+func BenchmarkChoose(b *testing.B) {
+	f := finder(chains("a", "b", "c", "a", "b"))
+	for b.Loop() {
+		if _, ok := f.Choose(start, need); !ok {
+			b.Fatal("no path")
+		}
+	}
+}
+
+func BenchmarkSet(b *testing.B) {
+	engines := chains("a", "b", "c", "a", "b")
+	f := finder(engines)
+	for b.Loop() {
+		f.Set(profile, engines)
+	}
+}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -95,6 +95,7 @@
 	case !found:
 		r.cancel(errStalled)
 	default:
+		reporter.Count(r.Metrics, reporter.MetricStalls)
 		reporter.EventStalled.Log(r.ctx, r.Logger, slog.String("request", r.query.ID), slog.Int("events", seen),
 			slog.String("engine", culprit.String()), slog.Duration("pause", now.Sub(since)))
 		r.finder.Broken(now, culprit)
@@ -142,6 +143,7 @@
 		reporter.EventOrderFailed.Log(r.ctx, r.Logger, slog.String("engine", first.Instance), slog.Any("error", err))
 		return false
 	}
+	reporter.Count(r.Metrics, reporter.MetricMends)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.ended {
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -136,6 +136,9 @@
 // try sends the request on a path and relays the events. It reports whether
 // the engines provably didn't run it.
 func (s *streaming) try(ctx context.Context, finder *pathfinder.Finder, path *pathfinder.Path) (notRun bool, err error) {
+	if s.events > 0 {
+		reporter.Count(s.Metrics, reporter.MetricResumes)
+	}
 	r := s.begin(ctx, finder, path)
 	defer r.end()
 	first := path.First()
@@ -152,6 +155,9 @@
 	default:
 		s.count(first)
 	}
+	if notRun {
+		reporter.Count(s.Metrics, reporter.MetricNotRun)
+	}
 	if err != nil && !notRun {
 		s.avoid = append(s.avoid, first.Instance)
 	}
@@ -217,6 +223,7 @@
 		s.copyHeader(got.Header)
 		s.w.Header().Del("Content-Length")
 		s.status = got.StatusCode
+		reporter.Times(s.Metrics, reporter.MetricFirst).Update(int64(s.Clock().Sub(s.query.Arrived)))
 		s.w.WriteHeader(s.status)
 	}
 	if len(next.data) == 0 {
--- a/reporter/events_daemon.go
+++ b/reporter/events_daemon.go
@@ -9,4 +9,5 @@
 	EventInvariant      = newEvent(102, slog.LevelError, "invariant violated", "The program has a defect. The request ends with outcome unknown; report the event with its attributes.")
 	EventStopPhase      = newEvent(103, slog.LevelInfo, "planned stop goes on", "The phases are leaving, draining, finishing and ended; see docs/membership.md.")
 	EventExchangeFailed = newEvent(104, slog.LevelWarn, "exchange with other daemons failed", "An item could not be encoded or decoded. Daemons of different versions may run side by side.")
+	EventLinesDropped   = newEvent(105, slog.LevelWarn, "log lines dropped", "The log's reader was too slow. The event names how many lines are missing before it.")
 )
--- a/reporter/text.go
+++ b/reporter/text.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"maps"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -90,11 +89,3 @@
 	}
 	return out
 }
-
-// Handler serves the metrics in the text format.
-func Handler(registry metrics.Registry) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", TextFormat)
-		_ = WriteText(w, registry) // fails only when the reader is gone
-	})
-}
--- a/standin/worker/stream.go
+++ b/standin/worker/stream.go
@@ -51,7 +51,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		event := Event(id, number)
-		if kind == KindBreak && number == last+count/2 {
+		if kind == KindBreak && number == last+max(count/10, 1) {
 			_, _ = io.WriteString(w, event[:len(event)/2]) // fails only when the caller is gone
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
