--- a/cowslipd/relay.go
+++ b/cowslipd/relay.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -23,6 +24,13 @@
 // requests instead of serving the product's own interface.
 const relayCommand = "relay"
 
+const (
+	megabyte = 1 << 20 // bytes
+	// memoryShare is the part of the memory that the heap may take, in percent.
+	// The platform counts received bytes that were not read too.
+	memoryShare = 70
+)
+
 // runRelay runs the daemon on the users' platform.
 func runRelay(args []string) error {
 	flags := flag.NewFlagSet("cowslipd relay", flag.ContinueOnError)
@@ -30,12 +38,14 @@
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("COWSLIPD")); err != nil {
 		return errors.WithStack(err)
 	}
-	settings, err := loader.LoadRelay(*file)
-	if err != nil {
+	var settings loader.Relay
+	var err error
+	if settings, err = loader.LoadRelay(*file); err != nil {
 		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	context.AfterFunc(ctx, stop) // a second signal ends the process
+	debug.SetMemoryLimit(settings.Memory * megabyte * memoryShare / 100)
 	lines := &reporter.Writer{Out: os.Stdout}
 	writing, flush := context.WithCancel(context.Background())
 	written := make(chan struct{})
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -89,8 +89,9 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, work := errgroup.WithContext(work)
-	peers, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(d.Settings.Peers))
-	if err != nil {
+	var peers *net.TCPListener
+	var err error
+	if peers, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(d.Settings.Peers)); err != nil {
 		return errors.WithStack(err)
 	}
 	d.gossiper.Listener = peers
--- a/cowslipd/relay/reload.go
+++ b/cowslipd/relay/reload.go
@@ -50,8 +50,9 @@
 }
 
 func modified(file string) time.Time {
-	info, err := os.Stat(file)
-	if err != nil {
+	var info os.FileInfo
+	var err error
+	if info, err = os.Stat(file); err != nil {
 		return time.Time{} // the file is being replaced
 	}
 	return info.ModTime()
@@ -59,8 +60,9 @@
 
 // readSettings keeps the settings in force if the file can't be used.
 func (d *Daemon) readSettings(ctx context.Context) {
-	read, err := loader.LoadRelay(d.File)
-	if err != nil {
+	var read loader.Relay
+	var err error
+	if read, err = loader.LoadRelay(d.File); err != nil {
 		reporter.EventReloaded.Log(ctx, d.Logger, slog.Bool("changed", false), slog.Any("error", err))
 		return
 	}
--- a/cowslipd/relay/share.go
+++ b/cowslipd/relay/share.go
@@ -13,6 +13,7 @@
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/decoder"
+	"github.com/cowslipproxy/cowslipproxy/gossiper"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/sharer"
 )
@@ -163,8 +164,9 @@
 	ctx, cancel := context.WithTimeout(ctx, shareTime)
 	defer cancel()
 	var answer sharer.Answer
-	data, err := json.Marshal(share)
-	if err != nil {
+	var data []byte
+	var err error
+	if data, err = json.Marshal(share); err != nil {
 		return answer, errors.WithStack(err)
 	}
 	if data, err = d.gossiper.SendShare(ctx, peer.String(), data); err != nil {
@@ -264,8 +266,9 @@
 }
 
 func (d *Daemon) ask(ctx context.Context, peer netip.AddrPort) {
-	answer, err := d.exchange(ctx, peer, sharer.Share{From: d.owner.Name, Ask: true, Table: d.version()})
-	if err != nil {
+	var answer sharer.Answer
+	var err error
+	if answer, err = d.exchange(ctx, peer, sharer.Share{From: d.owner.Name, Ask: true, Table: d.version()}); err != nil {
 		return // another one is asked soon
 	}
 	now := d.Clock()
@@ -289,8 +292,9 @@
 	defer d.fetching.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, shareTime)
 	defer cancel()
-	answer, err := d.gossiper.FetchSnapshot(ctx, peer.String())
-	if err != nil {
+	var answer gossiper.SnapshotAnswer
+	var err error
+	if answer, err = d.gossiper.FetchSnapshot(ctx, peer.String()); err != nil {
 		return // the next share tells of the version again
 	}
 	var table cowslipproxy.Table
@@ -319,8 +323,9 @@
 	if d.encoded.version == m.Table.Version {
 		return d.encoded.version, d.encoded.data, nil
 	}
-	data, err := json.Marshal(m.Table)
-	if err != nil {
+	var data []byte
+	var err error
+	if data, err = json.Marshal(m.Table); err != nil {
 		return 0, nil, errors.WithStack(err)
 	}
 	d.encoded = encoded{m.Table.Version, data}
--- a/loader/relay.go
+++ b/loader/relay.go
@@ -11,8 +11,7 @@
 	"github.com/cowslipproxy/cowslipproxy/decoder"
 )
 
-// Relay is the settings of a daemon that relays whole requests. The bounds are
-// what operators promise their users.
+// Relay is the settings of a daemon that relays whole requests.
 type Relay struct {
 	Name      string                `json:"name" validate:"required,max=128"`
 	Centre    string                `json:"centre" validate:"required,max=64"`
@@ -26,8 +25,6 @@
 	Metrics   uint16                `json:"metrics"`
 	Grace     cowslipproxy.Duration `json:"grace" validate:"gt=0"`
 	Lifetime  cowslipproxy.Duration `json:"lifetime" validate:"gt=0"`
-	Drain     cowslipproxy.Duration `json:"drain" validate:"gt=0"`
-	Apply     cowslipproxy.Duration `json:"apply" validate:"gt=0"`
 	Window    cowslipproxy.Duration `json:"window" validate:"gt=0"`
 	Retries   float64               `json:"retries" validate:"gte=0"`
 	Floor     int                   `json:"floor" validate:"gte=0"`
@@ -40,8 +37,6 @@
 	return Relay{
 		Grace:    cowslipproxy.Duration(8 * time.Second),
 		Lifetime: cowslipproxy.Duration(2 * time.Second),
-		Drain:    cowslipproxy.Duration(2 * time.Second),
-		Apply:    cowslipproxy.Duration(2 * time.Second),
 		Window:   cowslipproxy.Duration(10 * time.Second),
 		Retries:  0.2,
 		Floor:    100,
--- a/names_test.go
+++ b/names_test.go
@@ -18,7 +18,7 @@
 // its stand-ins and the tests that speak to the daemon as the platform does.
 func TestPlatformNamesStayInPlatform(t *testing.T) {
 	checked := 0
-	require.NoError(t, filepath.WalkDir(".", func(path string, entry os.DirEntry, err error) error {
+	require.NoError(t, filepath.WalkDir(".", func(path string, _ os.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || path == "names_test.go" {
 			return err
 		}
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -31,8 +31,9 @@
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	to.Customer, to.Priority, to.Left = x.customer.Name, x.priority, x.left()
-	request, err := x.Dialect.Request(httptrace.WithClientTrace(ctx, trace), x.query, to)
-	if err != nil {
+	var request *http.Request
+	var err error
+	if request, err = x.Dialect.Request(httptrace.WithClientTrace(ctx, trace), x.query, to); err != nil {
 		return answered{}, errors.Wrap(cowslipproxy.ErrNotStarted, err.Error())
 	}
 	response, err := x.Transport.RoundTrip(request)
@@ -70,8 +71,9 @@
 // whole reads the body to its end.
 func whole(got answered) ([]byte, error) {
 	defer got.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(got.Body, maxAnswer+1))
-	if err != nil {
+	var body []byte
+	var err error
+	if body, err = io.ReadAll(io.LimitReader(got.Body, maxAnswer+1)); err != nil {
 		return nil, errors.WithStack(err)
 	}
 	if len(body) > maxAnswer {
