--- a/cowslipd/relay/config_test.go
+++ b/cowslipd/relay/config_test.go
@@ -18,8 +18,7 @@
 	t.Parallel()
 	d := deploy(t, 3)
 	table := d.table()
-	routes := table["routes"].([]map[string]any)
-	routes[0]["path_prefix"] = "/posts/"
+	table["routes"].([]any)[0].(map[string]any)["path_prefix"] = "/posts/"
 	table["tenants"] = []map[string]any{{"name": "clerks", "api_keys": []string{"new"}}}
 	old := d.table()
 	d.publish(table)
@@ -107,7 +106,7 @@
 	d.store.Forget("keyed.op")
 	d.store.Forget("keyed.servers")
 	table := d.table()
-	table["routes"] = table["routes"].([]map[string]any)[1:]
+	table["routes"] = table["routes"].([]any)[1:]
 	d.publish(table)
 	time.Sleep(configBound)
 	for _, one := range d.daemons {
--- a/cowslipd/relay/deployment_test.go
+++ b/cowslipd/relay/deployment_test.go
@@ -41,7 +41,7 @@
 const (
 	key      = "key-of-clerks"
 	host     = "calls.example"
-	layers   = 12
+	layers   = keeper.Layers
 	fees     = "/fees/"
 	reads    = "/reads/"
 	letters  = "/letters/"
@@ -109,7 +109,7 @@
 }
 
 func (d *deployment) start(service, kind string) *worker.Server {
-	server, err := d.fleet.Start(worker.Settings{Service: service, Zone: "a", Kind: kind, Layers: layers})
+	server, err := d.fleet.Start(worker.Settings{Service: service, Zone: "a", Kind: kind})
 	require.NoError(d.t, err)
 	return server
 }
@@ -158,30 +158,11 @@
 
 // table is a configuration in the platform's words.
 func (d *deployment) table() map[string]any {
-	route := func(name, prefix, kind, service string, attempts int) map[string]any {
-		return map[string]any{
-			"name": name, "host": host, "path_prefix": prefix, "kind": kind, "service": service, "attempts": attempts,
-			"timeout_ms": 5000, "target_latency_ms": 500, "priority": 1, "gap_target_ms": 200, "resumable": kind == "streaming",
-		}
-	}
-	return map[string]any{
-		"routes": []map[string]any{
-			route("fees", fees, "unsafe", "ledger", 1),
-			route("reads", reads, "idempotent", "ledger", 2),
-			route("letters", letters, "streaming", "scribe", 2),
-		},
-		"services": []map[string]any{
-			{"name": "ledger", "health_path": "/healthz", "max_connections": 100},
-			{"name": "scribe", "health_path": "/healthz", "max_connections": 100, "engine": map[string]any{
-				"slots": 192, "kv_token_bytes": layers, "stride": 2, "step_ms": 1, "per_seq_ms": 0.01, "read_per_s": 100000, "chunk": 512,
-				"usual": map[string]any{"prompt": 1, "answer": 1}, "layers": layers, "layer_mb": 100.0, "activation_bytes": 100, "pipe_mbps": 1000,
-				"loads_at_once": 6, "models": []map[string]any{{"name": "m0", "pace": 1, "load_s": 1}},
-				"kinds": []map[string]any{{"name": "small", "size_mb": (contract + 0.5) * 100, "pace": 1, "read_factor": 1}},
-			}},
-		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "clerks", "api_keys": []string{key}, "priority": 1}},
-	}
+	data, err := keeper.Sample(1, key)
+	require.NoError(d.t, err)
+	var table map[string]any
+	require.NoError(d.t, json.Unmarshal(data, &table))
+	return table
 }
 
 func (d *deployment) publish(table map[string]any) {
@@ -189,7 +170,7 @@
 	table["version"] = d.version
 	data, err := json.Marshal(table)
 	require.NoError(d.t, err)
-	d.store.Put("keyed.op", "config", data)
+	d.store.Publish(data)
 }
 
 // query is a caller's request. Empty fields take usual values.
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -66,6 +66,9 @@
 	s.append(name, append(append([]byte{byte(len(key))}, key...), value...))
 }
 
+// Publish writes a configuration as the operator does.
+func (s *Store) Publish(config []byte) { s.Put("keyed.op", "config", config) }
+
 // Forget drops the records of a topic but the newest of each key.
 func (s *Store) Forget(name string) {
 	s.mu.Lock()
--- a/standin/main.go
+++ b/standin/main.go
@@ -23,6 +23,7 @@
 		loadCommand(),
 		logCommand(),
 		measureCommand(),
+		platformCommand(),
 		serviceCommand(),
 		slopesCommand(),
 		weightsCommand(),
--- a/standin/worker/fleet.go
+++ b/standin/worker/fleet.go
@@ -70,7 +70,6 @@
 	Service string
 	Zone    string
 	Kind    string // of an engine's accelerator; empty for a plain service
-	Layers  int    // of the engine's model
 }
 
 // Start starts a server at a new address and registers it.
