gossiper: notice a daemon that ended by its refused connections

Callers were sent to daemons that had been killed until their heartbeats were missed for 3 s, and a caller comes back only once. An address that refuses connections has no process, so its daemon counts as missing at once.

Ruled out: the lifetime of address answers, which callers outlive anyway.

--- a/gossiper/detector.go
+++ b/gossiper/detector.go
@@ -47,6 +47,17 @@
 	return returned
 }
 
+// Refused notes that a daemon's address takes no connections, so that the
+// daemon is gone, and reports whether it was not missing before.
+func (d *Detector) Refused(owner cowslipproxy.Owner) bool {
+	w := d.watches[owner]
+	if w == nil || w.missing {
+		return false
+	}
+	w.missing = true
+	return true
+}
+
 // Forget stops watching a daemon.
 func (d *Detector) Forget(owner cowslipproxy.Owner) { delete(d.watches, owner) }
 
--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -235,6 +235,17 @@
 	}
 }
 
+// Guards against callers that are sent to a daemon whose process has ended, for
+// as long as its heartbeats are not missed: its address refuses connections.
+func TestEndedDaemonIsNoticedBeforeItsSilence(t *testing.T) {
+	n := newNetwork()
+	fleet := n.fleet(t, 6, quick)
+	began := time.Now()
+	require.NoError(t, fleet[0].end())
+	eventually(t, func() bool { return allSee(fleet[1:], fleet[1:]) })
+	require.Less(t, time.Since(began), fleet[1].Timeout/2)
+}
+
 // Guards against a daemon that can't be found again when all that it knew were
 // replaced at once, and only the list shows where they are now.
 func TestFoundByList(t *testing.T) {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -97,7 +97,7 @@
 		g.pacer = pacer{budget: g.Budget}
 		g.listed = map[string]Contact{}
 		g.peers = map[string]*peer{}
-		g.conns = newConnections(g.Dial)
+		g.conns = newConnections(g.Dial, g.refused)
 		g.wake = make(chan struct{}, 1)
 	})
 }
@@ -296,12 +296,30 @@
 	}
 	g.detector.Watch(owners, now)
 	for _, lost := range g.detector.Tick(now) {
-		if lost.Incarnation < g.store.Newest(lost.Name) {
-			g.detector.Forget(lost)
-			continue
+		g.down(ctx, lost, now)
+	}
+}
+
+// down tells the others that a daemon is missing.
+func (g *Gossiper) down(ctx context.Context, lost cowslipproxy.Owner, now time.Time) {
+	if lost.Incarnation < g.store.Newest(lost.Name) {
+		g.detector.Forget(lost)
+		return
+	}
+	reporter.EventPeerDown.Log(ctx, g.Logger, slog.String("peer", lost.Name))
+	g.put(Item{Kind: KindDown, Key: lost.Key(), Reach: ReachAll, Urgent: true}, now)
+}
+
+// refused takes in that no process listens at a daemon's address: it ended, and
+// callers need not be sent there until its heartbeats are missed.
+func (g *Gossiper) refused(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	live, _ := g.contacts()
+	for _, contact := range live {
+		if contact.Address == address && g.detector.Refused(contact.Owner) {
+			g.down(context.Background(), contact.Owner, time.Now())
 		}
-		reporter.EventPeerDown.Log(ctx, g.Logger, slog.String("peer", lost.Name))
-		g.put(Item{Kind: KindDown, Key: lost.Key(), Reach: ReachAll, Urgent: true}, now)
 	}
 }
 
--- a/gossiper/service.go
+++ b/gossiper/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -168,9 +169,10 @@
 
 // connections are the open connections to other daemons by address.
 type connections struct {
-	dial func(context.Context, string) (net.Conn, error)
-	mu   sync.Mutex
-	open map[string]*connection
+	dial    func(context.Context, string) (net.Conn, error)
+	refused func(address string) // is told of addresses that take no connections
+	mu      sync.Mutex
+	open    map[string]*connection
 }
 
 type connection struct {
@@ -179,14 +181,23 @@
 	active int // forwarded requests
 }
 
-func newConnections(dial func(context.Context, string) (net.Conn, error)) *connections {
+func newConnections(dial func(context.Context, string) (net.Conn, error), refused func(address string)) *connections {
 	if dial == nil {
 		dial = func(ctx context.Context, address string) (net.Conn, error) {
 			var dialer net.Dialer
 			return dialer.DialContext(ctx, "tcp", address)
 		}
 	}
-	return &connections{dial: dial, open: map[string]*connection{}}
+	return &connections{dial: dial, refused: refused, open: map[string]*connection{}}
+}
+
+// connect dials, and tells at once of an address where no process listens.
+func (c *connections) connect(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := c.dial(ctx, address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.refused(address)
+	}
+	return conn, err
 }
 
 func (c *connections) get(address string, now time.Time) (*grpc.ClientConn, error) {
@@ -225,7 +236,7 @@
 	}
 	client, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(c.dial),
+		grpc.WithContextDialer(c.connect),
 		grpc.WithDisableRetry(),
 		grpc.WithStaticStreamWindowSize(window),
 		grpc.WithStaticConnWindowSize(8*window),
