--- a/cowslipd/relay/dump.go
+++ b/cowslipd/relay/dump.go
@@ -48,19 +48,12 @@
 	reporter.SetGauge(d.Metrics, reporter.MetricVersion, int64(d.version()))
 	reporter.SetGauge(d.Metrics, reporter.MetricAge, int64(d.sharing.age(now)))
 	reporter.SetGauge(d.Metrics, reporter.MetricLive, live)
-	reporter.SetGauge(d.Metrics, reporter.MetricReader, number(d.sharing.isReader()))
-	reporter.SetGauge(d.Metrics, reporter.MetricLeader, number(leader))
+	reporter.SetFlag(d.Metrics, reporter.MetricReader, d.sharing.isReader())
+	reporter.SetFlag(d.Metrics, reporter.MetricLeader, leader)
 	w.Header().Set("Content-Type", reporter.TextFormat)
 	_ = reporter.WriteText(w, d.Metrics) // fails only when the reader is gone
 }
 
-func number(value bool) int64 {
-	if value {
-		return 1
-	}
-	return 0
-}
-
 func (d *Daemon) serveDump(w http.ResponseWriter, r *http.Request) {
 	_, leader := d.lease.Holds()
 	w.Header().Set("Content-Type", "application/json")
--- a/follower/backoff.go
+++ b/follower/backoff.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 // Bounds of the pause between attempts. The upper one lets a change that was
@@ -34,18 +36,7 @@
 // wait pauses before the next attempt. It returns false when ctx ends first.
 func (b *backoff) wait(ctx context.Context) bool {
 	b.pause = min(max(2*b.pause, leastPause), mostPause)
-	return sleep(ctx, b.pause/2+b.random.below(b.pause/2))
+	return waiter.Wait(ctx, b.pause/2+b.random.below(b.pause/2))
 }
 
 func (b *backoff) reset() { b.pause = 0 }
-
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/forwarder/server.go
+++ b/forwarder/server.go
@@ -116,7 +116,7 @@
 		}
 		return nil, errors.Wrapf(err, "%s", s.Address)
 	}
-	removeHops(answer.Header)
+	cowslipproxy.RemoveConnectionHeaders(answer.Header)
 	answer.Body = &limitedBody{ReadCloser: answer.Body, left: s.MaxAnswer}
 	return answer, nil
 }
@@ -143,7 +143,7 @@
 	if header == nil {
 		header = http.Header{}
 	}
-	removeHops(header)
+	cowslipproxy.RemoveConnectionHeaders(header)
 	header.Del("Expect") // answered by the listener for callers
 	header.Del("Content-Length")
 	header.Del("Host")
@@ -162,23 +162,6 @@
 	return header
 }
 
-var hops = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// removeHops removes the headers that are meant for one connection only.
-func removeHops(header http.Header) {
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hops {
-		header.Del(name)
-	}
-}
-
 // limitedBody fails instead of passing on more than the limit.
 type limitedBody struct {
 	io.ReadCloser
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -14,6 +14,7 @@
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 // ErrSuperseded is the error of a daemon of whose name a later incarnation is known.
@@ -166,22 +167,13 @@
 			timer.Reset(g.Period*9/10 + rand.N(g.Period/5+1))
 		case <-g.wake:
 			g.push(ctx, &calls)
-			if !sleep(ctx, wakeGap) {
+			if !waiter.Wait(ctx, wakeGap) {
 				return nil
 			}
 		}
 	}
 }
 
-func sleep(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(wait):
-		return true
-	}
-}
-
 func (g *Gossiper) isSuperseded() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -12,6 +12,7 @@
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/leaser"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 const (
@@ -38,28 +39,19 @@
 func (h *Holder) Follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		if h.Skip != nil && h.Skip() {
-			pause(ctx, skipGap)
+			waiter.Wait(ctx, skipGap)
 			continue
 		}
 		var batch cowslipproxy.Batch
 		var err error
 		if batch, err = h.Log.Read(ctx, h.Stream, h.Leaser.Offset(), longPoll); err != nil {
-			pause(ctx, retryWait) // while the log is out the lease runs out and no orders are given
+			waiter.Wait(ctx, retryWait) // while the log is out the lease runs out and no orders are given
 			continue
 		}
 		h.Leaser.Fold(h.Clock(), batch)
 	}
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Claim takes or renews the lease when that is possible. Its answer may be
 // lost: the lease counts once its record was read.
 func (h *Holder) Claim(ctx context.Context, now time.Time) {
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -17,6 +17,7 @@
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/decoder"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 const (
@@ -126,7 +127,7 @@
 			}
 			outdated = old
 		}
-		if !wait(ctx, Backoff(period, failures, rand.Float64())) {
+		if !waiter.Wait(ctx, Backoff(period, failures, rand.Float64())) {
 			return nil
 		}
 	}
@@ -274,14 +275,3 @@
 	}
 	return l.Logger
 }
-
-func wait(ctx context.Context, period time.Duration) bool {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -82,21 +82,13 @@
 	return body, nil
 }
 
-// hopHeaders concern the connection to the upstream only.
-var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
-
 // copyHeader hands an upstream's headers to the caller.
 func (x *exchange) copyHeader(from http.Header) {
 	header := x.w.Header()
 	for name, values := range from {
 		header[name] = values
 	}
-	for _, name := range hopHeaders {
-		if name != "Connection" {
-			header.Del(name)
-		}
-	}
-	header.Del("Connection")
+	cowslipproxy.RemoveConnectionHeaders(header)
 	if x.Stopping() {
 		header.Set("Connection", "close")
 	}
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -16,6 +16,7 @@
 	"github.com/cowslipproxy/cowslipproxy/pathfinder"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/retrier"
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 const (
@@ -60,24 +61,13 @@
 		if ctx.Err() != nil || sends == maxSends || !s.again(notRun) {
 			break
 		}
-		if notRun && !sleep(ctx, fullWait<<(sends-1)+rand.N(fullWait)) {
+		if notRun && !waiter.Wait(ctx, fullWait<<(sends-1)+rand.N(fullWait)) {
 			break
 		}
 	}
 	return s.giveUp(ctx, err)
 }
 
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // await returns a path, and waits for one while engines load layers.
 func (s *streaming) await(ctx context.Context, finder *pathfinder.Finder) (*pathfinder.Path, error) {
 	limit := s.Clock().Add(s.route.Target)
@@ -88,7 +78,7 @@
 		if s.Clock().After(limit) {
 			return nil, errors.WithStack(errNoPath)
 		}
-		if !sleep(ctx, pathWait) {
+		if !waiter.Wait(ctx, pathWait) {
 			return nil, errors.WithStack(ctx.Err())
 		}
 	}
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -90,6 +90,15 @@
 	metrics.GetOrRegisterGauge(name, registry).Update(value)
 }
 
+// SetFlag sets a gauge to 1 or 0.
+func SetFlag(registry metrics.Registry, name string, value bool) {
+	if value {
+		SetGauge(registry, name, 1)
+		return
+	}
+	SetGauge(registry, name, 0)
+}
+
 // SetAge sets a gauge to the time since an event, or to -1 s if it never happened.
 func SetAge(registry metrics.Registry, name string, now, at time.Time) {
 	age := -time.Second
--- a/runner/engine.go
+++ b/runner/engine.go
@@ -14,6 +14,7 @@
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/decoder"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 // ErrDown is the error of steps that were in flight when the connection to
@@ -79,22 +80,13 @@
 		if e.Clock().Sub(began) > longestReconnect {
 			wait = firstReconnect
 		}
-		sleep(ctx, wait)
+		waiter.Wait(ctx, wait)
 		wait = min(2*wait, longestReconnect)
 		conn.ResetConnectBackoff()
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // connect opens the streams and serves them until one of them breaks.
 func (e *Engine) connect(parent context.Context) error {
 	ctx, cancel := context.WithCancel(parent)
--- a/standin/emulator/serve.go
+++ b/standin/emulator/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/runner"
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 // Run and the other methods of handler implement runner.Server.
@@ -161,14 +162,10 @@
 }
 
 func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !waiter.Wait(ctx, d) {
 		return ctx.Err()
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
 
 // Export implements runner.Server.
--- a/standin/slopes.go
+++ b/standin/slopes.go
@@ -16,6 +16,8 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 // slopesFlags are the flags of the slopes subcommand.
@@ -176,10 +178,8 @@
 }
 
 func pause(ctx context.Context, wait time.Duration) error {
-	select {
-	case <-ctx.Done():
+	if !waiter.Wait(ctx, wait) {
 		return errors.WithStack(ctx.Err())
-	case <-time.After(wait):
-		return nil
 	}
+	return nil
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 const (
@@ -45,7 +46,7 @@
 	for ctx.Err() == nil {
 		if w.Skip != nil && w.Skip(w.Clock()) {
 			w.next, w.lost = 0, time.Time{}
-			pause(ctx, skipGap)
+			waiter.Wait(ctx, skipGap)
 			continue
 		}
 		gap := w.Gap
@@ -63,7 +64,7 @@
 			w.retry = retryWait
 			w.take(ctx, changes)
 		}
-		pause(ctx, gap)
+		waiter.Wait(ctx, gap)
 	}
 }
 
@@ -85,15 +86,3 @@
 	w.next = changes.Next
 	w.Fold(now, changes)
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	if wait <= 0 {
-		return
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
