committer: count resolved appends before they are released

TestLostAnswerIsResolvedByReading failed once beside load, with one of two counted: removing the item releases the caller, who could read the count before it was raised. Traced by reading the code; a pause between the two steps hung the test under its clock, so no run shows the failure at will. Ruled out: the order of fold and count (a pause between them changed nothing).

--- a/committer/lane.go
+++ b/committer/lane.go
@@ -295,8 +295,8 @@
 	defer l.mu.Unlock()
 	for _, record := range records {
 		if it := l.byID[recordID{record.Kind, record.Claim}]; it != nil && record.Owner == l.committer.Claimer.Incarnation {
+			l.committer.counts.resolved.Add(1) // before the removal, which releases who may read it
 			l.remove(it)
-			l.committer.counts.resolved.Add(1)
 		}
 	}
 }
