all: remove fields that nothing reads

Fields of engine profiles, relay services and limits that were decoded but used by nothing are gone, and standin/keeper keeps one fault instead of a map.

No behaviour changes: vet, lint and the tests of platform, placer, pathfinder, picker and the root package pass.

--- a/relays.go
+++ b/relays.go
@@ -78,9 +78,6 @@
 	Busy     bool // an order is being carried out
 	Sequence int
 	Range    LayerRange
-	Pace     float64 // over 1 when the engine is slow
-	Used     float64 // tokens x layers of memory that can't yield
-	Total    float64 // tokens x layers of memory for requests
 	Stalled  []Stall
 }
 
--- a/routes.go
+++ b/routes.go
@@ -73,10 +73,8 @@
 
 // RelayService is a service as operators declare it for the relay.
 type RelayService struct {
-	Name        string
-	Health      string         // path of the health check
-	Connections int            // most connections that one server accepts
-	Engine      *EngineProfile // nil for a plain service
+	Name   string
+	Engine *EngineProfile // nil for a plain service
 }
 
 // RelayCustomer is a customer with its bearer keys.
@@ -88,39 +86,27 @@
 
 // CallerLimits bound what callers may send.
 type CallerLimits struct {
-	Header     int           // bytes
-	Body       int64         // bytes
-	HeaderTime time.Duration // to send a request's head
-	Idle       time.Duration // between requests on a connection
+	Body int64 // bytes
 }
 
 // EngineProfile tells how the engines of a service work.
 type EngineProfile struct {
-	Models       []EngineModel
-	Kinds        map[string]AcceleratorKind
-	Layers       int     // of the model; 0 when each engine holds all of it
-	LayerSize    float64 // megabytes
-	TokenSize    float64 // bytes of KV cache of one token in all layers
-	Slots        int     // requests that an engine runs at once
-	Stride       int     // steps of one pass
-	Step         time.Duration
-	PerSequence  time.Duration // added to a step by each request that writes
-	PerContext   time.Duration // added to a step by each 1,000 tokens of context
-	ReadRate     float64       // prompt tokens per second
-	Chunk        int           // prompt tokens of one step
-	Prompt       int           // mean prompt, in tokens
-	Answer       int           // mean answer, in tokens
-	Activation   float64       // bytes that a token sends to the next engine
-	Pipe         float64       // megabits per second between two data centres
-	Loads        int           // loads of weights at once before they slow each other
-	ReportLag    time.Duration
-	PairsPerRead time.Duration // added by each million pairs of a prompt token and an earlier one
+	Models     []EngineModel
+	Kinds      map[string]AcceleratorKind
+	Layers     int     // of the model; 0 when each engine holds all of it
+	LayerSize  float64 // megabytes
+	TokenSize  float64 // bytes of KV cache of one token in all layers
+	Step       time.Duration
+	Prompt     int     // mean prompt, in tokens
+	Answer     int     // mean answer, in tokens
+	Activation float64 // bytes that a token sends to the next engine
+	Pipe       float64 // megabits per second between two data centres
+	Loads      int     // loads of weights at once before they slow each other
 }
 
 // EngineModel is a model that a service's engines can hold.
 type EngineModel struct {
 	Name string
-	Pace float64
 	Load time.Duration // to load all layers
 }
 
@@ -128,5 +114,4 @@
 type AcceleratorKind struct {
 	Memory float64 // megabytes
 	Pace   float64 // factor of the time of a decode step
-	Read   float64 // factor of the time to read a prompt
 }
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -33,9 +33,9 @@
 type Store struct {
 	mu     sync.Mutex
 	topics map[string]*topic
-	faults map[string]Fault // by the caller's address; "" for all
-	calls  map[string]int   // by path
-	change chan struct{}    // closed at the next append
+	fault  Fault
+	calls  map[string]int // by path
+	change chan struct{}  // closed at the next append
 }
 
 type topic struct {
@@ -49,7 +49,7 @@
 func (s *Store) SetFault(fault Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.faults = map[string]Fault{"": fault}
+	s.fault = fault
 }
 
 // Calls returns how often a path was called.
@@ -122,7 +122,7 @@
 			s.calls = map[string]int{}
 		}
 		s.calls[r.URL.Path]++
-		fault := s.faults[""]
+		fault := s.fault
 		s.mu.Unlock()
 		switch fault {
 		case FaultBusy:
@@ -156,7 +156,7 @@
 	}
 	s.mu.Lock()
 	offset := s.append(name, body[4:])
-	lost := s.faults[""] == FaultLost
+	lost := s.fault == FaultLost
 	s.mu.Unlock()
 	if lost {
 		panic(http.ErrAbortHandler)
