relay: order again at once after a conflict

Cause: an engine that accepted orders of a former holder of the lease refuses those of a new one, which assumes none, with 409. The holder waited 1.5 s as if the order might still run, then left the engine alone for 10 s though nothing had moved.

Ruled out: dead engines (no stall is reported by any engine after second 32), missing layers (paths are found), the store (read throughout).

Change: a conflict has an error of its own; the engine is asked at once and the next round of 250 ms orders with its number. An engine rests after a move, not after an order.

--- a/cowslipd/relay/leaving_test.go
+++ b/cowslipd/relay/leaving_test.go
@@ -110,11 +110,38 @@
 	}
 }
 
+// recoverBound is the time after which requests must be served again once all
+// VMs lost power.
+const recoverBound = 12 * time.Second
+
+// Guards against layers that stay lost after a change of the lease's holder:
+// engines refuse orders of a holder that doesn't know how many they accepted.
+func TestNewHolderMovesEngines(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 2)
+	old := d.daemons
+	for _, one := range old {
+		one.stop()
+	}
+	for _, one := range old {
+		require.NoError(t, <-one.done)
+	}
+	for _, server := range d.fleet.Servers("scribe") {
+		if from, _ := server.Layers(); from == 0 {
+			server.Leave()
+		}
+	}
+	begin := time.Now()
+	for _, one := range old {
+		d.awaitReady(d.run(one.settings))
+	}
+	require.Less(t, time.Since(begin), recoverBound)
+}
+
 // Guards against a deployment that serves nothing after all daemons were
 // started anew.
 func TestAllDaemonsStartAnew(t *testing.T) {
 	t.Parallel()
-	const recoverBound = 12 * time.Second
 	d := deploy(t, 2)
 	orders := 0
 	for _, server := range d.fleet.Servers("scribe") {
--- a/cowslipd/relay/place.go
+++ b/cowslipd/relay/place.go
@@ -6,9 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/placer"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 const (
@@ -23,6 +26,9 @@
 	// unsureTime is how long an order without an answer may still be carried
 	// out before the engine is asked.
 	unsureTime = 1500 * time.Millisecond
+	// listTime is how long the list may take to show what an engine holds: three
+	// heartbeats of 1.2 s.
+	listTime = 4 * time.Second
 	// restTime is how long an engine keeps its layers before it is moved again.
 	restTime = 5 * time.Second
 	// loadSlack is added to the time that a load takes before it counts as failed.
@@ -58,12 +64,12 @@
 }
 
 // begin remembers an order and returns how many the engine accepted before it.
-// A former holder may have given others: then the engine refuses this one.
+// A former holder may have given others: then the engine refuses this one and
+// is asked for the number.
 func (s *placement) begin(engine cowslipproxy.Instance, order pending) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pending[engine.ID] = order
-	s.rest[engine.ID] = order.until.Add(restTime)
 	known := s.accepted[engine.ID]
 	if !known.born.Equal(engine.Born) {
 		known = orders{born: engine.Born}
@@ -150,10 +156,16 @@
 	if !ok {
 		return engine
 	}
-	if instance.Range == order.layers || !instance.Born.Equal(order.born) || now.After(order.until) {
+	if !instance.Born.Equal(order.born) || now.After(order.until) {
 		delete(s.pending, instance.ID)
 		return engine
 	}
+	if instance.Range == order.layers {
+		delete(s.pending, instance.ID)
+		s.rest[instance.ID] = now.Add(restTime)
+		engine.Fixed = true
+		return engine
+	}
 	engine.Range, engine.Fixed = order.layers, true
 	return engine
 }
@@ -180,34 +192,42 @@
 			return
 		}
 		reporter.EventOrderFailed.Log(ctx, d.Logger, slog.String("engine", engine.ID), slog.Any("error", err))
+		if !errors.Is(err, cowslipproxy.ErrConflict) && !waiter.Wait(ctx, unsureTime) {
+			return
+		}
 		d.inquire(ctx, state, engine)
 	}()
 }
 
 // inquire asks an engine for its state after an order that failed or got no
-// answer. The order may still be carried out.
+// answer.
 func (d *Daemon) inquire(ctx context.Context, state *placement, engine cowslipproxy.Instance) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-time.After(unsureTime):
-	}
 	found, err := d.Platform.Engines.State(ctx, engine)
-	now := d.Clock()
-	state.mu.Lock()
-	defer state.mu.Unlock()
 	if err != nil {
 		reporter.EventOrderFailed.Log(ctx, d.Logger, slog.String("engine", engine.ID), slog.Any("error", err))
-		delete(state.pending, engine.ID)
+		state.drop(engine)
 		return
 	}
-	order := state.pending[engine.ID]
-	state.accepted[engine.ID] = orders{born: engine.Born, count: found.Sequence}
-	if found.Busy {
-		return // what it loads shows in the list
-	}
-	if order.layers = found.Range; found.Range.Len() == 0 {
-		order.until = now
+	state.learn(d.Clock(), engine, found)
+}
+
+// drop forgets an order to an engine that doesn't answer.
+func (s *placement) drop(engine cowslipproxy.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pending, engine.ID)
+}
+
+// learn takes in what an engine says of itself, which is newer than the list.
+func (s *placement) learn(now time.Time, engine cowslipproxy.Instance, found cowslipproxy.EngineState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepted[engine.ID] = orders{born: engine.Born, count: found.Sequence}
+	delete(s.pending, engine.ID)
+	switch {
+	case found.Busy: // with an order that isn't known here; the list shows it when it is done
+		s.rest[engine.ID] = now.Add(restTime)
+	case found.Range.Len() > 0 && found.Range != engine.Range:
+		s.pending[engine.ID] = pending{layers: found.Range, born: engine.Born, until: now.Add(listTime)}
 	}
-	state.pending[engine.ID] = order
 }
--- a/relays.go
+++ b/relays.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Query is a caller's request that is relayed whole to an upstream.
@@ -87,12 +89,16 @@
 	Address netip.AddrPort
 }
 
+// ErrConflict says that an engine refused an order which doesn't fit its state.
+var ErrConflict = errors.New("the engine's state doesn't fit the order")
+
 // Operable is the control interface of engines that run paths among themselves.
 type Operable interface {
 	// State asks an engine for its state.
 	State(ctx context.Context, engine Instance) (EngineState, error)
 	// Place orders an engine to hold a range of layers. The sequence is the
 	// number of orders that it must have accepted; a negative one isn't checked.
+	// An engine that refuses the order gives ErrConflict.
 	Place(ctx context.Context, engine Instance, layers LayerRange, sequence int) error
 	// Repath replaces the engines of a request that runs at its first engine.
 	Repath(ctx context.Context, first Instance, request string, path []Hop) error
