pathfinder: avoid slow pipes, and change paths by the time to read anew

Between seconds 15 and 21 every request that got no event in 1.4 s crossed the same pipe, which had become slow; paths went on crossing it. Now a pipe is avoided for 2 to 8 s once requests over it are late in a row while others are in time; in an overload, where all are late, pipes stay in use. 2. When an engine died, its streams were moved to engines by their room for requests, over pipes too. Prompts that are read anew fill a pipe for 20 ms each, and streams that only cross it paused for 0.55 s. Stand-ins are now drawn by the time that they take to read, and crossing counts fivefold. 3. A changed path was refused with 409 when another engine of it gave up its layers; the whole request was then sent anew. That engine is replaced too.

Event 900 now names the path, the time to the first event and the longest pause, which is how these were found.

Moving all streams within their data centre: later than spread.

--- a/cowslipd/relay/place.go
+++ b/cowslipd/relay/place.go
@@ -192,7 +192,8 @@
 			return
 		}
 		reporter.EventOrderFailed.Log(ctx, d.Logger, slog.String("engine", engine.ID), slog.Any("error", err))
-		if !errors.Is(err, cowslipproxy.ErrConflict) && !waiter.Wait(ctx, unsureTime) {
+		var conflict *cowslipproxy.ConflictError
+		if !errors.As(err, &conflict) && !waiter.Wait(ctx, unsureTime) {
 			return
 		}
 		d.inquire(ctx, state, engine)
--- a/cowslipd/relay/streams_test.go
+++ b/cowslipd/relay/streams_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/platform"
 	"github.com/cowslipproxy/cowslipproxy/standin/worker"
 )
 
@@ -128,3 +130,41 @@
 		require.Equal(t, events(got.id, 1, 150), got.body)
 	}
 }
+
+// Guards against streams that begin anew, and read their whole prompt again,
+// since an engine of their path refuses to be named in a changed one: it gives
+// up its layers and only ends what passes through it.
+func TestPathChangesAroundAMovedEngine(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	var group sync.WaitGroup
+	results := make([]result, 8)
+	for i := range results {
+		group.Go(func() {
+			results[i] = d.send(d.daemons[0], query{path: letters + "1", tokens: 150, wait: 20 * time.Second})
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	engines := &platform.Engines{Transport: http.DefaultTransport}
+	moved := false
+	for _, server := range d.fleet.Servers("scribe") {
+		if from, _ := server.Layers(); from == 2*contract && !moved {
+			moved = true
+			to := cowslipproxy.LayerRange{First: contract, End: 2 * contract}
+			require.NoError(t, engines.Place(t.Context(), cowslipproxy.Instance{ID: server.ID, Address: server.Address}, to, server.Orders()))
+		}
+	}
+	time.Sleep(200 * time.Millisecond) // it gives up its layers at once and loads the others
+	for _, server := range d.fleet.Servers("scribe") {
+		if from, _ := server.Layers(); from == contract {
+			server.Misbehave(worker.KindStall)
+			break
+		}
+	}
+	group.Wait()
+	for _, got := range results {
+		require.NoError(t, got.err)
+		require.Equal(t, events(got.id, 1, 150), got.body)
+		require.Len(t, d.fleet.RunsOf(got.id), 1, "the request was sent anew")
+	}
+}
--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -41,6 +41,7 @@
 	order   []*engine // by id
 	flows   []flow
 	pipes   map[pair]float64 // parts of the pipes that the flows are planned to use
+	met     map[pair]*pipe   // what requests met that crossed the pipes
 }
 
 // engine is what is known of an engine.
@@ -73,6 +74,13 @@
 // First returns the engine that the request is sent to.
 func (p *Path) First() cowslipproxy.Hop { return p.Hops[0] }
 
+func (p *Path) steps() (all []step) {
+	for i, hop := range p.Hops {
+		all = append(all, step{p.engines[i], hop.Range})
+	}
+	return all
+}
+
 // Set takes in the engines that may get new work.
 func (f *Finder) Set(profile cowslipproxy.EngineProfile, instances []cowslipproxy.Instance) {
 	f.mu.Lock()
@@ -120,7 +128,7 @@
 	}
 	for i, found := 0, 0; i < len(f.flows) && found < tries; i++ {
 		candidate := &f.flows[(start+i*stride)%len(f.flows)]
-		if !usable(now, candidate, need) || !need.begins(candidate.steps[0].engine) {
+		if !usable(now, candidate, need) || f.crossesSlow(now, candidate.steps) || !need.begins(candidate.steps[0].engine) {
 			continue
 		}
 		found++
@@ -193,7 +201,7 @@
 			}
 		}
 		whole := cowslipproxy.LayerRange{First: 0, End: f.profile.Layers}
-		if steps := f.shortest(usable, whole, f.noisyLoad(now)); steps != nil {
+		if steps := f.shortest(usable, whole, f.decoding(f.noisyLoad(now))); steps != nil {
 			return steps
 		}
 	}
@@ -209,37 +217,7 @@
 		}
 		return use
 	}
-	return load{room: room, pipe: func(a, b string) float64 { return f.pipes[pairOf(a, b)] }}
-}
-
-// Mend returns the path with other engines in place of the one at an address,
-// or false if that is the first engine or nothing can stand in for it.
-func (f *Finder) Mend(now time.Time, path *Path, address netip.AddrPort) (*Path, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	at := slices.IndexFunc(path.Hops, func(hop cowslipproxy.Hop) bool { return hop.Address == address })
-	if at <= 0 {
-		return nil, false
-	}
-	var usable []*engine
-	for _, e := range f.order {
-		if !now.Before(e.suspect) && !slices.Contains(path.engines, e) {
-			usable = append(usable, e)
-		}
-	}
-	steps := f.shortest(usable, path.Hops[at].Range, f.noisyLoad(now))
-	if steps == nil {
-		return nil, false
-	}
-	var all []step
-	for i, hop := range path.Hops {
-		if i == at {
-			all = append(all, steps...)
-			continue
-		}
-		all = append(all, step{path.engines[i], hop.Range})
-	}
-	return newPath(all, Need{Tokens: int(path.tokens)}), true
+	return load{room: room, pipe: func(a, b string) float64 { return f.pipes[pairOf(a, b)] }, slow: func(a, b string) bool { return f.isSlow(now, a, b) }}
 }
 
 func newPath(steps []step, need Need) *Path {
@@ -287,16 +265,16 @@
 	}
 }
 
-// Suspect returns the first engine of a path that is suspected.
-func (f *Finder) Suspect(now time.Time, path *Path) (netip.AddrPort, bool) {
+// Suspects returns the engines of a path that are suspected.
+func (f *Finder) Suspects(now time.Time, path *Path) (found []netip.AddrPort) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range path.engines {
 		if now.Before(e.suspect) {
-			return e.Address, true
+			found = append(found, e.Address)
 		}
 	}
-	return netip.AddrPort{}, false
+	return found
 }
 
 // Broken takes in that an engine refused work or broke off.
--- a/pathfinder/flow.go
+++ b/pathfinder/flow.go
@@ -41,6 +41,27 @@
 type load struct {
 	room func(*engine) float64
 	pipe func(a, b string) float64
+	slow func(a, b string) bool // whether requests met a slow pipe; nil for no
+}
+
+// weights are the costs that a search adds up, in milliseconds.
+type weights struct {
+	layer    func(*engine) float64     // of one layer
+	crossing func(a, b string) float64 // from one data centre to another
+	from     string                    // data centre that the work comes from; empty for none
+}
+
+// decoding weighs the time of decode steps.
+func (f *Finder) decoding(use load) weights {
+	return weights{
+		layer: func(e *engine) float64 { return f.layerCost(e, use.room(e)) },
+		crossing: func(a, b string) float64 {
+			if use.slow != nil && use.slow(a, b) {
+				return slowCrossing
+			}
+			return crossCost * math.Exp(steep*use.pipe(a, b))
+		},
+	}
 }
 
 // pair names the pipe between two data centres.
@@ -75,7 +96,7 @@
 	}
 	var flows []flow
 	for range flowCount {
-		steps := f.shortest(engines, cowslipproxy.LayerRange{First: 0, End: f.profile.Layers}, planned)
+		steps := f.shortest(engines, cowslipproxy.LayerRange{First: 0, End: f.profile.Layers}, f.decoding(planned))
 		if steps == nil {
 			return nil
 		}
@@ -102,7 +123,7 @@
 
 // shortest returns the cheapest path over the layers, or nil. An engine may run
 // any part of its layers between two boundaries of other engines' ranges.
-func (f *Finder) shortest(engines []*engine, layers cowslipproxy.LayerRange, use load) []step {
+func (f *Finder) shortest(engines []*engine, layers cowslipproxy.LayerRange, w weights) []step {
 	bounds, centres := axes(engines, layers)
 	table := make([]reached, len(bounds)*len(centres))
 	for i := range table {
@@ -112,20 +133,26 @@
 	for i, a := range centres {
 		for j, b := range centres {
 			if i != j {
-				crossings[i*len(centres)+j] = crossCost * math.Exp(steep*use.pipe(a, b))
+				crossings[i*len(centres)+j] = w.crossing(a, b)
 			}
 		}
 	}
+	starts := make([]float64, len(centres))
+	for i, centre := range centres {
+		if w.from != "" && w.from != centre {
+			starts[i] = w.crossing(w.from, centre)
+		}
+	}
 	costs := make([]float64, len(engines))
 	for i, e := range engines {
-		costs[i] = f.layerCost(e, use.room(e))
+		costs[i] = w.layer(e)
 	}
 	for at := range len(bounds) - 1 {
 		for i, e := range engines {
 			if e.Range.First > bounds[at] || e.Range.End <= bounds[at] {
 				continue
 			}
-			extend(table, grid{bounds, centres, crossings}, at, e, costs[i])
+			extend(table, grid{bounds, centres, crossings, starts}, at, e, costs[i])
 		}
 	}
 	return backtrack(table, bounds, centres)
@@ -164,6 +191,7 @@
 	bounds    []int
 	centres   []string
 	crossings []float64 // cost from one data centre to another
+	starts    []float64 // cost to begin in a data centre
 }
 
 // extend tries an engine from a boundary on, up to each boundary that it reaches.
@@ -172,7 +200,7 @@
 	centre := slices.Index(centres, e.Centre)
 	start, before := math.Inf(1), -1
 	if at == 0 {
-		start = 0
+		start = g.starts[centre]
 	}
 	for c := range centres {
 		if at == 0 {
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -22,12 +22,18 @@
 	inspectGap = 200 * time.Millisecond
 	// giveUpAfter is how long a run may give no event. Callers leave after 2 s.
 	giveUpAfter = 1400 * time.Millisecond
+	// mendTries bounds how often a path is changed before the request is sent
+	// anew: each time another engine of it may refuse.
+	mendTries = 3
 	// mendTime is how long a run may take to go on after its path was changed:
 	// the new engines read all tokens so far.
 	mendTime = 500 * time.Millisecond
 )
 
-var errStalled = errors.New("no event in time")
+var (
+	errStalled = errors.New("no event in time")
+	errSlow    = errors.New("no event in time over a slow pipe")
+)
 
 // run is one try of a streamed request at its engines. A timer watches for
 // events and has the path changed when an engine of it died.
@@ -37,19 +43,21 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 
-	mu    sync.Mutex
-	path  *pathfinder.Path
-	since time.Time // of the last event, or of the start
-	seen  int       // events of this run
-	watch *time.Timer
-	ended bool
+	mu      sync.Mutex
+	path    *pathfinder.Path
+	since   time.Time // of the last event, or of the start
+	started time.Time
+	seen    int // events of this run
+	watch   *time.Timer
+	ended   bool
 }
 
 func (s *streaming) begin(ctx context.Context, finder *pathfinder.Finder, path *pathfinder.Path) *run {
-	r := &run{streaming: s, finder: finder, path: path, since: s.Clock()}
+	r := &run{streaming: s, finder: finder, path: path, started: s.Clock()}
+	r.since = r.started
 	r.ctx, r.cancel = context.WithCancelCause(ctx)
 	finder.Begin(path)
-	r.watch = time.AfterFunc(s.route.Target, r.inspect)
+	r.watch = time.AfterFunc(r.askLimit(0), r.inspect)
 	return r
 }
 
@@ -68,11 +76,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.since = r.Clock()
-	r.seen++
-	r.watch.Reset(r.pauseLimit())
+	if r.seen++; r.seen == 1 && r.since.Sub(r.started) < r.route.Target {
+		r.finder.InTime(r.since, r.path)
+	}
+	r.watch.Reset(r.askLimit(r.seen))
 }
 
-func (r *run) pauseLimit() time.Duration {
+// askLimit is how long a run gives no event before its first engine is asked.
+func (r *run) askLimit(seen int) time.Duration {
+	if seen == 0 {
+		return r.route.Target
+	}
 	return max(time.Duration(pausePatience*float64(r.route.Pause)), inspectGap)
 }
 
@@ -85,26 +99,39 @@
 	if r.ctx.Err() != nil {
 		return
 	}
-	culprit, found := r.finder.Suspect(now, path)
-	if !found {
-		culprit, found = r.ask(path)
-	}
+	silence := now.Sub(since)
+	culprits := r.culprits(now, path)
 	switch {
-	case !found && now.Sub(since) < giveUpAfter:
-		r.rearm(since, min(max(now.Sub(since), inspectGap), giveUpAfter-now.Sub(since)+time.Millisecond))
-	case !found:
-		r.cancel(errStalled)
-	default:
+	case len(culprits) > 0:
 		reporter.Count(r.Metrics, reporter.MetricStalls)
 		reporter.EventStalled.Log(r.ctx, r.Logger, slog.String("request", r.query.ID), slog.Int("events", seen),
-			slog.String("engine", culprit.String()), slog.Duration("pause", now.Sub(since)))
-		r.finder.Broken(now, culprit)
-		if !r.mend(path, culprit) {
+			slog.Any("engines", culprits), slog.Duration("pause", silence))
+		for _, culprit := range culprits {
+			r.finder.Broken(now, culprit)
+		}
+		if !r.mend(path, culprits) {
 			r.cancel(errStalled)
 		}
+	case silence >= giveUpAfter:
+		r.cancel(errStalled)
+	case r.finder.Late(now, path) && seen == 0:
+		r.cancel(errSlow)
+	default:
+		r.rearm(since, min(max(silence, inspectGap), giveUpAfter-silence+time.Millisecond))
 	}
 }
 
+// culprits returns the engines that a run waits for in vain.
+func (r *run) culprits(now time.Time, path *pathfinder.Path) []netip.AddrPort {
+	if suspects := r.finder.Suspects(now, path); len(suspects) > 0 {
+		return suspects
+	}
+	if culprit, found := r.ask(path); found {
+		return []netip.AddrPort{culprit}
+	}
+	return nil
+}
+
 // rearm lets the next question come later, unless an event came meanwhile.
 func (r *run) rearm(since time.Time, wait time.Duration) {
 	r.mu.Lock()
@@ -132,16 +159,27 @@
 	return netip.AddrPort{}, false
 }
 
-// mend puts other engines in the place of one that died.
-func (r *run) mend(path *pathfinder.Path, culprit netip.AddrPort) bool {
-	mended, ok := r.finder.Mend(r.Clock(), path, culprit)
-	if !ok {
-		return false
-	}
+// mend puts other engines in the place of those that died. Others of the path
+// may refuse to stay in it since they give up layers: they are replaced too.
+func (r *run) mend(path *pathfinder.Path, culprits []netip.AddrPort) bool {
 	first := path.First()
-	if err := r.Engines.Repath(r.ctx, cowslipproxy.Instance{ID: first.Instance, Address: first.Address}, r.query.ID, mended.Hops); err != nil {
+	var mended *pathfinder.Path
+	for try := 1; ; try++ {
+		var ok bool
+		if mended, ok = r.finder.Mend(r.Clock(), path, culprits); !ok {
+			return false
+		}
+		err := r.Engines.Repath(r.ctx, cowslipproxy.Instance{ID: first.Instance, Address: first.Address}, r.query.ID, mended.Hops)
+		if err == nil {
+			break
+		}
 		reporter.EventOrderFailed.Log(r.ctx, r.Logger, slog.String("engine", first.Instance), slog.Any("error", err))
-		return false
+		var conflict *cowslipproxy.ConflictError
+		if !errors.As(err, &conflict) || !conflict.Address.IsValid() || try == mendTries {
+			return false
+		}
+		r.finder.Full(r.Clock(), conflict.Address)
+		culprits = append(culprits, conflict.Address)
 	}
 	reporter.Count(r.Metrics, reporter.MetricMends)
 	r.mu.Lock()
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -73,8 +75,12 @@
 	priority int
 	deadline time.Time
 	version  uint64
-	tries    int // servers that the request was sent to
-	status   int // that the caller got; 0 for none
+	tries    int                // servers that the request was sent to
+	status   int                // that the caller got; 0 for none
+	path     []cowslipproxy.Hop // of the last try
+	events   int                // of a stream that the caller got
+	first    time.Duration      // from its arrival to the first event
+	pause    time.Duration      // longest between two events
 }
 
 // ServeHTTP implements http.Handler.
@@ -197,9 +203,19 @@
 	reporter.EventRelayed.Log(ctx, x.Logger,
 		slog.String("request", x.query.ID), slog.String("route", x.route.Name), slog.Uint64("version", x.version),
 		slog.Int("tries", x.tries), slog.Int("status", x.status), slog.Duration("took", took),
+		slog.String("path", pathText(x.path)), slog.Int("events", x.events), slog.Duration("first", x.first), slog.Duration("pause", x.pause),
 		slog.String("outcome", string(outcome)), slog.String("reason", string(reason)), slog.String("message", message))
 }
 
+// pathText names a path's engines and the layers that each runs.
+func pathText(path []cowslipproxy.Hop) string {
+	var text strings.Builder
+	for _, hop := range path {
+		fmt.Fprintf(&text, " %s%s", hop.Address, hop.Range)
+	}
+	return strings.TrimSpace(text.String())
+}
+
 // fail returns the failure of a request whose last try may have run.
 func (x *exchange) fail(ctx context.Context, err error) *cowslipproxy.Failure {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -36,11 +36,11 @@
 // streaming relays a request that engines run on a path.
 type streaming struct {
 	*exchange
-	last   string   // id of the last event that the caller got
-	events int      // that the caller got
-	runs   int      // runs that engines may have begun
-	begun  []string // first engines that the request was sent to
-	avoid  []string // first engines that broke off
+	last  string    // id of the last event that the caller got
+	runs  int       // runs that engines may have begun
+	begun []string  // first engines that the request was sent to
+	avoid []string  // first engines that broke off
+	at    time.Time // of the last event
 }
 
 // run sends the request until an engine has ended the answer or no further try
@@ -132,6 +132,7 @@
 	r := s.begin(ctx, finder, path)
 	defer r.end()
 	first := path.First()
+	s.path = path.Hops
 	got, err := s.send(r.ctx, cowslipproxy.Dispatch{Instance: first.Instance, Address: first.Address, Path: path.Hops, Last: s.last})
 	switch {
 	case err == nil && got.StatusCode == http.StatusOK:
@@ -207,13 +208,24 @@
 	}
 }
 
+// time takes in when an event went to the caller.
+func (s *streaming) time(now time.Time) {
+	if s.events == 0 {
+		s.first = now.Sub(s.query.Arrived)
+		reporter.Times(s.Metrics, reporter.MetricFirst).Update(int64(s.first))
+	} else {
+		s.pause = max(s.pause, now.Sub(s.at))
+	}
+	s.events++
+	s.at = now
+}
+
 // pass hands one event to the caller, and the head before the first one.
 func (s *streaming) pass(got answered, next event) error {
 	if s.status == 0 {
 		s.copyHeader(got.Header)
 		s.w.Header().Del("Content-Length")
 		s.status = got.StatusCode
-		reporter.Times(s.Metrics, reporter.MetricFirst).Update(int64(s.Clock().Sub(s.query.Arrived)))
 		s.w.WriteHeader(s.status)
 	}
 	if len(next.data) == 0 {
@@ -225,7 +237,7 @@
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
 		return errors.Wrap(err, "caller")
 	}
-	s.events++
+	s.time(s.Clock())
 	if next.id != "" {
 		s.last = next.id
 	}
--- a/relays.go
+++ b/relays.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"net/netip"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // Query is a caller's request that is relayed whole to an upstream.
@@ -89,8 +87,19 @@
 	Address netip.AddrPort
 }
 
-// ErrConflict says that an engine refused an order which doesn't fit its state.
-var ErrConflict = errors.New("the engine's state doesn't fit the order")
+// ConflictError says that an engine refused an order which doesn't fit its
+// state, or the state of another engine that the order names.
+type ConflictError struct {
+	Address netip.AddrPort // of the other engine; zero if there is none
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	if e.Address.IsValid() {
+		return "the order doesn't fit the state of " + e.Address.String()
+	}
+	return "the order doesn't fit the engine's state"
+}
 
 // Operable is the control interface of engines that run paths among themselves.
 type Operable interface {
@@ -98,8 +107,9 @@
 	State(ctx context.Context, engine Instance) (EngineState, error)
 	// Place orders an engine to hold a range of layers. The sequence is the
 	// number of orders that it must have accepted; a negative one isn't checked.
-	// An engine that refuses the order gives ErrConflict.
+	// The error is a ConflictError if the engine refused the order.
 	Place(ctx context.Context, engine Instance, layers LayerRange, sequence int) error
-	// Repath replaces the engines of a request that runs at its first engine.
+	// Repath replaces the engines of a request that runs at its first engine. The
+	// error is a ConflictError if one of them refuses new work.
 	Repath(ctx context.Context, first Instance, request string, path []Hop) error
 }
--- a/routes.go
+++ b/routes.go
@@ -97,6 +97,9 @@
 	LayerSize  float64 // megabytes
 	TokenSize  float64 // bytes of KV cache of one token in all layers
 	Step       time.Duration
+	Reading    float64 // tokens per second that an engine with all layers reads
+	Chunk      int     // most tokens that are read in one step
+	Stride     int     // steps between two reads
 	Prompt     int     // mean prompt, in tokens
 	Answer     int     // mean answer, in tokens
 	Activation float64 // bytes that a token sends to the next engine
@@ -114,4 +117,5 @@
 type AcceleratorKind struct {
 	Memory float64 // megabytes
 	Pace   float64 // factor of the time of a decode step
+	Read   float64 // factor of the time to read tokens
 }
