throttler: bound the requests that wait for their first event

Cause: engines share their reading among all prompts that they have. After all daemons were started anew some 400 requests came at once, each prompt was read too slowly to be done before its caller left after 2 s, callers came again, and the overload kept itself up for 5 to 10 s.

Each daemon now bounds the requests that wait at engines. The bound grows by one for each round of first events that come within 0.6 of the route's target and shrinks to 0.7 when they are late. Others wait in the daemon by urgency and age for at most 2.4 targets; a request that would wait longer is refused at once, and returns are spread over the time that callers wait. Streams that resume go at once.

A fault found on the way by TestPathChangesAroundAMovedEngine: the wait for layers to be loaded counted as time at engines, so that a daemon refused requests after its start. It is measured from the send now (TestWaitForLayersIsNoOverload).

--- a/cowslipd/relay/pools.go
+++ b/cowslipd/relay/pools.go
@@ -12,6 +12,7 @@
 	"github.com/cowslipproxy/cowslipproxy/pathfinder"
 	"github.com/cowslipproxy/cowslipproxy/picker"
 	"github.com/cowslipproxy/cowslipproxy/retrier"
+	"github.com/cowslipproxy/cowslipproxy/throttler"
 )
 
 // pools holds what is known of each service's upstreams.
@@ -19,12 +20,13 @@
 	centre   string
 	settings loader.Relay
 
-	mu      sync.Mutex
-	daemons int       // that share the budgets; 0 while not known
-	counted time.Time // when that many were last seen
-	pickers map[string]*picker.Picker
-	finders map[string]*pathfinder.Finder
-	budgets map[string]*retrier.Retrier
+	mu         sync.Mutex
+	daemons    int       // that share the budgets; 0 while not known
+	counted    time.Time // when that many were last seen
+	pickers    map[string]*picker.Picker
+	finders    map[string]*pathfinder.Finder
+	budgets    map[string]*retrier.Retrier
+	throttlers map[string]*throttler.Throttler
 }
 
 func source() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
@@ -90,6 +92,11 @@
 	})
 }
 
+// Throttler implements relayer.Upstreams.
+func (p *pools) Throttler(service string) *throttler.Throttler {
+	return entryOf(p, &p.throttlers, service, func() *throttler.Throttler { return &throttler.Throttler{} })
+}
+
 // Budget implements relayer.Upstreams. Each daemon may spend its part of the
 // retries that are allowed to all.
 func (p *pools) Budget(service string) *retrier.Retrier {
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -23,6 +23,7 @@
 	"github.com/cowslipproxy/cowslipproxy/picker"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/retrier"
+	"github.com/cowslipproxy/cowslipproxy/throttler"
 )
 
 const (
@@ -42,6 +43,7 @@
 	Picker(service string) *picker.Picker
 	Finder(service string) *pathfinder.Finder
 	Budget(service string) *retrier.Retrier
+	Throttler(service string) *throttler.Throttler
 }
 
 // Server relays requests. Its exported fields are set before the first use.
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -16,6 +16,7 @@
 	"github.com/cowslipproxy/cowslipproxy/pathfinder"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/retrier"
+	"github.com/cowslipproxy/cowslipproxy/throttler"
 	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
@@ -36,17 +37,23 @@
 // streaming relays a request that engines run on a path.
 type streaming struct {
 	*exchange
-	last  string    // id of the last event that the caller got
-	runs  int       // runs that engines may have begun
-	begun []string  // first engines that the request was sent to
-	avoid []string  // first engines that broke off
-	at    time.Time // of the last event
+	last  string           // id of the last event that the caller got
+	runs  int              // runs that engines may have begun
+	begun []string         // first engines that the request was sent to
+	avoid []string         // first engines that broke off
+	at    time.Time        // of the last event
+	place *throttler.Place // until the first event
 }
 
 // run sends the request until an engine has ended the answer or no further try
 // is allowed.
 func (s *streaming) run(ctx context.Context) *cowslipproxy.Failure {
 	s.last = s.query.Last
+	var failure *cowslipproxy.Failure
+	if failure = s.enter(ctx); failure != nil {
+		return failure
+	}
+	defer func() { s.Upstreams.Throttler(s.service.Name).Leave(s.Clock(), s.bounds(), s.place) }()
 	finder := s.Upstreams.Finder(s.service.Name)
 	var err error
 	for sends := 1; ; sends++ {
@@ -133,6 +140,7 @@
 	defer r.end()
 	first := path.First()
 	s.path = path.Hops
+	s.Upstreams.Throttler(s.service.Name).Start(s.Clock(), s.place)
 	got, err := s.send(r.ctx, cowslipproxy.Dispatch{Instance: first.Instance, Address: first.Address, Path: path.Hops, Last: s.last})
 	switch {
 	case err == nil && got.StatusCode == http.StatusOK:
@@ -211,6 +219,7 @@
 // time takes in when an event went to the caller.
 func (s *streaming) time(now time.Time) {
 	if s.events == 0 {
+		s.Upstreams.Throttler(s.service.Name).First(now, s.bounds(), s.place)
 		s.first = now.Sub(s.query.Arrived)
 		reporter.Times(s.Metrics, reporter.MetricFirst).Update(int64(s.first))
 	} else {
--- /dev/null
+++ b/relayer/waiting.go
@@ -0,0 +1,64 @@
+package relayer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/throttler"
+)
+
+const (
+	// aimShare is the part of a route's target for the first event after which an
+	// event shows an overload. The rest is for the wait in the daemon.
+	aimShare = 0.6
+	// patienceShare is how long a request waits for its turn, in parts of the
+	// route's target. Callers leave after four times the target.
+	patienceShare = 2.4
+	// backShare is the longest time that callers honour in Retry-After, in parts of
+	// the time that they have left.
+	backShare = 1.0 / 3
+	// backLimit bounds the Retry-After; overloads by a surge end within seconds.
+	backLimit = 4 * time.Second
+)
+
+// bounds returns how the wait for the first event is limited.
+func (s *streaming) bounds() throttler.Bounds {
+	return throttler.Bounds{
+		Aim:      time.Duration(aimShare * float64(s.route.Target)),
+		Patience: time.Duration(patienceShare * float64(s.route.Target)),
+	}
+}
+
+// enter waits until the request may go to engines.
+func (s *streaming) enter(ctx context.Context) *cowslipproxy.Failure {
+	throttle := s.Upstreams.Throttler(s.service.Name)
+	bounds := s.bounds()
+	var wait time.Duration
+	if s.place, wait = throttle.Enter(bounds, s.priority, s.query.Last != ""); s.place == nil {
+		return s.comeBack(wait)
+	}
+	patience := time.NewTimer(min(bounds.Patience, s.left()))
+	defer patience.Stop()
+	select {
+	case <-s.place.Ready:
+		return nil
+	case <-ctx.Done():
+		throttle.Leave(s.Clock(), bounds, s.place)
+		return s.giveUp(ctx, ctx.Err())
+	case <-patience.C:
+		throttle.Leave(s.Clock(), bounds, s.place)
+		return s.comeBack(0)
+	}
+}
+
+// comeBack refuses a request that didn't run, and spreads the returns over the
+// time that callers wait.
+func (s *streaming) comeBack(wait time.Duration) *cowslipproxy.Failure {
+	reporter.Count(s.Metrics, reporter.MetricThrottled)
+	longest := min(backLimit, time.Duration(backShare*float64(s.left())))
+	wait = min(wait/2+rand.N(max(longest, 1)), longest)
+	return cowslipproxy.Refuse(cowslipproxy.ReasonOverloaded, "too many requests wait for engines").After(max(wait, time.Millisecond))
+}
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -46,15 +46,16 @@
 	MetricReady   = "follower.ready"       // 1 if the daemon has a configuration, else 0
 	MetricListAge = "lister.age.seconds"   // age of the list of VMs; -1 before the first answer
 
-	MetricNotRun  = "relayer.notrun"     // tries that an upstream provably didn't run
-	MetricStalls  = "relayer.stalls"     // streams that waited for an engine
-	MetricMends   = "relayer.mends"      // paths that were changed under a stream
-	MetricResumes = "relayer.resumes"    // streams that went on at another engine
-	MetricVersion = "relay.version"      // version of the configuration in force
-	MetricAge     = "relay.list.seconds" // age of the list of upstreams
-	MetricLive    = "relay.upstreams"    // upstreams that may get new work
-	MetricReader  = "relay.reader"       // 1 if the daemon reads the store for its data centre, else 0
-	MetricLeader  = "relay.leader"       // 1 if the daemon places layers, else 0
+	MetricNotRun    = "relayer.notrun"     // tries that an upstream provably didn't run
+	MetricThrottled = "relayer.throttled"  // requests that were refused since too many waited for engines
+	MetricStalls    = "relayer.stalls"     // streams that waited for an engine
+	MetricMends     = "relayer.mends"      // paths that were changed under a stream
+	MetricResumes   = "relayer.resumes"    // streams that went on at another engine
+	MetricVersion   = "relay.version"      // version of the configuration in force
+	MetricAge       = "relay.list.seconds" // age of the list of upstreams
+	MetricLive      = "relay.upstreams"    // upstreams that may get new work
+	MetricReader    = "relay.reader"       // 1 if the daemon reads the store for its data centre, else 0
+	MetricLeader    = "relay.leader"       // 1 if the daemon places layers, else 0
 
 	MetricMembers     = "gossiper.members" // entry daemons that answer, this one included
 	MetricMembersDown = "gossiper.down"    // entry daemons that give no heartbeats
