--- a/cowslipd/router/admit.go
+++ b/cowslipd/router/admit.go
@@ -11,6 +11,7 @@
 	"github.com/cowslipproxy/cowslipproxy/driver"
 	"github.com/cowslipproxy/cowslipproxy/limiter"
 	"github.com/cowslipproxy/cowslipproxy/quarantiner"
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 const (
@@ -68,17 +69,12 @@
 func (a *admission) awaitSuspect(ctx context.Context, request limiter.Request) *cowslipproxy.Failure {
 	ctx, cancel := context.WithTimeout(ctx, suspectWait)
 	defer cancel()
-	for {
-		failure := a.quarantine(a.clock(), request)
-		if failure == nil || failure.RetryAfter > time.Second {
-			return failure
-		}
-		select {
-		case <-ctx.Done():
-			return failure
-		case <-time.After(holdBackPoll):
-		}
-	}
+	var failure *cowslipproxy.Failure
+	waiter.Until(ctx, holdBackPoll, func() bool {
+		failure = a.quarantine(a.clock(), request)
+		return failure == nil || failure.RetryAfter > time.Second
+	})
+	return failure
 }
 
 // admitCall admits a call to a plain service, which has no tokens to count.
--- a/cowslipd/router/quarantine.go
+++ b/cowslipd/router/quarantine.go
@@ -16,6 +16,7 @@
 	"github.com/cowslipproxy/cowslipproxy/pooler"
 	"github.com/cowslipproxy/cowslipproxy/quarantiner"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 const (
@@ -124,12 +125,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, holdBack)
 	defer cancel()
-	for !r.quarantiner.Known(r.Clock(), mark) && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(holdBackPoll):
-		}
-	}
+	waiter.Until(ctx, holdBackPoll, func() bool { return r.quarantiner.Known(r.Clock(), mark) })
 }
 
 // spreadSuspects sends records to the daemons that lack them.
--- /dev/null
+++ b/standin/slopes_changes.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"runtime"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/resolver"
+)
+
+// changeHandler notes when a configuration comes into force, counts warnings, and
+// drops all else.
+type changeHandler struct {
+	fleet  *fleet
+	number int
+}
+
+func (h *changeHandler) Enabled(_ context.Context, level slog.Level) bool {
+	return level >= slog.LevelInfo
+}
+func (h *changeHandler) WithAttrs([]slog.Attr) slog.Handler { return h }
+func (h *changeHandler) WithGroup(string) slog.Handler      { return h }
+
+func (h *changeHandler) Handle(_ context.Context, record slog.Record) error {
+	if record.Level >= slog.LevelWarn {
+		h.fleet.warned(record.Message)
+	}
+	if record.Message != reporter.EventConfigChanged.Text {
+		return nil
+	}
+	now := time.Now()
+	record.Attrs(func(attr slog.Attr) bool {
+		if attr.Key == "offset" {
+			h.fleet.mu.Lock()
+			h.fleet.force[h.number][attr.Value.Uint64()] = now
+			h.fleet.mu.Unlock()
+		}
+		return true
+	})
+	return nil
+}
+
+// inForce returns when an offset, or a later one, came into force on the last
+// daemon; false while one is missing.
+func (f *fleet) inForce(offset uint64) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var last time.Time
+	for _, offsets := range f.force {
+		var first time.Time
+		for at, when := range offsets {
+			if at >= offset && (first.IsZero() || when.Before(first)) {
+				first = when
+			}
+		}
+		if first.IsZero() {
+			return last, false
+		}
+		if first.After(last) {
+			last = first
+		}
+	}
+	return last, true
+}
+
+func (f *fleet) await(ctx context.Context, offset uint64) (time.Time, error) {
+	limit := time.Now().Add(readyTime)
+	for time.Now().Before(limit) {
+		if at, ok := f.inForce(offset); ok {
+			return at, nil
+		}
+		if failed := f.failed.Load(); failed != nil {
+			return time.Time{}, errors.Wrap(*failed, "a daemon ended")
+		}
+		if err := pause(ctx, 5*time.Millisecond); err != nil {
+			return time.Time{}, err
+		}
+	}
+	return time.Time{}, errors.Errorf("offset %d is not in force on all daemons after %v", offset, readyTime)
+}
+
+func customer(number int) cowslipproxy.Customer {
+	keys := make([]string, keysEach)
+	for i := range keys {
+		keys[i] = fmt.Sprintf("%064x", number*keysEach+i+1)
+	}
+	return cowslipproxy.Customer{Name: fmt.Sprintf("customer-%04d", number), Keys: keys, Class: cowslipproxy.ClassNormal, Rate: 1e6, Burst: 1e6}
+}
+
+// change appends a version of a customer.
+func (f *fleet) change(ctx context.Context, number int, base uint64) (uint64, error) {
+	var data []byte
+	var err error
+	if data, err = changeRecord(number, base); err != nil {
+		return 0, err
+	}
+	return f.log.Append(ctx, cowslipproxy.StreamConfig, data)
+}
+
+func changeRecord(number int, base uint64) ([]byte, error) {
+	subject := customer(number)
+	subject.Rate += float64(base)
+	var body []byte
+	var err error
+	if body, err = resolver.Encode(subject); err != nil {
+		return nil, err
+	}
+	return resolver.Encode(resolver.Change{
+		Kind: resolver.KindChange, ID: fmt.Sprintf("%032d", uint64(number)<<32+base),
+		Scope: cowslipproxy.ScopeCustomer + subject.Name, Base: base, Body: json.RawMessage(body),
+	})
+}
+
+// changes appends changes for some time and returns how long each took to be in
+// force on the last daemon.
+func (f *fleet) changes(ctx context.Context) ([]time.Duration, error) {
+	accepted := map[uint64]time.Time{}
+	ticker := time.NewTicker(changeEvery)
+	defer ticker.Stop()
+	for base := uint64(1); base <= uint64(changeTime/changeEvery); base++ {
+		var offset uint64
+		var err error
+		if offset, err = f.change(ctx, 0, base); err != nil {
+			return nil, err
+		}
+		accepted[offset] = time.Now()
+		<-ticker.C
+	}
+	var delays []time.Duration
+	for offset, at := range accepted {
+		var last time.Time
+		var err error
+		if last, err = f.await(ctx, offset); err != nil {
+			return nil, err
+		}
+		delays = append(delays, last.Sub(at))
+	}
+	return delays, nil
+}
+
+func median(values []time.Duration) time.Duration {
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// measureChanges measures how the work of a change grows with the scopes in force.
+func measureChanges(ctx context.Context) (*table, error) {
+	result := &table{
+		Name:    "Configuration by number of customers",
+		Note:    "Direct calls of `resolver`. A change is folded and the configuration is built again, as a daemon does for each batch of records.",
+		Columns: []string{"customers", "record B", "us a change", "KB each scope", "snapshot KB", "snapshot ms"},
+	}
+	for _, count := range []int{10, 100, 3700} {
+		if err := measureScopes(count, result); err != nil {
+			return nil, err
+		}
+	}
+	return result, ctx.Err()
+}
+
+func measureScopes(count int, result *table) error {
+	before := memory()
+	r := &resolver.Resolver{}
+	next, size := uint64(0), 0
+	fold := func() error {
+		var data []byte
+		var err error
+		if data, err = changeRecord(int(next)%count, next/uint64(count)); err != nil {
+			return err
+		}
+		size = len(data)
+		_, err = r.Fold(cowslipproxy.Batch{Next: next + 1, Entries: []cowslipproxy.Entry{{Offset: next, Data: data}}}, time.Now())
+		next++
+		return err
+	}
+	for range count {
+		if err := fold(); err != nil {
+			return err
+		}
+	}
+	_ = r.Settled()
+	held := (memory() - before) / float64(count) / 1000
+	var failed error
+	took := timed(func() {
+		if err := fold(); err != nil {
+			failed = err
+		}
+		_ = r.Settled()
+	})
+	if failed != nil {
+		return failed
+	}
+	var parts []resolver.Part
+	snapshot := timed(func() { parts, failed = r.Snapshot("s") })
+	var whole int
+	var err error
+	if whole, err = encodedSize(parts); err != nil {
+		return err
+	}
+	result.add(count, size, microseconds(took), held, float64(whole)/1000, milliseconds(snapshot))
+	runtime.KeepAlive(r)
+	return failed
+}
+
+func encodedSize(parts []resolver.Part) (int, error) {
+	size := 0
+	for _, part := range parts {
+		var data []byte
+		var err error
+		if data, err = resolver.Encode(part); err != nil {
+			return 0, err
+		}
+		size += len(data)
+	}
+	return size, nil
+}
--- a/waiter/waiter.go
+++ b/waiter/waiter.go
@@ -1,4 +1,4 @@
-// Package waiter waits for a time that a context may cut short.
+// Package waiter waits for a time, or for a condition, until a context ends.
 package waiter
 
 import (
@@ -17,3 +17,14 @@
 		return true
 	}
 }
+
+// Until asks for a condition again and again, and reports whether it held before
+// the context ended.
+func Until(ctx context.Context, period time.Duration, holds func() bool) bool {
+	for !holds() {
+		if !Wait(ctx, period) {
+			return false
+		}
+	}
+	return true
+}
