relayer: log avoided pipes, and the inputs of a refusal

A decision to avoid a pipe changed what a daemon believes without a line: event 911 names the data centres, the late requests and those elsewhere. A refusal by the bound on waiting requests names its inputs.

--- a/pathfinder/pipes.go
+++ b/pathfinder/pipes.go
@@ -31,12 +31,22 @@
 	span  time.Duration // that it was last avoided for
 }
 
-func (p *pipe) late(now time.Time) {
+// late counts a late request and reports whether the pipe is avoided from now on.
+func (p *pipe) late(now time.Time) bool {
 	if p.lates++; p.lates < lateLimit || p.other > otherLimit || now.Before(p.until) {
-		return
+		return false
 	}
 	p.span = min(max(2*p.span, shortAvoid), longAvoid)
 	p.until = now.Add(p.span)
+	return true
+}
+
+// Avoidance is the decision to avoid a pipe.
+type Avoidance struct {
+	Centres [2]string     // data centres that it connects
+	Lates   int           // requests in a row that were late
+	Other   float64       // part of the requests on other paths that were late
+	Span    time.Duration // for which it is avoided
 }
 
 // crossed returns the pipes that steps cross, made known where they aren't yet.
@@ -60,21 +70,23 @@
 }
 
 // Late takes in that a request on a path gets events late though all engines of
-// the path live, and reports whether the path crosses a pipe that is avoided now.
-func (f *Finder) Late(now time.Time, path *Path) bool {
+// the path live. It reports whether the path crosses a pipe that is avoided now,
+// and which pipes are avoided from now on.
+func (f *Finder) Late(now time.Time, path *Path) (avoided bool, begun []Avoidance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	avoided := false
 	crossed := f.crossed(path.steps())
-	for _, known := range f.met {
+	for between, known := range f.met {
 		if !slices.Contains(crossed, known) {
 			known.other += otherWeight * (1 - known.other)
 			continue
 		}
-		known.late(now)
+		if known.late(now) {
+			begun = append(begun, Avoidance{[2]string{between.a, between.b}, known.lates, known.other, known.span})
+		}
 		avoided = avoided || now.Before(known.until)
 	}
-	return avoided
+	return avoided, begun
 }
 
 // InTime takes in that the first event of a request on a path came in time. The
--- a/pathfinder/pipes_test.go
+++ b/pathfinder/pipes_test.go
@@ -36,7 +36,7 @@
 			crossed++
 		}
 		if late(crosses) {
-			f.Late(now, path)
+			_, _ = f.Late(now, path)
 		} else {
 			f.InTime(now, path)
 		}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -46,8 +46,8 @@
 	mu      sync.Mutex
 	path    *pathfinder.Path
 	since   time.Time // of the last event, or of the start
-	started time.Time
-	seen    int // events of this run
+	started time.Time // of the run
+	seen    int       // events of this run
 	watch   *time.Timer
 	ended   bool
 }
@@ -114,13 +114,24 @@
 		}
 	case silence >= giveUpAfter:
 		r.cancel(errStalled)
-	case r.finder.Late(now, path) && seen == 0:
+	case r.late(now, path) && seen == 0:
 		r.cancel(errSlow)
 	default:
 		r.rearm(since, min(max(silence, inspectGap), giveUpAfter-silence+time.Millisecond))
 	}
 }
 
+// late takes in that the run gets no event though its engines live, and reports
+// whether a pipe on its path is avoided now.
+func (r *run) late(now time.Time, path *pathfinder.Path) bool {
+	avoided, begun := r.finder.Late(now, path)
+	for _, pipe := range begun {
+		reporter.EventPipeAvoided.Log(r.ctx, r.Logger, slog.String("request", r.query.ID), slog.Any("centres", pipe.Centres),
+			slog.Int("lates", pipe.Lates), slog.Float64("other", pipe.Other), slog.Duration("span", pipe.Span))
+	}
+	return avoided
+}
+
 // culprits returns the engines that a run waits for in vain.
 func (r *run) culprits(now time.Time, path *pathfinder.Path) []netip.AddrPort {
 	if suspects := r.finder.Suspects(now, path); len(suspects) > 0 {
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -49,8 +49,7 @@
 // is allowed.
 func (s *streaming) run(ctx context.Context) *cowslipproxy.Failure {
 	s.last = s.query.Last
-	var failure *cowslipproxy.Failure
-	if failure = s.enter(ctx); failure != nil {
+	if failure := s.enter(ctx); failure != nil {
 		return failure
 	}
 	defer func() { s.Upstreams.Throttler(s.service.Name).Leave(s.Clock(), s.bounds(), s.place) }()
--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -50,15 +50,17 @@
 		return s.giveUp(ctx, ctx.Err())
 	case <-patience.C:
 		throttle.Leave(s.Clock(), bounds, s.place)
-		return s.comeBack(0)
+		return s.comeBack(bounds.Patience)
 	}
 }
 
-// comeBack refuses a request that didn't run, and spreads the returns over the
-// time that callers wait.
+// comeBack refuses a request that didn't run and would wait for too long, and
+// spreads the returns over the time that callers wait.
 func (s *streaming) comeBack(wait time.Duration) *cowslipproxy.Failure {
 	reporter.Count(s.Metrics, reporter.MetricThrottled)
+	limit, active, queued := s.Upstreams.Throttler(s.service.Name).Limit()
 	longest := min(backLimit, time.Duration(backShare*float64(s.left())))
-	wait = min(wait/2+rand.N(max(longest, 1)), longest)
-	return cowslipproxy.Refuse(cowslipproxy.ReasonOverloaded, "too many requests wait for engines").After(max(wait, time.Millisecond))
+	after := min(wait/2+rand.N(max(longest, 1)), longest)
+	return cowslipproxy.Refuse(cowslipproxy.ReasonOverloaded, "%d of at most %.1f requests are at engines without an event and %d wait, for %v",
+		active, limit, queued, wait.Round(time.Millisecond)).After(max(after, time.Millisecond))
 }
--- a/reporter/events_relay.go
+++ b/reporter/events_relay.go
@@ -14,5 +14,6 @@
 	EventFeedBack     = newEvent(907, slog.LevelInfo, "platform store readable again", "The event names how long it was not.")
 	EventInstances    = newEvent(908, slog.LevelInfo, "upstreams changed", "Names how many upstreams are live and how many are leaving.")
 	EventReady        = newEvent(909, slog.LevelInfo, "readiness changed", "The daemon takes requests once it has a configuration and the list of upstreams, until it is stopped.")
+	EventPipeAvoided  = newEvent(911, slog.LevelWarn, "pipe avoided", "Requests that crossed between the two data centres got their events late, one after the other, while few on other paths did. New paths go around it for the span named.")
 	EventReloaded     = newEvent(910, slog.LevelInfo, "settings read again", "The settings file changed or SIGHUP came.")
 )
