relayer: give a run up only once the next try is granted

Streams without an event for 1.4 s were ended in the middle of the answer, and whether another try was allowed was asked after: the retry budget was used up. A silent engine may still go on, or ends the request itself.

TestSilentEngineIsAwaited: an answer ended after 0.5 s before, over 2 s now.

--- a/cowslipd/relay/streams_test.go
+++ b/cowslipd/relay/streams_test.go
@@ -168,3 +168,29 @@
 		require.Len(t, d.fleet.RunsOf(got.id), 1, "the request was sent anew")
 	}
 }
+
+// Guards against answers that the daemon ends since an engine is silent, though
+// no further try is allowed: the engine may go on, or ends them itself.
+func TestSilentEngineIsAwaited(t *testing.T) {
+	t.Parallel()
+	const ends = 2 * time.Second // engines end requests that wait for a dead one later
+	d := deployFloor(t, 1, 0)
+	for _, server := range d.fleet.Servers("scribe") {
+		if from, _ := server.Layers(); from == contract {
+			server.Misbehave(worker.KindStall)
+		}
+	}
+	var group sync.WaitGroup
+	took := make([]time.Duration, 6)
+	for i := range took {
+		group.Go(func() {
+			begin := time.Now()
+			d.send(d.daemons[0], query{path: letters + "1", tokens: 20})
+			took[i] = time.Since(begin)
+		})
+	}
+	group.Wait()
+	for _, one := range took {
+		require.Greater(t, one, ends)
+	}
+}
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -110,17 +110,28 @@
 			r.finder.Broken(now, culprit)
 		}
 		if !r.mend(path, culprits) {
-			r.cancel(errStalled)
+			r.abandon(since, errStalled)
 		}
 	case silence >= giveUpAfter:
-		r.cancel(errStalled)
+		r.abandon(since, errStalled)
 	case r.late(now, path) && seen == 0:
-		r.cancel(errSlow)
+		r.abandon(since, errSlow)
 	default:
 		r.rearm(since, min(max(silence, inspectGap), giveUpAfter-silence+time.Millisecond))
 	}
 }
 
+// abandon ends the run if the request may be sent once more. Else it waits on:
+// a silent engine may still go on, and an ended answer can't.
+func (r *run) abandon(since time.Time, cause error) {
+	if !r.again(false) {
+		r.rearm(since, inspectGap)
+		return
+	}
+	r.granted = true
+	r.cancel(cause)
+}
+
 // late takes in that the run gets no event though its engines live, and reports
 // whether a pipe on its path is avoided now.
 func (r *run) late(now time.Time, path *pathfinder.Path) bool {
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -37,12 +37,14 @@
 // streaming relays a request that engines run on a path.
 type streaming struct {
 	*exchange
-	last  string           // id of the last event that the caller got
-	runs  int              // runs that engines may have begun
-	begun []string         // first engines that the request was sent to
-	avoid []string         // first engines that broke off
-	at    time.Time        // of the last event
-	place *throttler.Place // until the first event
+	sends   int
+	granted bool             // the next send was allowed before the run was given up
+	last    string           // id of the last event that the caller got
+	runs    int              // runs that engines may have begun
+	begun   []string         // first engines that the request was sent to
+	avoid   []string         // first engines that broke off
+	at      time.Time        // of the last event
+	place   *throttler.Place // until the first event
 }
 
 // run sends the request until an engine has ended the answer or no further try
@@ -55,7 +57,8 @@
 	defer func() { s.Upstreams.Throttler(s.service.Name).Leave(s.Clock(), s.bounds(), s.place) }()
 	finder := s.Upstreams.Finder(s.service.Name)
 	var err error
-	for sends := 1; ; sends++ {
+	for s.sends = 1; ; s.sends++ {
+		s.granted = false
 		var path *pathfinder.Path
 		if path, err = s.await(ctx, finder); err != nil {
 			break
@@ -64,10 +67,10 @@
 		if notRun, err = s.try(ctx, finder, path); err == nil {
 			return nil
 		}
-		if ctx.Err() != nil || sends == maxSends || !s.again(notRun) {
+		if ctx.Err() != nil || !s.granted && !s.again(notRun) {
 			break
 		}
-		if notRun && !waiter.Wait(ctx, fullWait<<(sends-1)+rand.N(fullWait)) {
+		if notRun && !waiter.Wait(ctx, fullWait<<(s.sends-1)+rand.N(fullWait)) {
 			break
 		}
 	}
@@ -110,7 +113,7 @@
 
 // again decides whether the request is sent once more.
 func (s *streaming) again(notRun bool) bool {
-	return s.Upstreams.Budget(s.service.Name).Retry(s.Clock(), retrier.Attempt{
+	return s.sends < maxSends && s.Upstreams.Budget(s.service.Name).Retry(s.Clock(), retrier.Attempt{
 		Effect: s.route.Effect, NotStarted: notRun, Tries: 1, Left: s.left(),
 	}).Again
 }
