--- a/relayer/run.go
+++ b/relayer/run.go
@@ -46,8 +46,8 @@
 	mu      sync.Mutex
 	path    *pathfinder.Path
 	since   time.Time // of the last event, or of the start
-	started time.Time
-	seen    int // events of this run
+	started time.Time // of the run
+	seen    int       // events of this run
 	watch   *time.Timer
 	ended   bool
 }
@@ -110,17 +110,39 @@
 			r.finder.Broken(now, culprit)
 		}
 		if !r.mend(path, culprits) {
-			r.cancel(errStalled)
+			r.abandon(since, errStalled)
 		}
 	case silence >= giveUpAfter:
-		r.cancel(errStalled)
-	case r.finder.Late(now, path) && seen == 0:
-		r.cancel(errSlow)
+		r.abandon(since, errStalled)
+	case r.late(now, path) && seen == 0:
+		r.abandon(since, errSlow)
 	default:
 		r.rearm(since, min(max(silence, inspectGap), giveUpAfter-silence+time.Millisecond))
 	}
 }
 
+// abandon ends the run if the request may be sent once more. Else it waits on:
+// a silent engine may still go on, and an ended answer can't.
+func (r *run) abandon(since time.Time, cause error) {
+	if !r.again(false) {
+		r.rearm(since, inspectGap)
+		return
+	}
+	r.granted = true
+	r.cancel(cause)
+}
+
+// late takes in that the run gets no event though its engines live, and reports
+// whether a pipe on its path is avoided now.
+func (r *run) late(now time.Time, path *pathfinder.Path) bool {
+	avoided, begun := r.finder.Late(now, path)
+	for _, pipe := range begun {
+		reporter.EventPipeAvoided.Log(r.ctx, r.Logger, slog.String("request", r.query.ID), slog.Any("centres", pipe.Centres),
+			slog.Int("lates", pipe.Lates), slog.Float64("other", pipe.Other), slog.Duration("span", pipe.Span))
+	}
+	return avoided
+}
+
 // culprits returns the engines that a run waits for in vain.
 func (r *run) culprits(now time.Time, path *pathfinder.Path) []netip.AddrPort {
 	if suspects := r.finder.Suspects(now, path); len(suspects) > 0 {
