relayer: decide on a further try under the run's mutex

A question that was under way when a run ended could allow a further send, and wrote to the request beside its own goroutine. Found by reading; the race detector hadn't seen it.

--- a/relayer/run.go
+++ b/relayer/run.go
@@ -124,14 +124,24 @@
 // abandon ends the run if the request may be sent once more. Else it waits on:
 // a silent engine may still go on, and an ended answer can't.
 func (r *run) abandon(since time.Time, cause error) {
-	if !r.again(false) {
+	if !r.grant() {
 		r.rearm(since, inspectGap)
 		return
 	}
-	r.granted = true
 	r.cancel(cause)
 }
 
+// grant decides whether the request may be sent once more. A run that ended
+// meanwhile leaves that to the next one.
+func (r *run) grant() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.ended && !r.granted {
+		r.granted = r.again(false)
+	}
+	return r.granted && !r.ended
+}
+
 // late takes in that the run gets no event though its engines live, and reports
 // whether a pipe on its path is avoided now.
 func (r *run) late(now time.Time, path *pathfinder.Path) bool {
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -37,8 +37,8 @@
 // streaming relays a request that engines run on a path.
 type streaming struct {
 	*exchange
-	sends   int
-	granted bool             // the next send was allowed before the run was given up
+	sends   int              // tries so far
+	granted bool             // the next send was allowed before the run was abandoned; guarded by the run's mutex until it ends
 	last    string           // id of the last event that the caller got
 	runs    int              // runs that engines may have begun
 	begun   []string         // first engines that the request was sent to
