--- a/cowslipd/relay/deployment_test.go
+++ b/cowslipd/relay/deployment_test.go
@@ -14,6 +14,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -236,6 +237,37 @@
 	return result{id, response.StatusCode, response.Header, string(body), err}
 }
 
+// holders returns the engines whose layers begin at one.
+func (d *deployment) holders(first int) (found []*worker.Server) {
+	for _, server := range d.fleet.Servers("scribe") {
+		if from, _ := server.Layers(); from == first {
+			found = append(found, server)
+		}
+	}
+	return found
+}
+
+// streams begins streams of 150 events, spread over the daemons, and
+// returns a function that waits for them and checks that they came whole.
+func (d *deployment) streams(count int) (wait func() []result) {
+	const pieces = 150
+	var group sync.WaitGroup
+	results := make([]result, count)
+	for i := range results {
+		group.Go(func() {
+			results[i] = d.send(d.daemons[i%len(d.daemons)], query{path: letters + "1", tokens: pieces, wait: 20 * time.Second})
+		})
+	}
+	return func() []result {
+		group.Wait()
+		for _, got := range results {
+			require.NoError(d.t, got.err)
+			require.Equal(d.t, events(got.id, 1, pieces), got.body)
+		}
+		return results
+	}
+}
+
 // settle waits until all daemons know what the store says now.
 func (d *deployment) settle() { time.Sleep(drainBound) }
 
--- a/cowslipd/relay/leaving_test.go
+++ b/cowslipd/relay/leaving_test.go
@@ -96,10 +96,8 @@
 func TestLostLayersAreLoadedAgain(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 2)
-	for _, server := range d.fleet.Servers("scribe") {
-		if from, _ := server.Layers(); from == 0 {
-			server.Leave()
-		}
+	for _, server := range d.holders(0) {
+		server.Leave()
 	}
 	require.Eventually(t, func() bool {
 		return d.send(d.daemons[0], query{path: letters + "1", tokens: 3}).status == http.StatusOK
@@ -126,10 +124,8 @@
 	for _, one := range old {
 		require.NoError(t, <-one.done)
 	}
-	for _, server := range d.fleet.Servers("scribe") {
-		if from, _ := server.Layers(); from == 0 {
-			server.Leave()
-		}
+	for _, server := range d.holders(0) {
+		server.Leave()
 	}
 	begin := time.Now()
 	for _, one := range old {
--- a/cowslipd/relay/streams_test.go
+++ b/cowslipd/relay/streams_test.go
@@ -63,12 +63,7 @@
 func TestBrokenStreamGoesOn(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 1)
-	for _, server := range d.fleet.Servers("scribe") {
-		if from, _ := server.Layers(); from == 0 {
-			server.Misbehave(worker.KindBreak)
-			break
-		}
-	}
+	d.holders(0)[0].Misbehave(worker.KindBreak)
 	resumed := 0
 	for range 20 {
 		got := d.send(d.daemons[0], query{path: letters + "1", tokens: 20})
@@ -110,25 +105,10 @@
 func TestPathChangesAroundADeadEngine(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 2)
-	var group sync.WaitGroup
-	results := make([]result, 12)
-	for i := range results {
-		group.Go(func() {
-			results[i] = d.send(d.daemons[i%2], query{path: letters + "1", tokens: 150, wait: 20 * time.Second})
-		})
-	}
+	wait := d.streams(12)
 	time.Sleep(500 * time.Millisecond)
-	for _, server := range d.fleet.Servers("scribe") {
-		if from, _ := server.Layers(); from == contract {
-			server.Misbehave(worker.KindStall)
-			break
-		}
-	}
-	group.Wait()
-	for _, got := range results {
-		require.NoError(t, got.err)
-		require.Equal(t, events(got.id, 1, 150), got.body)
-	}
+	d.holders(contract)[0].Misbehave(worker.KindStall)
+	wait()
 }
 
 // Guards against streams that begin anew, and read their whole prompt again,
@@ -137,34 +117,15 @@
 func TestPathChangesAroundAMovedEngine(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 1)
-	var group sync.WaitGroup
-	results := make([]result, 8)
-	for i := range results {
-		group.Go(func() {
-			results[i] = d.send(d.daemons[0], query{path: letters + "1", tokens: 150, wait: 20 * time.Second})
-		})
-	}
+	wait := d.streams(8)
 	time.Sleep(500 * time.Millisecond)
 	engines := &platform.Engines{Transport: http.DefaultTransport}
-	moved := false
-	for _, server := range d.fleet.Servers("scribe") {
-		if from, _ := server.Layers(); from == 2*contract && !moved {
-			moved = true
-			to := cowslipproxy.LayerRange{First: contract, End: 2 * contract}
-			require.NoError(t, engines.Place(t.Context(), cowslipproxy.Instance{ID: server.ID, Address: server.Address}, to, server.Orders()))
-		}
-	}
+	moved := d.holders(2 * contract)[0]
+	to := cowslipproxy.LayerRange{First: contract, End: 2 * contract}
+	require.NoError(t, engines.Place(t.Context(), cowslipproxy.Instance{ID: moved.ID, Address: moved.Address}, to, moved.Orders()))
 	time.Sleep(200 * time.Millisecond) // it gives up its layers at once and loads the others
-	for _, server := range d.fleet.Servers("scribe") {
-		if from, _ := server.Layers(); from == contract {
-			server.Misbehave(worker.KindStall)
-			break
-		}
-	}
-	group.Wait()
-	for _, got := range results {
-		require.NoError(t, got.err)
-		require.Equal(t, events(got.id, 1, 150), got.body)
+	d.holders(contract)[0].Misbehave(worker.KindStall)
+	for _, got := range wait() {
 		require.Len(t, d.fleet.RunsOf(got.id), 1, "the request was sent anew")
 	}
 }
@@ -175,10 +136,8 @@
 	t.Parallel()
 	const ends = 2 * time.Second // engines end requests that wait for a dead one later
 	d := deployFloor(t, 1, 0)
-	for _, server := range d.fleet.Servers("scribe") {
-		if from, _ := server.Layers(); from == contract {
-			server.Misbehave(worker.KindStall)
-		}
+	for _, server := range d.holders(contract) {
+		server.Misbehave(worker.KindStall)
 	}
 	var group sync.WaitGroup
 	took := make([]time.Duration, 6)
--- a/standin/worker/fleet.go
+++ b/standin/worker/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -120,12 +121,16 @@
 	return f.servers[address]
 }
 
-// Servers returns the servers of a service that have not ended, by id.
-func (f *Fleet) Servers(service string) []*Server {
+func (f *Fleet) all() []*Server {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return slices.Collect(maps.Values(f.servers))
+}
+
+// Servers returns the servers of a service that have not ended, by id.
+func (f *Fleet) Servers(service string) []*Server {
 	var found []*Server
-	for _, s := range f.servers {
+	for _, s := range f.all() {
 		if s.Service == service && !s.ended() {
 			found = append(found, s)
 		}
@@ -169,13 +174,7 @@
 
 // IsRunning reports whether an engine still works on a request.
 func (f *Fleet) IsRunning(id string) bool {
-	f.mu.Lock()
-	var all []*Server
-	for _, s := range f.servers {
-		all = append(all, s)
-	}
-	f.mu.Unlock()
-	return slices.ContainsFunc(all, func(s *Server) bool {
+	return slices.ContainsFunc(f.all(), func(s *Server) bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return s.paths[id] != nil
@@ -184,13 +183,7 @@
 
 // Close ends all servers.
 func (f *Fleet) Close() {
-	f.mu.Lock()
-	var all []*Server
-	for _, s := range f.servers {
-		all = append(all, s)
-	}
-	f.mu.Unlock()
-	for _, s := range all {
+	for _, s := range f.all() {
 		s.Crash()
 	}
 }
--- a/standin/worker/server.go
+++ b/standin/worker/server.go
@@ -179,6 +179,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	path := parsePath(wanted.Path)
+	refusing, refuses := s.fleet.refusing(path) // locks other servers
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -195,22 +197,28 @@
 		w.WriteHeader(http.StatusAccepted)
 	case wanted.Op == "repath" && s.paths[wanted.ID] == nil:
 		w.WriteHeader(http.StatusNotFound)
+	case wanted.Op == "repath" && refuses:
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusConflict)
+		_ = json.NewEncoder(w).Encode(map[string]any{"address": refusing}) // fails only when the caller is gone
 	case wanted.Op == "repath":
-		path := parsePath(wanted.Path)
-		for _, part := range path[1:] {
-			if !s.fleet.at(part.address).holds(part.layers) {
-				w.Header().Set("Content-Type", "application/json")
-				w.WriteHeader(http.StatusConflict)
-				_ = json.NewEncoder(w).Encode(map[string]any{"address": part.address}) // fails only when the caller is gone
-				return
-			}
-		}
 		s.paths[wanted.ID] = path
 	default:
 		w.WriteHeader(http.StatusBadRequest)
 	}
 }
 
+// refusing returns the first engine of a path, after the one that has it, which
+// accepts no work on its part.
+func (f *Fleet) refusing(path []hop) (netip.AddrPort, bool) {
+	for i, part := range path {
+		if i > 0 && !f.at(part.address).holds(part.layers) {
+			return part.address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
 // holds reports whether the engine accepts new work on layers.
 func (s *Server) holds(layers span) bool {
 	if s == nil {
