all: keep one copy of shared steps

- A path keeps the steps that it was chosen as, and looking for a path no longer creates the state of pipes.
- One function each: the request to the retry budget, the readers of all data centres, the count of live upstreams, reading a settings file, whether a service's engines hold ranges of layers.
- The profile of engines holds the time to load, not models of which only that was read.
The watcher's options that each user sets are no longer optional.

No behaviour changes but one step: a pipe's state begins with the first result of a request that crossed it, not with the first choice of such a path.

--- a/cowslipd/relay/ask.go
+++ b/cowslipd/relay/ask.go
@@ -40,15 +40,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var known []netip.AddrPort
-	centres := map[string]bool{}
-	for _, member := range s.members {
-		if centres[member.Centre] {
-			continue
-		}
-		centres[member.Centre] = true
-		if reader, ok := sharer.Reader(s.members, member.Centre); ok {
-			known = append(known, reader.Peer)
-		}
+	for _, reader := range sharer.Readers(s.members) {
+		known = append(known, reader.Peer)
 	}
 	if len(known) == 0 && !s.eager {
 		known = seeds
--- a/cowslipd/relay/dump.go
+++ b/cowslipd/relay/dump.go
@@ -37,17 +37,11 @@
 
 func (d *Daemon) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	now := d.Clock()
-	live := int64(0)
-	for _, instance := range d.registrar.Instances() {
-		if instance.State == cowslipproxy.VMLive {
-			live++
-		}
-	}
 	_, leader := d.lease.Holds()
 	reporter.SetGauge(d.Metrics, reporter.MetricInflight, d.server.InFlight())
 	reporter.SetGauge(d.Metrics, reporter.MetricVersion, int64(d.version()))
 	reporter.SetGauge(d.Metrics, reporter.MetricAge, int64(d.sharing.age(now)))
-	reporter.SetGauge(d.Metrics, reporter.MetricLive, live)
+	reporter.SetGauge(d.Metrics, reporter.MetricLive, int64(countLive(d.registrar.Instances())))
 	reporter.SetFlag(d.Metrics, reporter.MetricReader, d.sharing.isReader())
 	reporter.SetFlag(d.Metrics, reporter.MetricLeader, leader)
 	w.Header().Set("Content-Type", reporter.TextFormat)
--- a/cowslipd/relay/fold.go
+++ b/cowslipd/relay/fold.go
@@ -62,19 +62,21 @@
 		return
 	}
 	instances := d.registrar.Instances()
-	var live, leaving int
+	live := countLive(instances)
+	reporter.EventInstances.Log(context.Background(), d.Logger, slog.Int("live", live), slog.Int("leaving", len(instances)-live))
+	if m := d.matcher.Load(); m != nil {
+		d.pools.set(m.Table, instances)
+	}
+	d.announce()
+}
+
+func countLive(instances []cowslipproxy.Instance) (live int) {
 	for _, instance := range instances {
 		if instance.State == cowslipproxy.VMLive {
 			live++
-		} else {
-			leaving++
 		}
 	}
-	reporter.EventInstances.Log(context.Background(), d.Logger, slog.Int("live", live), slog.Int("leaving", leaving))
-	if m := d.matcher.Load(); m != nil {
-		d.pools.set(m.Table, instances)
-	}
-	d.announce()
+	return live
 }
 
 // announce tells the other daemons once this one can serve.
--- a/cowslipd/relay/place.go
+++ b/cowslipd/relay/place.go
@@ -139,11 +139,7 @@
 }
 
 func loadTime(profile cowslipproxy.EngineProfile, layers cowslipproxy.LayerRange) time.Duration {
-	var whole time.Duration
-	for _, model := range profile.Models {
-		whole = max(whole, model.Load)
-	}
-	return whole * time.Duration(layers.Len()) / time.Duration(max(profile.Layers, 1))
+	return profile.Load * time.Duration(layers.Len()) / time.Duration(max(profile.Layers, 1))
 }
 
 // engine returns an engine with the layers that it holds or will hold.
--- a/cowslipd/relay/pools.go
+++ b/cowslipd/relay/pools.go
@@ -50,7 +50,7 @@
 	}
 	for _, service := range table.Services {
 		p.Picker(service.Name).Set(byService[service.Name])
-		if service.Engine != nil && service.Engine.Layers > 0 {
+		if service.IsSplit() {
 			p.Finder(service.Name).Set(*service.Engine, byService[service.Name])
 		}
 	}
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -144,7 +144,7 @@
 func (d *Daemon) watchTables(ctx context.Context) {
 	(&watcher.Watcher[cowslipproxy.Table]{
 		Name: "configuration", Feed: d.Platform.Tables, Wait: tableWait, Skip: d.sharing.skips, Reader: d.sharing.isReader, Fold: d.foldTables,
-		Failed: func(time.Time) {}, Clock: d.Clock, Logger: d.Logger,
+		Clock: d.Clock, Logger: d.Logger,
 	}).Run(ctx)
 }
 
@@ -157,7 +157,7 @@
 
 // listFailed takes in that the list can't be read. The others are told all the
 // same, so that they know how old it is.
-func (d *Daemon) listFailed(time.Time) {
+func (d *Daemon) listFailed() {
 	d.registrar.Failed()
 	d.share(context.Background())
 }
--- a/cowslipd/relay/sharing.go
+++ b/cowslipd/relay/sharing.go
@@ -76,16 +76,13 @@
 func (s *sharing) targets(self cowslipproxy.Member) (near, far []cowslipproxy.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	centres := map[string]bool{self.Centre: true}
 	for _, member := range s.members {
-		if member.Centre == self.Centre {
-			if member.Owner != self.Owner {
-				near = append(near, member)
-			}
-			continue
+		if member.Centre == self.Centre && member.Owner != self.Owner {
+			near = append(near, member)
 		}
-		if reader, ok := sharer.Reader(s.members, member.Centre); ok && !centres[member.Centre] {
-			centres[member.Centre] = true
+	}
+	for _, reader := range sharer.Readers(s.members) {
+		if reader.Centre != self.Centre {
 			far = append(far, reader)
 		}
 	}
--- a/loader/relay.go
+++ b/loader/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,10 +47,8 @@
 // LoadRelay reads the settings of a relay from a YAML file.
 func LoadRelay(path string) (Relay, error) {
 	settings := UsualRelay()
-	var data []byte
-	var err error
-	if data, err = os.ReadFile(path); err != nil {
-		return settings, errors.WithStack(err)
+	if err := readFile(path, &settings); err != nil {
+		return settings, err
 	}
-	return settings, errors.Wrap(decoder.YAML(data, &settings), path)
+	return settings, errors.Wrap(decoder.Check(&settings), path)
 }
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -103,7 +103,7 @@
 	return f.Meaning + "; " + f.Accepted() + "; " + f.Usual + " when not given"
 }
 
-func readFile(name string, settings *Settings) error {
+func readFile(name string, settings any) error {
 	var data []byte
 	var err error
 	if data, err = os.ReadFile(name); err != nil {
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -93,7 +93,7 @@
 func (m *Matcher) Engines() []cowslipproxy.RelayService {
 	var found []cowslipproxy.RelayService
 	for _, service := range m.Table.Services {
-		if service.Engine != nil && service.Engine.Layers > 0 {
+		if service.IsSplit() {
 			found = append(found, service)
 		}
 	}
--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -66,21 +66,14 @@
 
 // Path is a chosen path.
 type Path struct {
-	Hops    []cowslipproxy.Hop
-	engines []*engine
-	tokens  float64
+	Hops   []cowslipproxy.Hop
+	steps  []step
+	tokens float64
 }
 
 // First returns the engine that the request is sent to.
 func (p *Path) First() cowslipproxy.Hop { return p.Hops[0] }
 
-func (p *Path) steps() (all []step) {
-	for i, hop := range p.Hops {
-		all = append(all, step{p.engines[i], hop.Range})
-	}
-	return all
-}
-
 // Set takes in the engines that may get new work.
 func (f *Finder) Set(profile cowslipproxy.EngineProfile, instances []cowslipproxy.Instance) {
 	f.mu.Lock()
@@ -137,13 +130,13 @@
 		}
 	}
 	if best != nil {
-		return newPath(best.steps, need), true
+		return newPath(best.steps, float64(need.Tokens)), true
 	}
 	steps := f.detour(now, need)
 	if steps == nil {
 		return nil, false
 	}
-	return newPath(steps, need), true
+	return newPath(steps, float64(need.Tokens)), true
 }
 
 const (
@@ -220,11 +213,10 @@
 	return load{room: room, pipe: func(a, b string) float64 { return f.pipes[pairOf(a, b)] }, slow: func(a, b string) bool { return f.isSlow(now, a, b) }}
 }
 
-func newPath(steps []step, need Need) *Path {
-	p := &Path{tokens: float64(need.Tokens)}
+func newPath(steps []step, tokens float64) *Path {
+	p := &Path{steps: steps, tokens: tokens}
 	for _, s := range steps {
 		p.Hops = append(p.Hops, cowslipproxy.Hop{Instance: s.engine.ID, Address: s.engine.Address, Range: s.layers})
-		p.engines = append(p.engines, s.engine)
 	}
 	return p
 }
@@ -260,8 +252,8 @@
 func (f *Finder) count(path *Path, sign float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for i, e := range path.engines {
-		e.held += sign * path.tokens * float64(path.Hops[i].Range.Len())
+	for _, s := range path.steps {
+		s.engine.held += sign * path.tokens * float64(s.layers.Len())
 	}
 }
 
@@ -269,9 +261,9 @@
 func (f *Finder) Suspects(now time.Time, path *Path) (found []netip.AddrPort) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, e := range path.engines {
-		if now.Before(e.suspect) {
-			found = append(found, e.Address)
+	for _, s := range path.steps {
+		if now.Before(s.engine.suspect) {
+			found = append(found, s.engine.Address)
 		}
 	}
 	return found
--- a/pathfinder/mend.go
+++ b/pathfinder/mend.go
@@ -26,28 +26,32 @@
 	} {
 		var usable []*engine
 		for _, e := range f.order {
-			if accept(e) && !slices.Contains(path.engines, e) {
+			if accept(e) && !path.has(e) {
 				usable = append(usable, e)
 			}
 		}
 		if steps := f.replace(now, path, addresses, usable); steps != nil {
-			return newPath(steps, Need{Tokens: int(path.tokens)}), true
+			return newPath(steps, path.tokens), true
 		}
 	}
 	return nil, false
 }
 
+func (p *Path) has(e *engine) bool {
+	return slices.ContainsFunc(p.steps, func(s step) bool { return s.engine == e })
+}
+
 // replace returns the path's steps with usable engines in place of those at the
 // addresses, or nil.
 func (f *Finder) replace(now time.Time, path *Path, addresses []netip.AddrPort, usable []*engine) (all []step) {
 	w := f.reading(now, path.tokens)
-	for i, hop := range path.Hops {
-		if !slices.Contains(addresses, hop.Address) {
-			all = append(all, step{path.engines[i], hop.Range})
+	for _, kept := range path.steps {
+		if !slices.Contains(addresses, kept.engine.Address) {
+			all = append(all, kept)
 			continue
 		}
 		w.from = all[len(all)-1].engine.Centre
-		steps := f.shortest(usable, hop.Range, w)
+		steps := f.shortest(usable, kept.layers, w)
 		if steps == nil {
 			return nil
 		}
--- a/pathfinder/pipes.go
+++ b/pathfinder/pipes.go
@@ -75,7 +75,7 @@
 func (f *Finder) Late(now time.Time, path *Path) (avoided bool, begun []Avoidance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	crossed := f.crossed(path.steps())
+	crossed := f.crossed(path.steps)
 	for between, known := range f.met {
 		if !slices.Contains(crossed, known) {
 			known.other += otherWeight * (1 - known.other)
@@ -94,7 +94,7 @@
 func (f *Finder) InTime(now time.Time, path *Path) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	crossed := f.crossed(path.steps())
+	crossed := f.crossed(path.steps)
 	for _, known := range f.met {
 		if !slices.Contains(crossed, known) {
 			known.other -= otherWeight * known.other
@@ -108,8 +108,8 @@
 
 // crossesSlow reports whether steps cross a pipe that is avoided.
 func (f *Finder) crossesSlow(now time.Time, steps []step) bool {
-	for _, crossed := range f.crossed(steps) {
-		if now.Before(crossed.until) {
+	for i := 1; i < len(steps); i++ {
+		if f.isSlow(now, steps[i-1].engine.Centre, steps[i].engine.Centre) {
 			return true
 		}
 	}
--- a/relayer/plain.go
+++ b/relayer/plain.go
@@ -69,8 +69,13 @@
 	if !errors.Is(last.err, cowslipproxy.ErrNotStarted) && x.tries >= x.route.Attempts {
 		return false
 	}
+	return x.retry(last.notRun(), x.route.Target)
+}
+
+// retry asks the retry budget for another try, which is expected to take a time.
+func (x *exchange) retry(notRun bool, expected time.Duration) bool {
 	return x.Upstreams.Budget(x.service.Name).Retry(x.Clock(), retrier.Attempt{
-		Effect: x.route.Effect, NotStarted: last.notRun(), Tries: 1, Left: x.left(), Expected: x.route.Target,
+		Effect: x.route.Effect, NotStarted: notRun, Tries: 1, Left: x.left(), Expected: expected,
 	}).Again
 }
 
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -168,7 +168,7 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.Upstreams.Budget(x.service.Name).Request(x.Clock())
-	if x.service.Engine != nil && x.service.Engine.Layers > 0 {
+	if x.service.IsSplit() {
 		return (&streaming{exchange: x}).run(ctx)
 	}
 	return x.plain(ctx)
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -15,7 +15,6 @@
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/pathfinder"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
-	"github.com/cowslipproxy/cowslipproxy/retrier"
 	"github.com/cowslipproxy/cowslipproxy/throttler"
 	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
@@ -37,14 +36,17 @@
 // streaming relays a request that engines run on a path.
 type streaming struct {
 	*exchange
-	sends   int              // tries so far
-	granted bool             // the next send was allowed before the run was abandoned; guarded by the run's mutex until it ends
-	last    string           // id of the last event that the caller got
-	runs    int              // runs that engines may have begun
-	begun   []string         // first engines that the request was sent to
-	avoid   []string         // first engines that broke off
-	at      time.Time        // of the last event
-	place   *throttler.Place // until the first event
+	sends int // tries so far
+	// granted says that the next send was allowed before the run was abandoned.
+	// The run's mutex guards it until the run ends.
+	granted  bool
+	last     string           // id of the last event that the caller got
+	runs     int              // runs that engines may have begun
+	begun    []string         // first engines that the request was sent to
+	avoid    []string         // first engines that broke off
+	at       time.Time        // of the last event
+	place    *throttler.Place // until the first event
+	throttle *throttler.Throttler
 }
 
 // run sends the request until an engine has ended the answer or no further try
@@ -54,7 +56,7 @@
 	if failure := s.enter(ctx); failure != nil {
 		return failure
 	}
-	defer func() { s.Upstreams.Throttler(s.service.Name).Leave(s.Clock(), s.bounds(), s.place) }()
+	defer func() { s.throttle.Leave(s.Clock(), s.bounds(), s.place) }()
 	finder := s.Upstreams.Finder(s.service.Name)
 	var err error
 	for s.sends = 1; ; s.sends++ {
@@ -113,9 +115,7 @@
 
 // again decides whether the request is sent once more.
 func (s *streaming) again(notRun bool) bool {
-	return s.sends < maxSends && s.Upstreams.Budget(s.service.Name).Retry(s.Clock(), retrier.Attempt{
-		Effect: s.route.Effect, NotStarted: notRun, Tries: 1, Left: s.left(),
-	}).Again
+	return s.sends < maxSends && s.retry(notRun, 0)
 }
 
 // giveUp tells the caller that no further try is made.
@@ -142,7 +142,7 @@
 	defer r.end()
 	first := path.First()
 	s.path = path.Hops
-	s.Upstreams.Throttler(s.service.Name).Start(s.Clock(), s.place)
+	s.throttle.Start(s.Clock(), s.place)
 	got, err := s.send(r.ctx, cowslipproxy.Dispatch{Instance: first.Instance, Address: first.Address, Path: path.Hops, Last: s.last})
 	switch {
 	case err == nil && got.StatusCode == http.StatusOK:
@@ -218,10 +218,10 @@
 	}
 }
 
-// time takes in when an event went to the caller.
-func (s *streaming) time(now time.Time) {
+// delivered takes in when an event went to the caller.
+func (s *streaming) delivered(now time.Time) {
 	if s.events == 0 {
-		s.Upstreams.Throttler(s.service.Name).First(now, s.bounds(), s.place)
+		s.throttle.First(now, s.bounds(), s.place)
 		s.first = now.Sub(s.query.Arrived)
 		reporter.Times(s.Metrics, reporter.MetricFirst).Update(int64(s.first))
 	} else {
@@ -248,7 +248,7 @@
 	if err := http.NewResponseController(s.w).Flush(); err != nil {
 		return errors.Wrap(err, "caller")
 	}
-	s.time(s.Clock())
+	s.delivered(s.Clock())
 	if next.id != "" {
 		s.last = next.id
 	}
--- a/relayer/waiting.go
+++ b/relayer/waiting.go
@@ -34,10 +34,10 @@
 
 // enter waits until the request may go to engines.
 func (s *streaming) enter(ctx context.Context) *cowslipproxy.Failure {
-	throttle := s.Upstreams.Throttler(s.service.Name)
+	s.throttle = s.Upstreams.Throttler(s.service.Name)
 	bounds := s.bounds()
 	var wait time.Duration
-	if s.place, wait = throttle.Enter(bounds, s.priority, s.query.Last != ""); s.place == nil {
+	if s.place, wait = s.throttle.Enter(bounds, s.priority, s.query.Last != ""); s.place == nil {
 		return s.comeBack(wait)
 	}
 	patience := time.NewTimer(min(bounds.Patience, s.left()))
@@ -46,10 +46,10 @@
 	case <-s.place.Ready:
 		return nil
 	case <-ctx.Done():
-		throttle.Leave(s.Clock(), bounds, s.place)
+		s.throttle.Leave(s.Clock(), bounds, s.place)
 		return s.giveUp(ctx, ctx.Err())
 	case <-patience.C:
-		throttle.Leave(s.Clock(), bounds, s.place)
+		s.throttle.Leave(s.Clock(), bounds, s.place)
 		return s.comeBack(bounds.Patience)
 	}
 }
@@ -58,7 +58,7 @@
 // spreads the returns over the time that callers wait.
 func (s *streaming) comeBack(wait time.Duration) *cowslipproxy.Failure {
 	reporter.Count(s.Metrics, reporter.MetricThrottled)
-	limit, active, queued := s.Upstreams.Throttler(s.service.Name).Limit()
+	limit, active, queued := s.throttle.Limit()
 	longest := min(backLimit, time.Duration(backShare*float64(s.left())))
 	after := min(wait/2+rand.N(max(longest, 1)), longest)
 	return cowslipproxy.Refuse(cowslipproxy.ReasonOverloaded, "%d of at most %.1f requests are at engines without an event and %d wait, for %v",
--- a/routes.go
+++ b/routes.go
@@ -77,6 +77,9 @@
 	Engine *EngineProfile // nil for a plain service
 }
 
+// IsSplit reports whether the service's engines hold ranges of a model's layers.
+func (s RelayService) IsSplit() bool { return s.Engine != nil && s.Engine.Layers > 0 }
+
 // RelayCustomer is a customer with its bearer keys.
 type RelayCustomer struct {
 	Name     string
@@ -91,7 +94,7 @@
 
 // EngineProfile tells how the engines of a service work.
 type EngineProfile struct {
-	Models     []EngineModel
+	Load       time.Duration // to load all layers of the slowest model
 	Kinds      map[string]AcceleratorKind
 	Layers     int     // of the model; 0 when each engine holds all of it
 	LayerSize  float64 // megabytes
@@ -107,12 +110,6 @@
 	Loads      int     // loads of weights at once before they slow each other
 }
 
-// EngineModel is a model that a service's engines can hold.
-type EngineModel struct {
-	Name string
-	Load time.Duration // to load all layers
-}
-
 // AcceleratorKind tells how a kind of accelerator differs from the reference.
 type AcceleratorKind struct {
 	Memory float64 // megabytes
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -86,6 +86,21 @@
 	return best, found
 }
 
+// Readers returns the readers of all data centres.
+func Readers(members []cowslipproxy.Member) (readers []cowslipproxy.Member) {
+	centres := map[string]bool{}
+	for _, member := range members {
+		if centres[member.Centre] {
+			continue
+		}
+		centres[member.Centre] = true
+		if reader, ok := Reader(members, member.Centre); ok {
+			readers = append(readers, reader)
+		}
+	}
+	return readers
+}
+
 // Loads joins the loads that daemons tell. It is safe for concurrent use.
 type Loads struct {
 	mu    sync.Mutex
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// initialLimit is the bound of a new daemon. 15 daemons, all started anew, may
-	// then send as many prompts as the engines of five chains read at once.
+	// initialLimit is the bound of a new daemon. A site's 15 daemons, all started
+	// anew, may then send 90 prompts at once: 18 to each of the five whole chains
+	// that its engines hold.
 	initialLimit = 6.0
 	// leastLimit lets a daemon notice that engines answer in time again.
 	leastLimit = 1.0
@@ -27,8 +28,7 @@
 	smoothing = 0.1
 )
 
-// Throttler bounds the requests of one service. Its exported fields are set
-// before the first use. It is safe for concurrent use.
+// Throttler bounds the requests of one service. It is safe for concurrent use.
 type Throttler struct {
 	mu     sync.Mutex
 	limit  float64
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -28,10 +28,10 @@
 	Feed   cowslipproxy.Feed[T]
 	Wait   time.Duration            // for the first change; 0 to return at once
 	Gap    time.Duration            // between two reads
-	Skip   func(now time.Time) bool // whether another daemon reads for this one; nil means never
-	Reader func() bool              // whether others depend on this daemon's reads; nil means that they do
+	Skip   func(now time.Time) bool // whether another daemon reads for this one
+	Reader func() bool              // whether others depend on this daemon's reads
 	Fold   func(now time.Time, changes cowslipproxy.Changes[T])
-	Failed func(now time.Time) // the feed could not be read
+	Failed func() // the feed could not be read; nil for nothing
 	Clock  func() time.Time
 	Logger *slog.Logger
 
@@ -44,7 +44,7 @@
 func (w *Watcher[T]) Run(ctx context.Context) {
 	w.retry = retryWait
 	for ctx.Err() == nil {
-		if w.Skip != nil && w.Skip(w.Clock()) {
+		if w.Skip(w.Clock()) {
 			w.next, w.lost = 0, time.Time{}
 			waiter.Wait(ctx, skipGap)
 			continue
@@ -57,7 +57,7 @@
 		if err != nil {
 			w.fail(ctx, err)
 			gap = w.retry
-			if w.retry = min(2*w.retry, retryMost); w.Reader == nil || w.Reader() {
+			if w.retry = min(2*w.retry, retryMost); w.Reader() {
 				w.retry = retryWait
 			}
 		} else {
@@ -69,12 +69,13 @@
 }
 
 func (w *Watcher[T]) fail(ctx context.Context, err error) {
-	now := w.Clock()
 	if w.lost.IsZero() {
-		w.lost = now
+		w.lost = w.Clock()
 		reporter.EventFeedLost.Log(ctx, w.Logger, slog.String("feed", w.Name), slog.Any("error", err))
 	}
-	w.Failed(now)
+	if w.Failed != nil {
+		w.Failed()
+	}
 }
 
 func (w *Watcher[T]) take(ctx context.Context, changes cowslipproxy.Changes[T]) {
