relay: log announcements, fetches and reads of the store

When a daemon had an old configuration, its log said nothing between two activations: a failed fetch returned without a line, and nothing showed whether the daemon read the store or relied on another daemon.

Events 912 to 915 log the first announcement of a newer version, each fetch with its bytes and duration, failed fetches, and each change between reading the store and relying on shares; 903 gets the lag. relay.lag.seconds and relay.fetches.failed are the metrics.

--- a/cowslipd/relay/apply.go
+++ b/cowslipd/relay/apply.go
@@ -35,8 +35,9 @@
 	if d.configurationVersion() >= configuration.Version {
 		return
 	}
+	lag := d.announced.lag(d.Clock(), d.configurationVersion())
 	d.matcher.Store(matcher.New(configuration))
-	reporter.EventRelayConfigActivated.Log(context.Background(), d.Logger, slog.Uint64("version", configuration.Version), slog.String("source", source))
+	reporter.EventRelayConfigActivated.Log(context.Background(), d.Logger, slog.Uint64("version", configuration.Version), slog.String("source", source), slog.Duration("lag", lag))
 	d.pools.set(configuration, d.registrar.Instances())
 	d.announceReady()
 	d.share(context.Background())
--- a/cowslipd/relay/dump.go
+++ b/cowslipd/relay/dump.go
@@ -41,6 +41,7 @@
 	_, leader := d.lease.Holds()
 	reporter.SetGauge(d.Metrics, reporter.MetricInflight, d.server.InFlight())
 	reporter.SetGauge(d.Metrics, reporter.MetricVersion, int64(d.configurationVersion()))
+	reporter.SetGauge(d.Metrics, reporter.MetricVersionLag, int64(d.announced.lag(now, d.configurationVersion())))
 	reporter.SetGauge(d.Metrics, reporter.MetricRelayListAge, int64(d.sharing.listAge(now)))
 	reporter.SetGauge(d.Metrics, reporter.MetricLiveUpstreams, int64(countLive(d.registrar.Instances())))
 	reporter.SetFlag(d.Metrics, reporter.MetricReader, d.sharing.isReader())
--- a/cowslipd/relay/poll.go
+++ b/cowslipd/relay/poll.go
@@ -62,7 +62,7 @@
 		return // the next poll may choose another daemon
 	}
 	now := d.Clock()
-	if reply.ConfigurationVersion > d.configurationVersion() {
+	if d.recordAnnouncement(reply.ConfigurationVersion, peer.String()) {
 		d.fetchConfiguration(ctx, peer)
 	}
 	if reply.Age > sharer.MaxAge || len(reply.Instances) == 0 {
@@ -83,11 +83,15 @@
 	defer d.fetching.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
+	start := d.Clock()
 	var response gossiper.SnapshotResponse
 	var err error
 	if response, err = d.gossiper.FetchSnapshot(ctx, peer.String()); err != nil {
+		reporter.Count(d.Metrics, reporter.MetricFetchesFailed)
+		reporter.EventFetchFailed.Log(ctx, d.Logger, slog.String("from", peer.String()), slog.Duration("took", d.Clock().Sub(start)), slog.Any("error", err))
 		return // the next share contains the version again
 	}
+	reporter.EventFetched.Log(ctx, d.Logger, slog.String("from", peer.String()), slog.Uint64("version", response.Offset), slog.Int("bytes", len(response.Data)), slog.Duration("took", d.Clock().Sub(start)))
 	var configuration cowslipproxy.RelayConfiguration
 	if err := decoder.JSON(response.Data, &configuration); err != nil {
 		reporter.EventRelayConfigInvalid.Log(ctx, d.Logger, slog.String("from", peer.String()), slog.Any("error", err))
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -59,6 +59,7 @@
 	reloadedSettings     atomic.Pointer[loader.RelaySettings] // nil before the first reload
 	readyAnnounced       atomic.Bool                          // this daemon was announced as ready to other daemons
 	sharing              sharing
+	announced            announcement
 	applyMu              sync.Mutex  // serializes the activation of configurations
 	fetching             atomic.Bool // a configuration is being fetched from another daemon
 	encodedMu            sync.Mutex  // guards encodedConfiguration
@@ -146,14 +147,14 @@
 
 func (d *Daemon) watchConfigurations(ctx context.Context) {
 	(&watcher.Watcher[cowslipproxy.RelayConfiguration]{
-		Name: "configuration", Feed: d.Platform.RelayConfigurations, Wait: configurationPollTimeout, Skip: d.sharing.skipsReads, IsReader: d.sharing.isReader, Apply: d.handleConfigurations,
+		Name: "configuration", Feed: d.Platform.RelayConfigurations, Wait: configurationPollTimeout, Skip: d.skipsReads, IsReader: d.sharing.isReader, Apply: d.handleConfigurations,
 		Clock: d.Clock, Logger: d.Logger,
 	}).Run(ctx)
 }
 
 func (d *Daemon) watchInstances(ctx context.Context) {
 	(&watcher.Watcher[cowslipproxy.Instance]{
-		Name: "instances", Feed: d.Platform.Instances, Interval: sharer.ShareInterval, Skip: d.sharing.skipsReads, IsReader: d.sharing.isReader, Apply: d.handleInstances,
+		Name: "instances", Feed: d.Platform.Instances, Interval: sharer.ShareInterval, Skip: d.skipsReads, IsReader: d.sharing.isReader, Apply: d.handleInstances,
 		OnFailure: d.handleListError, Clock: d.Clock, Logger: d.Logger,
 	}).Run(ctx)
 }
--- a/cowslipd/relay/share.go
+++ b/cowslipd/relay/share.go
@@ -67,7 +67,7 @@
 		if reply.Reader == d.owner.Name {
 			s.heldListVersion[member.Name] = reply.ListVersion
 		}
-		if reply.ConfigurationVersion > d.configurationVersion() {
+		if d.recordAnnouncement(reply.ConfigurationVersion, member.Name) {
 			go d.fetchConfiguration(ctx, member.Peer)
 		}
 	}()
@@ -128,7 +128,7 @@
 	default:
 		reply.Age, reply.Instances = s.listAge(now), d.registrar.Instances()
 	}
-	if share.ConfigurationVersion > reply.ConfigurationVersion && sender.Peer.IsValid() {
+	if d.recordAnnouncement(share.ConfigurationVersion, share.From) && sender.Peer.IsValid() {
 		go d.fetchConfiguration(context.Background(), sender.Peer)
 	}
 	out, err := json.Marshal(reply)
--- a/cowslipd/relay/sharing.go
+++ b/cowslipd/relay/sharing.go
@@ -1,10 +1,13 @@
 package relay
 
 import (
+	"context"
+	"log/slog"
 	"sync"
 	"time"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/sharer"
 )
 
@@ -36,6 +39,7 @@
 	heldListVersion map[string]uint64     // version of this daemon's list that each peer holds; 0 for none
 	inFlight        map[string]bool       // daemons with a share in flight
 	loads           sharer.Loads
+	readsStore      bool // the daemon reads the store, as last logged
 }
 
 // setMembers sets the live daemons and elects the reader among them.
@@ -57,6 +61,26 @@
 	return now.Sub(s.lastSharedRead) < sharer.ShareTimeout || !s.readsAtStart && now.Sub(s.started) < bootTime
 }
 
+// recordReads records whether the daemon reads the store and reports whether that
+// changed.
+func (s *sharing) recordReads(reads bool) (changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed = s.readsStore != reads
+	s.readsStore = reads
+	return changed
+}
+
+// skipsReads reports whether the daemon relies on shares instead of reading the
+// store, and logs when that changes.
+func (d *Daemon) skipsReads(now time.Time) bool {
+	skips := d.sharing.skipsReads(now)
+	if d.sharing.recordReads(!skips) {
+		reporter.EventStoreReadsChanged.Log(context.Background(), d.Logger, slog.Bool("reads", !skips), slog.Bool("reader", d.sharing.isReader()), slog.Duration("age", d.sharing.listAge(now)))
+	}
+	return skips
+}
+
 // isReader reports whether this daemon reads the store for its data centre.
 func (s *sharing) isReader() bool {
 	s.mu.Lock()
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -46,16 +46,18 @@
 	MetricReady   = "follower.ready"       // 1 if the daemon has a configuration, else 0
 	MetricListAge = "lister.age.seconds"   // age of the list of VMs; -1 before the first answer
 
-	MetricNotRun         = "relayer.notrun"     // attempts that an upstream provably didn't run
-	MetricThrottled      = "relayer.throttled"  // requests refused because too many were waiting for engines
-	MetricStalls         = "relayer.stalls"     // stalls of streams that were traced to engines
-	MetricPathsReplaced  = "relayer.mends"      // paths replaced during a stream
-	MetricStreamsResumed = "relayer.resumes"    // streams resumed at another engine
-	MetricVersion        = "relay.version"      // version of the active configuration
-	MetricRelayListAge   = "relay.list.seconds" // age of the list of upstreams
-	MetricLiveUpstreams  = "relay.upstreams"    // upstreams that may get new work
-	MetricReader         = "relay.reader"       // 1 if the daemon reads the store for its data centre, else 0
-	MetricLeader         = "relay.leader"       // 1 if the daemon places layers, else 0
+	MetricNotRun         = "relayer.notrun"       // attempts that an upstream provably didn't run
+	MetricThrottled      = "relayer.throttled"    // requests refused because too many were waiting for engines
+	MetricStalls         = "relayer.stalls"       // stalls of streams that were traced to engines
+	MetricPathsReplaced  = "relayer.mends"        // paths replaced during a stream
+	MetricStreamsResumed = "relayer.resumes"      // streams resumed at another engine
+	MetricVersion        = "relay.version"        // version of the active configuration
+	MetricVersionLag     = "relay.lag.seconds"    // time since another daemon announced a newer configuration than the active one; 0 if there is none
+	MetricFetchesFailed  = "relay.fetches.failed" // failed fetches of a configuration from another daemon
+	MetricRelayListAge   = "relay.list.seconds"   // age of the list of upstreams
+	MetricLiveUpstreams  = "relay.upstreams"      // upstreams that may get new work
+	MetricReader         = "relay.reader"         // 1 if the daemon reads the store for its data centre, else 0
+	MetricLeader         = "relay.leader"         // 1 if the daemon places layers, else 0
 
 	MetricMembers     = "gossiper.members" // entry daemons that are up, including this one
 	MetricMembersDown = "gossiper.down"    // entry daemons that send no heartbeats
