relay: reproduce late configurations on slow links

The test starts 10, 40 and 120 daemons of one data centre whose connections to other daemons share a link of 14 Mbit/s each, publishes 1,400 routes, and asks every daemon for one of them after 3 s, the bound of large deployments. It also counts the calls to the store.

PeerNetwork lets a test replace the connections between daemons.

--- a/cowslipd/relay/deployment_test.go
+++ b/cowslipd/relay/deployment_test.go
@@ -59,6 +59,7 @@
 	daemons []*daemon
 	version int          // of the latest configuration
 	floor   int          // retries that are allowed at any load
+	rate    int          // bytes per second that each daemon can send to other daemons; 0 for no limit
 	ids     atomic.Int64 // id of the latest request
 }
 
@@ -151,6 +152,9 @@
 		Logger:   logger(),
 		Metrics:  metrics.NewRegistry(),
 	}
+	if d.rate > 0 {
+		daemonProcess.PeerNetwork = newLink(d.rate)
+	}
 	go func() {
 		err := daemonProcess.Run(ctx)
 		if err != nil && ctx.Err() == nil {
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -53,8 +53,9 @@
 	Clock        func() time.Time
 	Logger       *slog.Logger
 	Metrics      metrics.Registry
-	SettingsFile string           // path of the settings file, which is reloaded when it changes
-	Hangup       <-chan os.Signal // signals to reload the settings file
+	PeerNetwork  cowslipproxy.PeerNetwork // nil means TCP
+	SettingsFile string                   // path of the settings file, which is reloaded when it changes
+	Hangup       <-chan os.Signal         // signals to reload the settings file
 
 	reloadedSettings     atomic.Pointer[loader.RelaySettings] // nil before the first reload
 	readyAnnounced       atomic.Bool                          // this daemon was announced as ready to other daemons
@@ -93,12 +94,10 @@
 	workCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, workCtx := errgroup.WithContext(workCtx)
-	var peers *net.TCPListener
 	var err error
-	if peers, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(d.Settings.Peers)); err != nil {
-		return errors.WithStack(err)
+	if err = d.openPeerNetwork(); err != nil {
+		return err
 	}
-	d.gossiper.Listener = peers
 	servers := map[netip.AddrPort]http.Handler{
 		d.Settings.Callers:   d.server,
 		d.Settings.Ready:     d.Platform.Ready(d.isReady),
@@ -131,6 +130,24 @@
 	return err
 }
 
+// openPeerNetwork opens the listener for other daemons.
+func (d *Daemon) openPeerNetwork() error {
+	var err error
+	if d.PeerNetwork == nil {
+		d.gossiper.Listener, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(d.Settings.Peers))
+		return errors.WithStack(err)
+	}
+	d.gossiper.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		peer, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		return d.PeerNetwork.Dial(ctx, peer)
+	}
+	d.gossiper.Listener, err = d.PeerNetwork.Listen(d.Settings.Peers)
+	return err
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
--- /dev/null
+++ b/cowslipd/relay/spread_test.go
@@ -0,0 +1,134 @@
+package relay_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy/standin/keeper"
+)
+
+const (
+	// fleetConfigBound is the time within which a configuration takes effect on all
+	// daemons, as the platform's documentation states it for large deployments.
+	fleetConfigBound = 3 * time.Second
+	// slowLink is the slowest link that the documentation states for a VM, 14 Mbit/s.
+	slowLink = 14e6 / 8 // bytes per second
+	// readerCalls is twice the number of store calls that one reader makes within
+	// fleetConfigBound: a read of the list each 700 ms, of the configuration and of the
+	// lease each 2 s, and a renewal of the lease each 1.3 s.
+	readerCalls = 2 * (5 + 3 + 2 + 3)
+	startRoutes = 240
+	newRoutes   = 1400
+)
+
+// deployFleet starts daemons of one data centre on slow links, without upstreams, and
+// waits until each of them knows all the others.
+func deployFleet(t *testing.T, daemons int) *deployment {
+	d := &deployment{t: t, store: &keeper.Store{}, floor: retryFloor, rate: slowLink}
+	server := httptest.NewServer(d.store.Handler())
+	t.Cleanup(server.CloseClientConnections)
+	d.address = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	d.publishRoutes(startRoutes)
+	var seeds []netip.AddrPort
+	for range daemons {
+		settings := d.settings()
+		settings.Metrics = freeAddress(t).Port()
+		if len(seeds) < 3 {
+			seeds = append(seeds, settings.Peers)
+		}
+		settings.Seeds = seeds
+		d.startDaemon(settings)
+	}
+	for _, node := range d.daemons {
+		require.Eventually(t, func() bool { return d.membersOf(node) == daemons }, time.Minute, 200*time.Millisecond)
+	}
+	time.Sleep(2 * time.Second) // daemons act on new members once a second
+	return d
+}
+
+// membersOf returns how many ready daemons a daemon knows, including itself.
+func (d *deployment) membersOf(node *daemon) (ready int) {
+	response, err := http.Get("http://" + net.JoinHostPort(node.settings.Callers.Addr().String(), strconv.Itoa(int(node.settings.Metrics))) + "/dump")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	var dump struct {
+		Members []struct{ Down, Starting bool }
+	}
+	require.NoError(d.t, json.NewDecoder(response.Body).Decode(&dump))
+	for _, member := range dump.Members {
+		if !member.Down && !member.Starting {
+			ready++
+		}
+	}
+	return ready
+}
+
+// publishRoutes publishes a configuration with the given number of routes, which have
+// the prefixes /route-0/, /route-1/ and so on.
+func (d *deployment) publishRoutes(count int) {
+	configuration := d.configuration()
+	sample := configuration["routes"].([]any)[1].(map[string]any)
+	for i := range count {
+		route := map[string]any{}
+		for key, value := range sample {
+			route[key] = value
+		}
+		route["name"], route["path_prefix"] = fmt.Sprintf("r-%07x", i*7919), fmt.Sprintf("/route-%d/", i)
+		configuration["routes"] = append(configuration["routes"].([]any), route)
+	}
+	d.publish(configuration)
+}
+
+// countWithoutRoute returns how many daemons answer 404 for a route.
+func (d *deployment) countWithoutRoute(number int) (missing int) {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	for _, node := range d.daemons {
+		group.Go(func() {
+			got := d.send(node, call{path: fmt.Sprintf("/route-%d/1", number), method: http.MethodGet})
+			mu.Lock()
+			defer mu.Unlock()
+			if got.err != nil || got.status == http.StatusNotFound {
+				missing++
+			}
+		})
+	}
+	group.Wait()
+	return missing
+}
+
+func (d *deployment) storeCalls() int {
+	return d.store.Calls("/api/log-read") + d.store.Calls("/api/log-newest") + d.store.Calls("/api/log-append")
+}
+
+// Guards against a configuration that takes effect too late because one daemon sends
+// it to all others over its own link, and against a fallback to the store by all.
+func TestLargeConfigurationReachesEachDaemonInTime(t *testing.T) {
+	for _, daemons := range []int{10, 40, 120} {
+		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
+			d := deployFleet(t, daemons)
+			calls := d.storeCalls()
+			begin := time.Now()
+			d.publishRoutes(startRoutes + newRoutes)
+			time.Sleep(fleetConfigBound)
+			missing := d.countWithoutRoute(startRoutes + newRoutes - 1)
+			calls = d.storeCalls() - calls
+			t.Logf("%d daemons: %d without the new routes after %v, %d calls to the store", daemons, missing, time.Since(begin), calls)
+			require.Zero(t, missing)
+			require.LessOrEqual(t, calls, readerCalls)
+		})
+	}
+}
--- a/interfaces.go
+++ b/interfaces.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,6 +55,12 @@
 	Data   []byte    `json:"data"`
 }
 
+// PeerNetwork opens the connections between entry daemons.
+type PeerNetwork interface {
+	Listen(address netip.AddrPort) (net.Listener, error)
+	Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+}
+
 // VMList is the platform's list of live and leaving VMs, which may be out of date.
 type VMList interface {
 	VMs(ctx context.Context) ([]VM, error)
