sharer: pass shares on through a tree within each data centre

Callers saw an old configuration for more than 3 s on deployments with some 40 daemons in a data centre. One part of the cause: the reader sent each share, instance list and configuration to all of them, so that its traffic grew with the data centre, and any daemon could be the reader, also one with a link of 14 Mbit/s.

Daemons now get shares from a parent in a tree with a mean fan-out of 8 that all compute alike from the members. Daemons with fast links (new setting link) are near the root, and rendezvous hashing keeps most parents when a daemon comes or goes. A daemon passes an accepted share on at once, and a share that is requested while another one is in flight follows it instead of waiting for the next interval of 700 ms.

--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -23,7 +23,7 @@
 	d.pools = pools{centre: d.Settings.Centre, settings: d.Settings}
 	d.gossiper = &gossiper.Gossiper{
 		Self:     d.owner,
-		Hello:    cowslipproxy.Hello{Caller: d.Settings.Callers, Peer: d.Settings.Peers, Centre: d.Settings.Centre, Starting: true},
+		Hello:    cowslipproxy.Hello{Caller: d.Settings.Callers, Peer: d.Settings.Peers, Centre: d.Settings.Centre, LinkMbps: d.Settings.LinkMbps, Starting: true},
 		Snapshot: d.snapshot,
 		OnShare:  d.handleShare,
 		Logger:   d.Logger,
--- a/cowslipd/relay/members.go
+++ b/cowslipd/relay/members.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cowslipproxy/cowslipproxy"
@@ -67,6 +69,7 @@
 	for _, member := range newest {
 		live = append(live, member)
 	}
+	slices.SortFunc(live, func(a, b cowslipproxy.Member) int { return cmp.Compare(a.Name, b.Name) })
 	d.sharing.setMembers(d.owner, d.Settings.Centre, live)
 	d.pools.setDaemons(now, len(live))
 }
--- a/cowslipd/relay/share.go
+++ b/cowslipd/relay/share.go
@@ -13,64 +13,85 @@
 	"github.com/cowslipproxy/cowslipproxy/sharer"
 )
 
-// share sends the instance list and the loads of engines to other daemons, if
-// this daemon is the reader of its data centre.
+// share sends the instance list and the loads of engines to the daemons that get them
+// from this one.
 func (d *Daemon) share(ctx context.Context) {
-	if !d.sharing.isReader() {
+	near, far := d.sharing.targets(d.owner, d.Settings.Centre)
+	if len(near)+len(far) == 0 && !d.sharing.isReader() {
 		return
 	}
 	now := d.Clock()
-	self := cowslipproxy.Member{Owner: d.owner, Hello: cowslipproxy.Hello{Centre: d.Settings.Centre}}
-	near, far := d.sharing.targets(self)
-	own := d.pools.ownLoads()
-	d.sharing.loads.Put(now, d.owner.Name, own)
-	d.pools.setOtherLoads(d.sharing.loads.Sum(now, d.owner.Name))
+	loads := &d.sharing.loads
+	loads.Put(now, d.owner.Name, d.pools.ownLoads())
+	d.pools.setOtherLoads(loads.Sum(now, d.owner.Name))
 	var farNames []string
 	for _, member := range far {
 		farNames = append(farNames, member.Name)
 	}
 	for _, member := range near {
-		d.sendShare(ctx, now, member, d.sharing.loads.Sum(now, member.Name))
+		d.sendShare(ctx, now, member, loads.Sum(now, member.Name))
 	}
 	for _, member := range far {
-		d.sendShare(ctx, now, member, d.sharing.loads.Sum(now, farNames...))
+		d.sendShare(ctx, now, member, loads.Sum(now, farNames...))
 	}
 }
 
-// sendShare sends a share to a daemon, unless the previous one is still in flight,
-// and processes the reply. The share contains the instance list if the receiver is
-// in the same data centre and, by its last reply, holds another version of it.
+// sendShare sends a share to a daemon and processes the reply. While a share to that
+// daemon is in flight, it only requests that another one follows.
 func (d *Daemon) sendShare(ctx context.Context, now time.Time, member cowslipproxy.Member, loads map[string]float64) {
 	s := &d.sharing
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.inFlight[member.Name] {
+	if _, inFlight := s.inFlight[member.Name]; inFlight {
+		s.inFlight[member.Name] = true
 		return
 	}
-	s.inFlight[member.Name] = true
+	s.inFlight[member.Name] = false
+	share := d.newShare(now, member, loads)
+	go func() {
+		if d.completeShare(ctx, member, share) {
+			d.sendShare(ctx, d.Clock(), member, loads)
+		}
+	}()
+}
+
+// newShare returns a share for a daemon. It contains the instance list if the receiver
+// is in the same data centre and, by its last reply, holds another version of it. The
+// caller holds the lock of d.sharing.
+func (d *Daemon) newShare(now time.Time, member cowslipproxy.Member, loads map[string]float64) sharer.Share {
+	s := &d.sharing
 	listVersion := d.registrar.Version()
-	share := sharer.Share{From: d.owner.Name, Age: now.Sub(s.lastRead), ConfigurationVersion: d.configurationVersion(), ListVersion: listVersion, Loads: loads}
+	share := sharer.Share{From: d.owner.Name, Age: now.Sub(s.lastListRead()), ConfigurationVersion: d.configurationVersion(), ListVersion: listVersion, Loads: loads}
 	if heldListVersion, ok := s.heldListVersion[member.Name]; member.Centre == d.Settings.Centre && ok && heldListVersion != listVersion {
 		share.Complete, share.Instances = true, d.registrar.Instances()
 	}
-	go func() {
-		reply, err := d.exchangeShare(ctx, member.Peer, share)
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.inFlight, member.Name)
-		if err != nil {
-			delete(s.heldListVersion, member.Name)
-			return // gossip detects daemons that are down
-		}
-		s.loads.Put(d.Clock(), member.Name, reply.Loads)
-		s.heldListVersion[member.Name] = 0
-		if reply.Reader == d.owner.Name {
-			s.heldListVersion[member.Name] = reply.ListVersion
-		}
-		if d.recordAnnouncement(reply.ConfigurationVersion, member.Name) {
-			go d.fetchConfiguration(ctx, member.Peer)
-		}
-	}()
+	return share
+}
+
+// completeShare exchanges a share and processes the reply. It reports whether another
+// share must follow: one was requested meanwhile, or the receiver turned out to hold
+// another version of the instance list.
+func (d *Daemon) completeShare(ctx context.Context, member cowslipproxy.Member, share sharer.Share) (again bool) {
+	s := &d.sharing
+	reply, err := d.exchangeShare(ctx, member.Peer, share)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	again = s.inFlight[member.Name]
+	delete(s.inFlight, member.Name)
+	if err != nil {
+		delete(s.heldListVersion, member.Name)
+		return false // gossip detects daemons that are down
+	}
+	s.loads.Put(d.Clock(), member.Name, reply.Loads)
+	s.heldListVersion[member.Name] = 0
+	if reply.Reader == d.owner.Name {
+		s.heldListVersion[member.Name] = reply.ListVersion
+	}
+	if d.recordAnnouncement(reply.ConfigurationVersion, member.Name) {
+		go d.fetchConfiguration(ctx, member.Peer)
+	}
+	outdated := member.Centre == d.Settings.Centre && s.heldListVersion[member.Name] != share.ListVersion
+	return again || outdated && !share.Complete
 }
 
 // exchangeShare sends a share and returns the reply.
@@ -109,6 +130,7 @@
 	accepted := sameCentre && !share.RequestList && share.Age <= sharer.MaxAge
 	if accepted {
 		s.lastSharedRead = now.Add(-share.Age)
+		s.setParent(share.From)
 	}
 	if accepted && share.Complete {
 		s.listSource, s.listVersion = share.From, share.ListVersion
@@ -118,15 +140,16 @@
 	if accepted && share.Complete {
 		d.updateInstances(d.registrar.Replace(now, share.Instances))
 	}
-	switch {
-	case sameCentre && !share.RequestList:
-		d.pools.setOtherLoads(share.Loads)
-		reply.Loads = d.pools.ownLoads()
-	case !share.RequestList:
+	if share.RequestList {
+		reply.Age, reply.Instances = s.listAge(now), d.registrar.Instances()
+	} else {
 		s.loads.Put(now, share.From, share.Loads)
+		s.loads.Put(now, d.owner.Name, d.pools.ownLoads())
+		d.pools.setOtherLoads(s.loads.Sum(now, d.owner.Name))
 		reply.Loads = s.loads.Sum(now, share.From)
-	default:
-		reply.Age, reply.Instances = s.listAge(now), d.registrar.Instances()
+	}
+	if accepted {
+		d.share(context.Background())
 	}
 	if d.recordAnnouncement(share.ConfigurationVersion, share.From) && sender.Peer.IsValid() {
 		go d.fetchConfiguration(context.Background(), sender.Peer)
--- a/cowslipd/relay/sharing.go
+++ b/cowslipd/relay/sharing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,23 +32,36 @@
 
 	mu              sync.Mutex
 	members         []cowslipproxy.Member // live daemons, including this one
+	tree            sharer.Tree           // of this daemon's data centre
 	reader          bool                  // this daemon reads the store for its data centre
 	lastRead        time.Time             // last successful read of the instance list by this daemon
 	lastSharedRead  time.Time             // time of the read that the last accepted share reports
 	listSource      string                // daemon whose instance list this daemon holds
 	listVersion     uint64                // version of that list
 	heldListVersion map[string]uint64     // version of this daemon's list that each peer holds; 0 for none
-	inFlight        map[string]bool       // daemons with a share in flight
+	inFlight        map[string]bool       // daemons with a share in flight; true if another one must follow
+	parent          string                // daemon of this data centre that sent the last accepted share
 	loads           sharer.Loads
 	readsStore      bool // the daemon reads the store, as last logged
 }
 
-// setMembers sets the live daemons and elects the reader among them.
+// setMembers sets the live daemons, which must be sorted, and elects the reader among
+// them.
 func (s *sharing) setMembers(self cowslipproxy.Owner, centre string, members []cowslipproxy.Member) {
-	reader, ok := sharer.Reader(members, centre)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.members, s.reader = members, ok && reader.Owner == self
+	if slices.Equal(members, s.members) {
+		return
+	}
+	s.members, s.tree = members, sharer.NewTree(members, centre)
+	reader, ok := s.tree.Reader()
+	s.reader = ok && reader.Owner == self
+	near, far := s.children(self, centre)
+	reporters := []string{self.Name, s.parent}
+	for _, member := range append(far, near...) {
+		reporters = append(reporters, member.Name)
+	}
+	s.loads.Retain(reporters...)
 }
 
 // skipsReads reports whether the daemon relies on shares instead of reading the
@@ -92,24 +106,45 @@
 func (s *sharing) listAge(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return now.Sub(s.lastListRead())
+}
+
+// lastListRead returns when the instance list was last read from the store, by this
+// daemon or by the one whose shares it gets. The caller holds the lock.
+func (s *sharing) lastListRead() time.Time {
 	if s.lastSharedRead.After(s.lastRead) {
-		return now.Sub(s.lastSharedRead)
+		return s.lastSharedRead
+	}
+	return s.lastRead
+}
+
+// setParent records which daemon sends shares. The loads that the former parent
+// reported are dropped, since both report those of all other daemons. The caller holds
+// the lock.
+func (s *sharing) setParent(name string) {
+	if s.parent != "" && s.parent != name {
+		s.loads.Forget(s.parent)
 	}
-	return now.Sub(s.lastRead)
+	s.parent = name
 }
 
-// targets returns the daemons that a reader sends shares to: near are those of
-// its data centre, far the readers of other data centres.
-func (s *sharing) targets(self cowslipproxy.Member) (near, far []cowslipproxy.Member) {
+// targets returns the daemons that this daemon sends shares to: near are its children
+// in the tree of its data centre, far the readers of other data centres if it is a
+// reader itself.
+func (s *sharing) targets(self cowslipproxy.Owner, centre string) (near, far []cowslipproxy.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, member := range s.members {
-		if member.Centre == self.Centre && member.Owner != self.Owner {
-			near = append(near, member)
-		}
+	return s.children(self, centre)
+}
+
+// children implements targets. The caller holds the lock.
+func (s *sharing) children(self cowslipproxy.Owner, centre string) (near, far []cowslipproxy.Member) {
+	near = s.tree.Children(self.Name)
+	if !s.reader {
+		return near, nil
 	}
 	for _, reader := range sharer.Readers(s.members) {
-		if reader.Centre != self.Centre {
+		if reader.Centre != centre {
 			far = append(far, reader)
 		}
 	}
--- a/loader/relay.go
+++ b/loader/relay.go
@@ -27,6 +27,7 @@
 	Window    cowslipproxy.Duration `json:"window" validate:"gt=0"`   // period over which retries are limited
 	Retries   float64               `json:"retries" validate:"gte=0"` // retry budget of all daemons per window, as a ratio of retries to requests
 	Floor     int                   `json:"floor" validate:"gte=0"`   // further retries of all daemons per window, independent of the number of requests
+	LinkMbps  float64               `json:"link" validate:"gte=0"`    // speed of the VM's link, in megabits per second; 0 if unknown
 	Memory    int64                 `json:"memory" validate:"gte=16"` // memory limit of the process, in megabytes
 	Level     string                `json:"level" validate:"oneof=debug info warn error"`
 }
--- a/members.go
+++ b/members.go
@@ -33,6 +33,7 @@
 	Caller   netip.AddrPort `json:"caller"` // address for callers
 	Peer     netip.AddrPort `json:"peer"`   // address for other entry daemons
 	Centre   string         `json:"centre"`
+	LinkMbps float64        `json:"link,omitempty"`     // megabits per second of the VM's link; 0 if unknown
 	Starting bool           `json:"starting,omitempty"` // not ready to serve requests
 	Stopping bool           `json:"stopping,omitempty"`
 }
@@ -45,6 +46,9 @@
 	if h.Centre == "" || len(h.Centre) > 64 {
 		return errors.Errorf("centre: length of %d bytes is not between 1 and 64", len(h.Centre))
 	}
+	if h.LinkMbps < 0 {
+		return errors.Errorf("link: %v is not at least 0", h.LinkMbps)
+	}
 	return nil
 }
 
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -1,14 +1,12 @@
 // Package sharer elects the daemons that read the platform's store on behalf of
-// their data centre, and aggregates what daemons report about the load of
-// engines. It starts no goroutine and does not read the clock.
+// their data centre, determines through which daemons the contents reach the others,
+// and aggregates what daemons report about the load of engines. It starts no goroutine
+// and does not read the clock.
 package sharer
 
 import (
-	"slices"
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/cowslipproxy/cowslipproxy"
@@ -26,8 +24,6 @@
 	ShareTimeout = 1100 * time.Millisecond
 	// MaxAge is the age of a reader's last read above which its share is ignored.
 	MaxAge = 1500 * time.Millisecond
-	// maxLoadAge is how long a daemon's load report is used.
-	maxLoadAge = 2500 * time.Millisecond
 )
 
 // Share is the message in which a reader sends the instance list and the loads of
@@ -70,79 +66,3 @@
 func (r Reply) Check() error {
 	return Share{From: "answer", Age: r.Age, Instances: r.Instances}.Check()
 }
-
-// Reader returns the daemon that reads the store on behalf of a data centre: of
-// the daemons that are running there, the one whose name has the lowest hash.
-func Reader(members []cowslipproxy.Member, centre string) (cowslipproxy.Member, bool) {
-	var best cowslipproxy.Member
-	var lowest uint64
-	found := false
-	for _, member := range members {
-		if member.Centre != centre || member.Down || member.Stopping || member.Starting {
-			continue
-		}
-		if hash := xxhash.Sum64String("reader" + member.Name); !found || hash < lowest {
-			best, lowest, found = member, hash, true
-		}
-	}
-	return best, found
-}
-
-// Readers returns the readers of all data centres.
-func Readers(members []cowslipproxy.Member) (readers []cowslipproxy.Member) {
-	centres := map[string]bool{}
-	for _, member := range members {
-		if centres[member.Centre] {
-			continue
-		}
-		centres[member.Centre] = true
-		if reader, ok := Reader(members, member.Centre); ok {
-			readers = append(readers, reader)
-		}
-	}
-	return readers
-}
-
-// Loads aggregates the loads that daemons report. It is safe for concurrent
-// use.
-type Loads struct {
-	mu      sync.Mutex
-	reports map[string]report
-}
-
-type report struct {
-	receivedAt time.Time
-	loads      map[string]float64
-}
-
-// Put records the loads that a daemon reports: those of its own requests or, for
-// the reader of another data centre, those of all requests there.
-func (l *Loads) Put(now time.Time, from string, loads map[string]float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.reports == nil {
-		l.reports = map[string]report{}
-	}
-	l.reports[from] = report{now, loads}
-}
-
-// Sum returns the total load by engine, without the reports of the named
-// daemons.
-func (l *Loads) Sum(now time.Time, exclude ...string) map[string]float64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	sum := map[string]float64{}
-	for from, report := range l.reports {
-		if now.Sub(report.receivedAt) > maxLoadAge {
-			delete(l.reports, from)
-			continue
-		}
-		if slices.Contains(exclude, from) {
-			continue
-		}
-		for engine, load := range report.loads {
-			sum[engine] += load
-		}
-	}
-	return sum
-}
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -23,7 +23,7 @@
 // Guards against electing a reader that is stopping or in another data centre.
 func TestStoppingReaderIsReplaced(t *testing.T) {
 	all := append(members(4, "a"), members(3, "b")...)
-	first, ok := sharer.Reader(all, "a")
+	first, ok := sharer.NewTree(all, "a").Reader()
 	require.True(t, ok)
 	require.Equal(t, "a", first.Centre)
 	for i := range all {
@@ -31,10 +31,10 @@
 			all[i].Stopping = true
 		}
 	}
-	second, ok := sharer.Reader(all, "a")
+	second, ok := sharer.NewTree(all, "a").Reader()
 	require.True(t, ok)
 	require.NotEqual(t, first.Owner, second.Owner)
-	_, ok = sharer.Reader(all, "c")
+	_, ok = sharer.NewTree(all, "c").Reader()
 	require.False(t, ok)
 }
 
