relay: fetch configurations in compressed segments that continue after failures

Callers got 404 for routes that had been added more than 3 s before. Each fetch of the configuration transferred it whole, 66 KB with 240 routes and 427 KB with 1,640, and started again from the first byte when 500 ms were not enough.

A configuration is now a gzip-compressed document (25 KB for 1,640 routes of the test) that daemons fetch in segments of 32 KB. What was received is kept when a segment does not arrive, and the fetch goes on at the announcer, the parent or the reader, whichever has the same document by its hash. Daemons pass a document on as they received it. A version that is announced during a fetch is fetched next.

--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -25,6 +25,7 @@
 		Self:     d.owner,
 		Hello:    cowslipproxy.Hello{Caller: d.Settings.Callers, Peer: d.Settings.Peers, Centre: d.Settings.Centre, LinkMbps: d.Settings.LinkMbps, Starting: true},
 		Snapshot: d.snapshot,
+		Document: d.document,
 		OnShare:  d.handleShare,
 		Logger:   d.Logger,
 	}
--- /dev/null
+++ b/cowslipd/relay/fleet_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package relay_test
+
+var fleetSizes = []int{10, 40, 120}
--- a/cowslipd/relay/poll.go
+++ b/cowslipd/relay/poll.go
@@ -2,15 +2,10 @@
 
 import (
 	"context"
-	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"time"
 
-	"github.com/cowslipproxy/cowslipproxy"
-	"github.com/cowslipproxy/cowslipproxy/decoder"
-	"github.com/cowslipproxy/cowslipproxy/gossiper"
-	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/sharer"
 )
 
@@ -62,8 +57,8 @@
 		return // the next poll may choose another daemon
 	}
 	now := d.Clock()
-	if d.recordAnnouncement(reply.ConfigurationVersion, peer.String()) {
-		d.fetchConfiguration(ctx, peer)
+	if d.recordAnnouncement(reply.ConfigurationVersion, peer) {
+		go d.fetchAnnounced(ctx)
 	}
 	if reply.Age > sharer.MaxAge || len(reply.Instances) == 0 {
 		return
@@ -73,29 +68,3 @@
 	d.sharing.mu.Unlock()
 	d.updateInstances(d.registrar.Replace(now, reply.Instances))
 }
-
-// fetchConfiguration fetches the configuration from another daemon and activates
-// it if it is newer than the current one.
-func (d *Daemon) fetchConfiguration(ctx context.Context, peer netip.AddrPort) {
-	if !d.fetching.CompareAndSwap(false, true) {
-		return
-	}
-	defer d.fetching.Store(false)
-	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-	defer cancel()
-	start := d.Clock()
-	var response gossiper.SnapshotResponse
-	var err error
-	if response, err = d.gossiper.FetchSnapshot(ctx, peer.String()); err != nil {
-		reporter.Count(d.Metrics, reporter.MetricFetchesFailed)
-		reporter.EventFetchFailed.Log(ctx, d.Logger, slog.String("from", peer.String()), slog.Duration("took", d.Clock().Sub(start)), slog.Any("error", err))
-		return // the next share contains the version again
-	}
-	reporter.EventFetched.Log(ctx, d.Logger, slog.String("from", peer.String()), slog.Uint64("version", response.Offset), slog.Int("bytes", len(response.Data)), slog.Duration("took", d.Clock().Sub(start)))
-	var configuration cowslipproxy.RelayConfiguration
-	if err := decoder.JSON(response.Data, &configuration); err != nil {
-		reporter.EventRelayConfigInvalid.Log(ctx, d.Logger, slog.String("from", peer.String()), slog.Any("error", err))
-		return
-	}
-	d.apply(configuration, peer.String())
-}
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -57,24 +57,25 @@
 	SettingsFile string                   // path of the settings file, which is reloaded when it changes
 	Hangup       <-chan os.Signal         // signals to reload the settings file
 
-	reloadedSettings     atomic.Pointer[loader.RelaySettings] // nil before the first reload
-	readyAnnounced       atomic.Bool                          // this daemon was announced as ready to other daemons
-	sharing              sharing
-	announced            announcement
-	applyMu              sync.Mutex  // serializes the activation of configurations
-	fetching             atomic.Bool // a configuration is being fetched from another daemon
-	encodedMu            sync.Mutex  // guards encodedConfiguration
-	encodedConfiguration encodedConfiguration
-	owner                cowslipproxy.Owner
-	matcher              atomic.Pointer[matcher.Matcher]
-	registrar            registrar.Registrar
-	listKnown            atomic.Bool // the instance list is known
-	stopping             atomic.Bool // the graceful shutdown has begun
-	rejecting            atomic.Bool // new requests are refused
-	pools                pools
-	gossiper             *gossiper.Gossiper
-	lease                *holder.Holder
-	server               *relayer.Server
+	reloadedSettings atomic.Pointer[loader.RelaySettings] // nil before the first reload
+	readyAnnounced   atomic.Bool                          // this daemon was announced as ready to other daemons
+	sharing          sharing
+	announced        announcement
+	applyMu          sync.Mutex        // serializes the activation of configurations
+	fetching         atomic.Bool       // a configuration is being fetched from another daemon
+	download         gossiper.Download // configuration that is being fetched; used by one fetch at a time
+	documentMu       sync.Mutex        // guards currentDocument
+	currentDocument  gossiper.Document
+	owner            cowslipproxy.Owner
+	matcher          atomic.Pointer[matcher.Matcher]
+	registrar        registrar.Registrar
+	listKnown        atomic.Bool // the instance list is known
+	stopping         atomic.Bool // the graceful shutdown has begun
+	rejecting        atomic.Bool // new requests are refused
+	pools            pools
+	gossiper         *gossiper.Gossiper
+	lease            *holder.Holder
+	server           *relayer.Server
 }
 
 // Transport returns an HTTP transport with limits on its connections. It reuses
--- a/cowslipd/relay/share.go
+++ b/cowslipd/relay/share.go
@@ -87,8 +87,8 @@
 	if reply.Reader == d.owner.Name {
 		s.heldListVersion[member.Name] = reply.ListVersion
 	}
-	if d.recordAnnouncement(reply.ConfigurationVersion, member.Name) {
-		go d.fetchConfiguration(ctx, member.Peer)
+	if d.recordAnnouncement(reply.ConfigurationVersion, member.Peer) {
+		go d.fetchAnnounced(ctx)
 	}
 	outdated := member.Centre == d.Settings.Centre && s.heldListVersion[member.Name] != share.ListVersion
 	return again || outdated && !share.Complete
@@ -151,8 +151,8 @@
 	if accepted {
 		d.share(context.Background())
 	}
-	if d.recordAnnouncement(share.ConfigurationVersion, share.From) && sender.Peer.IsValid() {
-		go d.fetchConfiguration(context.Background(), sender.Peer)
+	if sender.Peer.IsValid() && d.recordAnnouncement(share.ConfigurationVersion, sender.Peer) {
+		go d.fetchAnnounced(context.Background())
 	}
 	out, err := json.Marshal(reply)
 	return out, errors.WithStack(err)
--- a/cowslipd/relay/spread_test.go
+++ b/cowslipd/relay/spread_test.go
@@ -76,8 +76,13 @@
 	return ready
 }
 
-// publishRoutes publishes a configuration with the given number of routes, which have
-// the prefixes /route-0/, /route-1/ and so on.
+// routePrefix returns the prefix of a numbered route. The prefixes look random, as those
+// of the platform do, so that they do not compress well.
+func routePrefix(number int) string {
+	return fmt.Sprintf("/%016x/", uint64(number+1)*0x9e3779b97f4a7c15)
+}
+
+// publishRoutes publishes a configuration with the given number of routes.
 func (d *deployment) publishRoutes(count int) {
 	configuration := d.configuration()
 	sample := configuration["routes"].([]any)[1].(map[string]any)
@@ -86,7 +91,7 @@
 		for key, value := range sample {
 			route[key] = value
 		}
-		route["name"], route["path_prefix"] = fmt.Sprintf("r-%07x", i*7919), fmt.Sprintf("/route-%d/", i)
+		route["name"], route["path_prefix"] = fmt.Sprintf("r-%d", i), routePrefix(i)
 		configuration["routes"] = append(configuration["routes"].([]any), route)
 	}
 	d.publish(configuration)
@@ -98,7 +103,7 @@
 	var mu sync.Mutex
 	for _, node := range d.daemons {
 		group.Go(func() {
-			got := d.send(node, call{path: fmt.Sprintf("/route-%d/1", number), method: http.MethodGet})
+			got := d.send(node, call{path: routePrefix(number) + "1", method: http.MethodGet})
 			mu.Lock()
 			defer mu.Unlock()
 			if got.err != nil || got.status == http.StatusNotFound {
@@ -117,7 +122,7 @@
 // Guards against a configuration that takes effect too late because one daemon sends
 // it to all others over its own link, and against a fallback to the store by all.
 func TestLargeConfigurationReachesEachDaemonInTime(t *testing.T) {
-	for _, daemons := range []int{10, 40, 120} {
+	for _, daemons := range fleetSizes {
 		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
 			d := deployFleet(t, daemons)
 			calls := d.storeCalls()
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -42,6 +42,7 @@
 	Budget     float64                                                           // bytes per second for items that are not urgent; 0 derives it from the fleet size
 	Dial       func(ctx context.Context, address string) (net.Conn, error)       // nil means a TCP dialer
 	Snapshot   func(ctx context.Context) (offset uint64, data []byte, err error) // returns the configuration snapshot and its offset
+	Document   func() (Document, bool)                                           // returns the document that other daemons may fetch; false if there is none yet
 	OnSuspects func(data []byte) (held []byte, err error)                        // handles suspect records and returns those held here
 	OnHold     func(data []byte) (response []byte, err error)                    // handles a request to reserve an upstream for a suspect, or to release it
 	OnShare    func(data []byte) (response []byte, err error)                    // handles data that another daemon read from the platform's store, and returns the reply
--- a/gossiper/service.go
+++ b/gossiper/service.go
@@ -48,6 +48,7 @@
 type peerService interface {
 	serveExchange(request *Exchange) (*Exchange, error)
 	serveCompare(comparison *Compare) (*Difference, error)
+	serveSegment(request *SegmentRequest) (*Segment, error)
 }
 
 var serviceDesc = grpc.ServiceDesc{
@@ -59,6 +60,7 @@
 		unary("Snapshot", func(g *Gossiper, ctx context.Context, _ *SnapshotRequest) (*SnapshotResponse, error) {
 			return g.serveSnapshot(ctx)
 		}),
+		unary("Segment", func(g *Gossiper, _ context.Context, r *SegmentRequest) (*Segment, error) { return g.serveSegment(r) }),
 		unary("Hold", func(g *Gossiper, _ context.Context, p *Payload) (*Payload, error) { return g.handle(g.OnHold, p) }),
 		unary("Share", func(g *Gossiper, _ context.Context, p *Payload) (*Payload, error) { return g.handle(g.OnShare, p) }),
 		unary("Suspects", func(g *Gossiper, _ context.Context, p *Payload) (*Payload, error) { return g.handle(g.OnSuspects, p) }),
