relay: read the configuration from the store when others do not provide it

A daemon skipped its own reads of the configuration as long as it got shares of the instance list.

A daemon now relies on others for the configuration only while the age that shares report for it is recent and no announced version is missing for more than 0.8 s. Shares report the positions in the store's feeds, so that a daemon continues there instead of reading everything, an older list never replaces a newer one, and a daemon that polls for the list gets it only if it changed. Polls go to any daemon of the data centre too. A reader's long poll is 600 ms, so that its followers notice a stall within the 2 s in which a configuration must take effect; that adds about one call a second.

--- a/cowslipd/relay/apply.go
+++ b/cowslipd/relay/apply.go
@@ -10,13 +10,25 @@
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
 
-// configurationPollTimeout bounds a long poll for a newer configuration. It is
-// shorter than the store allows, because a connection to the store may stall
-// unnoticed.
-const configurationPollTimeout = 2 * time.Second
+const (
+	// configurationWait bounds a long poll for a newer configuration. It is shorter
+	// than the store allows, because a connection to the store may stall unnoticed.
+	configurationWait = 2 * time.Second
+	// readerConfigurationWait is that of a reader, whose followers find out by the age of
+	// its last read that it stalled.
+	readerConfigurationWait = 600 * time.Millisecond
+)
+
+// configurationWait returns how long a read of the configuration waits for a change.
+func (d *Daemon) configurationWait() time.Duration {
+	if d.sharing.isReader() {
+		return readerConfigurationWait
+	}
+	return configurationWait
+}
 
 // handleConfigurations applies configurations read from the store.
-func (d *Daemon) handleConfigurations(_ time.Time, changes cowslipproxy.Changes[cowslipproxy.RelayConfiguration]) {
+func (d *Daemon) handleConfigurations(now time.Time, changes cowslipproxy.Changes[cowslipproxy.RelayConfiguration]) {
 	for _, item := range changes.Items {
 		if item.Err != nil {
 			reporter.EventRelayConfigInvalid.Log(context.Background(), d.Logger, slog.Any("error", item.Err))
@@ -26,6 +38,7 @@
 			d.apply(item.Value, "store")
 		}
 	}
+	d.sharing.recordRead(&d.sharing.configuration, now, changes.Next)
 }
 
 // apply activates a configuration if it is newer than the current one.
@@ -51,9 +64,8 @@
 		}
 	}
 	changed := d.registrar.Apply(now, changes)
-	d.sharing.mu.Lock()
-	d.sharing.lastRead, d.sharing.listSource = now, d.owner.Name
-	d.sharing.mu.Unlock()
+	d.sharing.recordRead(&d.sharing.list, now, changes.Next)
+	d.sharing.setListSource(d.owner.Name, 0)
 	d.updateInstances(changed)
 	d.share(context.Background())
 }
--- a/cowslipd/relay/deployment_test.go
+++ b/cowslipd/relay/deployment_test.go
@@ -57,10 +57,12 @@
 	fleet   *worker.Fleet
 	address netip.AddrPort // of the store
 	daemons []*daemon
-	version int          // of the latest configuration
-	floor   int          // retries that are allowed at any load
-	rate    int          // bytes per second that each daemon can send to other daemons; 0 for no limit
-	ids     atomic.Int64 // id of the latest request
+	version int                      // of the latest configuration
+	seeds   []netip.AddrPort         // of the daemons that startFleet starts
+	floor   int                      // retries that are allowed at any load
+	peers   cowslipproxy.PeerNetwork // network of the daemons that are started next; nil for TCP
+	rate    int                      // bytes per second that each daemon can send to other daemons; 0 for no limit
+	ids     atomic.Int64             // id of the latest request
 }
 
 type daemon struct {
@@ -138,6 +140,7 @@
 	settings.Callers, settings.Ready, settings.Directory, settings.Peers = freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), freeAddress(d.t)
 	settings.Store = d.address
 	settings.Floor = d.floor
+	settings.Metrics = freeAddress(d.t).Port()
 	settings.Grace = cowslipproxy.Duration(grace)
 	return settings
 }
@@ -152,6 +155,7 @@
 		Logger:   logger(),
 		Metrics:  metrics.NewRegistry(),
 	}
+	daemonProcess.PeerNetwork = d.peers
 	if d.rate > 0 {
 		daemonProcess.PeerNetwork = newLink(d.rate)
 	}
--- a/cowslipd/relay/link_test.go
+++ b/cowslipd/relay/link_test.go
@@ -66,3 +66,39 @@
 	}
 	return written, err
 }
+
+// lossyLink is a network connection on which large replies never arrive, but calls and
+// small replies do. It implements cowslipproxy.PeerNetwork.
+type lossyLink struct{}
+
+// Listen implements cowslipproxy.PeerNetwork.
+func (lossyLink) Listen(address netip.AddrPort) (net.Listener, error) {
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
+	return lossyListener{listener}, err
+}
+
+// Dial implements cowslipproxy.PeerNetwork.
+func (lossyLink) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address.String())
+}
+
+type lossyListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l lossyListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return lossyConn{conn}, err
+}
+
+type lossyConn struct{ net.Conn }
+
+const largeReply = 12 << 10 // bytes
+
+// Write implements net.Conn.
+func (c lossyConn) Write(data []byte) (int, error) {
+	if len(data) > largeReply {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
--- a/cowslipd/relay/poll.go
+++ b/cowslipd/relay/poll.go
@@ -16,7 +16,7 @@
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		if peer, ok := d.sharing.peerToPoll(d.Clock(), d.Settings.Seeds); ok && peer != d.Settings.Peers {
+		if peer, ok := d.sharing.peerToPoll(d.Clock(), d.Settings.Centre, d.Settings.Seeds); ok && peer != d.Settings.Peers {
 			d.pollPeer(ctx, peer)
 		}
 		select {
@@ -27,9 +27,10 @@
 	}
 }
 
-// peerToPoll returns the daemon to poll: a reader, or a seed while no reader is
-// known. It returns false while polling is not needed or not possible.
-func (s *sharing) peerToPoll(now time.Time, seeds []netip.AddrPort) (netip.AddrPort, bool) {
+// peerToPoll returns the daemon to poll: a reader or any daemon of the same data
+// centre, or a seed while no reader is known. It returns false while polling is not
+// needed or not possible.
+func (s *sharing) peerToPoll(now time.Time, centre string, seeds []netip.AddrPort) (netip.AddrPort, bool) {
 	if s.listAge(now) < sharer.RequestAge {
 		return netip.AddrPort{}, false
 	}
@@ -39,6 +40,9 @@
 	for _, reader := range sharer.Readers(s.members) {
 		peers = append(peers, reader.Peer)
 	}
+	if near, ok := s.randomMember(centre); ok && len(peers) > 0 {
+		peers = append(peers, near)
+	}
 	if len(peers) == 0 && !s.readsAtStart {
 		peers = seeds
 	}
@@ -48,23 +52,56 @@
 	return peers[rand.IntN(len(peers))], true
 }
 
+// randomMember returns a random daemon of a data centre. The caller holds the lock.
+func (s *sharing) randomMember(centre string) (netip.AddrPort, bool) {
+	var near []netip.AddrPort
+	for _, member := range s.members {
+		if member.Centre == centre {
+			near = append(near, member.Peer)
+		}
+	}
+	if len(near) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return near[rand.IntN(len(near))], true
+}
+
 // pollPeer requests the instance list from another daemon. It also fetches the
 // other daemon's configuration if that is newer.
 func (d *Daemon) pollPeer(ctx context.Context, peer netip.AddrPort) {
 	var reply sharer.Reply
 	var err error
-	if reply, err = d.exchangeShare(ctx, peer, sharer.Share{From: d.owner.Name, RequestList: true, ConfigurationVersion: d.configurationVersion()}); err != nil {
+	if reply, err = d.exchangeShare(ctx, peer, sharer.Share{
+		From: d.owner.Name, RequestList: true, ListFeed: d.sharing.position(&d.sharing.list), ConfigurationVersion: d.configurationVersion(),
+	}); err != nil {
 		return // the next poll may choose another daemon
 	}
 	now := d.Clock()
 	if d.recordAnnouncement(reply.ConfigurationVersion, peer) {
 		go d.fetchAnnounced(ctx)
 	}
-	if reply.Age > sharer.MaxAge || len(reply.Instances) == 0 {
+	if reply.Age > sharer.MaxAge || !d.sharing.acceptReply(now, reply, d.configurationVersion()) {
 		return
 	}
-	d.sharing.mu.Lock()
-	d.sharing.lastSharedRead = now.Add(-reply.Age)
-	d.sharing.mu.Unlock()
 	d.updateInstances(d.registrar.Replace(now, reply.Instances))
 }
+
+// acceptReply records the response to a request for the instance list and reports
+// whether it contains a list.
+func (s *sharing) acceptReply(now time.Time, reply sharer.Reply, configurationVersion uint64) (newList bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newList = len(reply.Instances) > 0
+	if !newList && reply.ListFeed != s.list.position {
+		return false // a daemon that has no list, or an older one
+	}
+	s.list.recordShare(now, reply.Age)
+	s.list.position = reply.ListFeed
+	if newList {
+		s.listSource, s.listVersion = "", 0
+	}
+	if reply.ConfigurationVersion == configurationVersion {
+		s.configuration.recordShare(now, reply.ConfigurationAge)
+	}
+	return newList
+}
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -165,15 +165,15 @@
 
 func (d *Daemon) watchConfigurations(ctx context.Context) {
 	(&watcher.Watcher[cowslipproxy.RelayConfiguration]{
-		Name: "configuration", Feed: d.Platform.RelayConfigurations, Wait: configurationPollTimeout, Skip: d.skipsReads, IsReader: d.sharing.isReader, Apply: d.handleConfigurations,
-		Clock: d.Clock, Logger: d.Logger,
+		Name: "configuration", Feed: d.Platform.RelayConfigurations, Wait: d.configurationWait, Skip: d.skipsConfigurationReads, IsReader: d.sharing.isReader, Apply: d.handleConfigurations,
+		Position: func() uint64 { return d.sharing.position(&d.sharing.configuration) }, Clock: d.Clock, Logger: d.Logger,
 	}).Run(ctx)
 }
 
 func (d *Daemon) watchInstances(ctx context.Context) {
 	(&watcher.Watcher[cowslipproxy.Instance]{
-		Name: "instances", Feed: d.Platform.Instances, Interval: sharer.ShareInterval, Skip: d.skipsReads, IsReader: d.sharing.isReader, Apply: d.handleInstances,
-		OnFailure: d.handleListError, Clock: d.Clock, Logger: d.Logger,
+		Name: "instances", Feed: d.Platform.Instances, Interval: sharer.ShareInterval, Skip: d.skipsListReads, IsReader: d.sharing.isReader, Apply: d.handleInstances,
+		Position: func() uint64 { return d.sharing.position(&d.sharing.list) }, OnFailure: d.handleListError, Clock: d.Clock, Logger: d.Logger,
 	}).Run(ctx)
 }
 
--- a/cowslipd/relay/share.go
+++ b/cowslipd/relay/share.go
@@ -61,7 +61,10 @@
 func (d *Daemon) newShare(now time.Time, member cowslipproxy.Member, loads map[string]float64) sharer.Share {
 	s := &d.sharing
 	listVersion := d.registrar.Version()
-	share := sharer.Share{From: d.owner.Name, Age: now.Sub(s.lastListRead()), ConfigurationVersion: d.configurationVersion(), ListVersion: listVersion, Loads: loads}
+	share := sharer.Share{
+		From: d.owner.Name, Age: now.Sub(s.list.knownAt()), ListFeed: s.list.position, ListVersion: listVersion, Loads: loads,
+		ConfigurationVersion: d.configurationVersion(), ConfigurationAge: now.Sub(s.configuration.knownAt()), ConfigurationFeed: s.configuration.position,
+	}
 	if heldListVersion, ok := s.heldListVersion[member.Name]; member.Centre == d.Settings.Centre && ok && heldListVersion != listVersion {
 		share.Complete, share.Instances = true, d.registrar.Instances()
 	}
@@ -126,22 +129,18 @@
 			sender = member
 		}
 	}
-	sameCentre := sender.Centre == d.Settings.Centre
-	accepted := sameCentre && !share.RequestList && share.Age <= sharer.MaxAge
-	if accepted {
-		s.lastSharedRead = now.Add(-share.Age)
-		s.setParent(share.From)
-	}
-	if accepted && share.Complete {
-		s.listSource, s.listVersion = share.From, share.ListVersion
-	}
-	reply := sharer.Reply{Reader: s.listSource, ListVersion: s.listVersion, ConfigurationVersion: d.configurationVersion()}
+	accepted := sender.Centre == d.Settings.Centre && !share.RequestList && share.Age <= sharer.MaxAge
+	newList := accepted && s.accept(now, share, d.configurationVersion())
+	reply := sharer.Reply{Reader: s.listSource, ListVersion: s.listVersion, ListFeed: s.list.position, ConfigurationVersion: d.configurationVersion()}
 	s.mu.Unlock()
-	if accepted && share.Complete {
+	if newList {
 		d.updateInstances(d.registrar.Replace(now, share.Instances))
 	}
 	if share.RequestList {
-		reply.Age, reply.Instances = s.listAge(now), d.registrar.Instances()
+		reply.Age, reply.ConfigurationAge = s.ages(now)
+		if share.ListFeed == 0 || share.ListFeed < reply.ListFeed {
+			reply.Instances = d.registrar.Instances()
+		}
 	} else {
 		s.loads.Put(now, share.From, share.Loads)
 		s.loads.Put(now, d.owner.Name, d.pools.ownLoads())
@@ -157,3 +156,25 @@
 	out, err := json.Marshal(reply)
 	return out, errors.WithStack(err)
 }
+
+// accept records a share from a daemon of the same data centre and reports whether its
+// instance list replaces the one that this daemon holds. A list that was read earlier
+// does not. The caller holds the lock.
+func (s *sharing) accept(now time.Time, share sharer.Share, configurationVersion uint64) (newList bool) {
+	s.list.recordShare(now, share.Age)
+	s.configuration.recordShare(now, share.ConfigurationAge)
+	s.setParent(share.From)
+	if share.ConfigurationVersion == configurationVersion {
+		s.configuration.position = max(s.configuration.position, share.ConfigurationFeed)
+	}
+	if share.Complete {
+		newList = share.ListFeed == 0 || share.ListFeed >= s.list.position
+	}
+	if newList {
+		s.listSource, s.listVersion, s.list.position = share.From, share.ListVersion, share.ListFeed
+	}
+	if share.From == s.listSource && share.ListVersion == s.listVersion {
+		s.list.position = max(s.list.position, share.ListFeed)
+	}
+	return newList
+}
--- a/cowslipd/relay/sharing.go
+++ b/cowslipd/relay/sharing.go
@@ -22,10 +22,41 @@
 	// start, which delays no caller, since there are none yet. A daemon that starts
 	// later reads the store immediately.
 	bootTime = 2 * time.Second
+	// maxLag is how long a daemon relies on other daemons for a configuration that they
+	// announced, before it reads the store. It leaves a second of the 2 s in which a
+	// configuration must take effect.
+	maxLag = 800 * time.Millisecond
+	// maxConfigurationAge is how long ago the daemon that reads the store may have read
+	// the configuration. Its reads and its shares each have their interval.
+	maxConfigurationAge = readerConfigurationWait + sharer.ShareInterval + 200*time.Millisecond
 )
 
+// feedState is what a daemon knows of a feed of the store.
+type feedState struct {
+	read     time.Time // last successful read by this daemon
+	shared   time.Time // time of the read that the last accepted share reports
+	position uint64    // position up to which the contents are known; 0 if unknown
+}
+
+// knownAt returns when the contents were last read, by this daemon or by the one whose
+// shares it gets.
+func (f *feedState) knownAt() time.Time {
+	if f.shared.After(f.read) {
+		return f.shared
+	}
+	return f.read
+}
+
+// recordShare records a share that reports a read of the given age. Shares may arrive
+// out of order.
+func (f *feedState) recordShare(now time.Time, age time.Duration) {
+	if at := now.Add(-age); at.After(f.shared) {
+		f.shared = at
+	}
+}
+
 // sharing holds what determines how this daemon gets the contents of the store:
-// by reading it or by shares from the reader of its data centre.
+// by reading it or by shares from its parent in the tree of its data centre.
 type sharing struct {
 	started      time.Time
 	readsAtStart bool // reads the store immediately after the start
@@ -34,13 +65,13 @@
 	members         []cowslipproxy.Member // live daemons, including this one
 	tree            sharer.Tree           // of this daemon's data centre
 	reader          bool                  // this daemon reads the store for its data centre
-	lastRead        time.Time             // last successful read of the instance list by this daemon
-	lastSharedRead  time.Time             // time of the read that the last accepted share reports
-	listSource      string                // daemon whose instance list this daemon holds
-	listVersion     uint64                // version of that list
-	heldListVersion map[string]uint64     // version of this daemon's list that each peer holds; 0 for none
-	inFlight        map[string]bool       // daemons with a share in flight; true if another one must follow
-	parent          string                // daemon of this data centre that sent the last accepted share
+	list            feedState             // of the instance list
+	configuration   feedState
+	listSource      string            // daemon whose instance list this daemon holds
+	listVersion     uint64            // version of that list
+	heldListVersion map[string]uint64 // version of this daemon's list that each peer holds; 0 for none
+	inFlight        map[string]bool   // daemons with a share in flight; true if another one must follow
+	parent          string            // daemon of this data centre that sent the last accepted share
 	loads           sharer.Loads
 	readsStore      bool // the daemon reads the store, as last logged
 }
@@ -72,7 +103,22 @@
 	if s.reader {
 		return false
 	}
-	return now.Sub(s.lastSharedRead) < sharer.ShareTimeout || !s.readsAtStart && now.Sub(s.started) < bootTime
+	return now.Sub(s.list.shared) < sharer.ShareTimeout || s.isBooting(now)
+}
+
+// isBooting reports whether the daemon waits for others to read the store first. The
+// caller holds the lock.
+func (s *sharing) isBooting(now time.Time) bool {
+	return !s.readsAtStart && now.Sub(s.started) < bootTime
+}
+
+// isConfigurationShared reports whether the daemons that share the contents of the
+// store know a recent configuration, and this daemon is not behind them by more than
+// maxLag.
+func (s *sharing) isConfigurationShared(now time.Time, lag time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.isBooting(now) || lag < maxLag && now.Sub(s.configuration.shared) < maxConfigurationAge
 }
 
 // recordReads records whether the daemon reads the store and reports whether that
@@ -85,9 +131,9 @@
 	return changed
 }
 
-// skipsReads reports whether the daemon relies on shares instead of reading the
-// store, and logs when that changes.
-func (d *Daemon) skipsReads(now time.Time) bool {
+// skipsListReads reports whether the daemon relies on shares for the instance list, and
+// logs when that changes.
+func (d *Daemon) skipsListReads(now time.Time) bool {
 	skips := d.sharing.skipsReads(now)
 	if d.sharing.recordReads(!skips) {
 		reporter.EventStoreReadsChanged.Log(context.Background(), d.Logger, slog.Bool("reads", !skips), slog.Bool("reader", d.sharing.isReader()), slog.Duration("age", d.sharing.listAge(now)))
@@ -95,6 +141,13 @@
 	return skips
 }
 
+// skipsConfigurationReads reports whether the daemon relies on others for the
+// configuration. Shares of the instance list alone do not suffice: a daemon that gets
+// them may be unable to fetch the configuration, or their sender may not know it.
+func (d *Daemon) skipsConfigurationReads(now time.Time) bool {
+	return d.sharing.skipsReads(now) && d.sharing.isConfigurationShared(now, d.announced.lag(now, d.configurationVersion()))
+}
+
 // isReader reports whether this daemon reads the store for its data centre.
 func (s *sharing) isReader() bool {
 	s.mu.Lock()
@@ -106,16 +159,36 @@
 func (s *sharing) listAge(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Sub(s.lastListRead())
+	return now.Sub(s.list.knownAt())
 }
 
-// lastListRead returns when the instance list was last read from the store, by this
-// daemon or by the one whose shares it gets. The caller holds the lock.
-func (s *sharing) lastListRead() time.Time {
-	if s.lastSharedRead.After(s.lastRead) {
-		return s.lastSharedRead
-	}
-	return s.lastRead
+// ages returns the ages of the instance list and the configuration.
+func (s *sharing) ages(now time.Time) (list, configuration time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.list.knownAt()), now.Sub(s.configuration.knownAt())
+}
+
+// recordRead records a successful read of a feed, which is a field of s.
+func (s *sharing) recordRead(feed *feedState, now time.Time, position uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	feed.read, feed.position = now, max(feed.position, position)
+}
+
+// position returns the position up to which a feed, which is a field of s, is known.
+func (s *sharing) position(feed *feedState) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return feed.position
+}
+
+// setListSource sets the daemon whose instance list this daemon holds, and the version
+// of that list.
+func (s *sharing) setListSource(name string, version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listSource, s.listVersion = name, version
 }
 
 // setParent records which daemon sends shares. The loads that the former parent
--- a/cowslipd/relay/spread_test.go
+++ b/cowslipd/relay/spread_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -32,43 +31,36 @@
 	newRoutes   = 1400
 )
 
-// deployFleet starts daemons of one data centre on slow links, without upstreams, and
-// waits until each of them knows all the others.
-func deployFleet(t *testing.T, daemons int) *deployment {
-	d := &deployment{t: t, store: &keeper.Store{}, floor: retryFloor, rate: slowLink}
+// newFleet returns a deployment without upstreams and without daemons.
+func newFleet(t *testing.T) *deployment {
+	d := &deployment{t: t, store: &keeper.Store{}, floor: retryFloor}
 	server := httptest.NewServer(d.store.Handler())
 	t.Cleanup(server.CloseClientConnections)
 	d.address = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 	d.publishRoutes(startRoutes)
-	var seeds []netip.AddrPort
+	return d
+}
+
+// startFleet starts daemons of one data centre and waits until each of them knows all
+// the others.
+func (d *deployment) startFleet(daemons int) {
 	for range daemons {
 		settings := d.settings()
-		settings.Metrics = freeAddress(t).Port()
-		if len(seeds) < 3 {
-			seeds = append(seeds, settings.Peers)
+		if len(d.seeds) < 3 {
+			d.seeds = append(d.seeds, settings.Peers)
 		}
-		settings.Seeds = seeds
+		settings.Seeds = d.seeds
 		d.startDaemon(settings)
 	}
 	for _, node := range d.daemons {
-		require.Eventually(t, func() bool { return d.membersOf(node) == daemons }, time.Minute, 200*time.Millisecond)
+		require.Eventually(d.t, func() bool { return d.membersOf(node) == len(d.daemons) }, time.Minute, 200*time.Millisecond)
 	}
 	time.Sleep(2 * time.Second) // daemons act on new members once a second
-	return d
 }
 
 // membersOf returns how many ready daemons a daemon knows, including itself.
 func (d *deployment) membersOf(node *daemon) (ready int) {
-	response, err := http.Get("http://" + net.JoinHostPort(node.settings.Callers.Addr().String(), strconv.Itoa(int(node.settings.Metrics))) + "/dump")
-	if err != nil {
-		return 0
-	}
-	defer response.Body.Close()
-	var dump struct {
-		Members []struct{ Down, Starting bool }
-	}
-	require.NoError(d.t, json.NewDecoder(response.Body).Decode(&dump))
-	for _, member := range dump.Members {
+	for _, member := range d.dump(node).Members {
 		if !member.Down && !member.Starting {
 			ready++
 		}
@@ -76,6 +68,24 @@
 	return ready
 }
 
+// dump is the part of a daemon's dump that tests use.
+type dump struct {
+	Reader  bool
+	Members []struct{ Down, Starting bool }
+}
+
+// dump returns the dump of a daemon, or an empty one if the daemon does not answer.
+func (d *deployment) dump(node *daemon) (found dump) {
+	address := netip.AddrPortFrom(node.settings.Callers.Addr(), node.settings.Metrics)
+	response, err := http.Get("http://" + address.String() + "/dump")
+	if err != nil {
+		return found
+	}
+	defer response.Body.Close()
+	require.NoError(d.t, json.NewDecoder(response.Body).Decode(&found))
+	return found
+}
+
 // routePrefix returns the prefix of a numbered route. The prefixes look random, as those
 // of the platform do, so that they do not compress well.
 func routePrefix(number int) string {
@@ -124,7 +134,9 @@
 func TestLargeConfigurationReachesEachDaemonInTime(t *testing.T) {
 	for _, daemons := range fleetSizes {
 		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
-			d := deployFleet(t, daemons)
+			d := newFleet(t)
+			d.rate = slowLink
+			d.startFleet(daemons)
 			calls := d.storeCalls()
 			begin := time.Now()
 			d.publishRoutes(startRoutes + newRoutes)
@@ -137,3 +149,41 @@
 		})
 	}
 }
+
+// Guards against a daemon that relies on others for a configuration that none of them
+// manages to send, because it still gets their instance list.
+func TestConfigurationIsReadFromStoreWhenFetchesFail(t *testing.T) {
+	t.Parallel()
+	d := newFleet(t)
+	d.peers = lossyLink{}
+	d.startFleet(4)
+	d.publishRoutes(startRoutes + newRoutes)
+	time.Sleep(configBound)
+	require.Zero(t, d.countWithoutRoute(startRoutes+newRoutes-1))
+}
+
+// Guards against a reader that no longer gets the configuration from the store, but
+// whose shares of the instance list keep all others from reading it.
+func TestConfigurationIsReadFromStoreWhenReaderStalls(t *testing.T) {
+	t.Parallel()
+	d := newFleet(t)
+	stalled := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/api/log-read" && r.FormValue("topic") == "keyed.op" {
+			<-r.Context().Done()
+			return
+		}
+		d.store.Handler().ServeHTTP(w, r)
+	}))
+	t.Cleanup(stalled.CloseClientConnections)
+	settings := d.settings()
+	settings.LinkMbps = 1000
+	settings.Store = netip.MustParseAddrPort(strings.TrimPrefix(stalled.URL, "http://"))
+	reader := d.startDaemon(settings)
+	d.seeds = append(d.seeds, settings.Peers)
+	d.startFleet(4)
+	time.Sleep(3 * time.Second) // the reads end that daemons began before they got shares
+	d.publishRoutes(startRoutes + 1)
+	time.Sleep(configBound)
+	require.Zero(t, d.countWithoutRoute(startRoutes))
+	require.True(t, d.dump(reader).Reader)
+}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -32,6 +32,9 @@
 	From                 string                  `json:"from"`
 	Age                  time.Duration           `json:"age"`                 // time since the last successful read of the list
 	ConfigurationVersion uint64                  `json:"table"`               // version of the active configuration
+	ConfigurationAge     time.Duration           `json:"tableage"`            // time since the last successful read of the configuration
+	ConfigurationFeed    uint64                  `json:"tableposition"`       // position up to which the configuration's feed is known; 0 if unknown
+	ListFeed             uint64                  `json:"position"`            // position up to which the list's feed is known; 0 if unknown
 	ListVersion          uint64                  `json:"listed"`              // version of the sender's list
 	Complete             bool                    `json:"whole,omitempty"`     // Instances holds the complete list
 	Instances            []cowslipproxy.Instance `json:"instances,omitempty"` // the complete list, if the receiver does not have it
@@ -41,8 +44,8 @@
 
 // Check reports the first invalid field.
 func (s Share) Check() error {
-	if s.From == "" || s.Age < 0 {
-		return errors.Errorf("sender %q, age %v: want a non-empty sender and an age of at least 0", s.From, s.Age)
+	if s.From == "" || s.Age < 0 || s.ConfigurationAge < 0 {
+		return errors.Errorf("sender %q, ages %v and %v: want a non-empty sender and ages of at least 0", s.From, s.Age, s.ConfigurationAge)
 	}
 	for _, instance := range s.Instances {
 		if err := instance.Check(); err != nil {
@@ -56,7 +59,9 @@
 type Reply struct {
 	Reader               string                  `json:"reader"`              // daemon whose list the replying daemon holds
 	ListVersion          uint64                  `json:"listed"`              // version of that list
+	ListFeed             uint64                  `json:"position"`            // position up to which the list's feed is known; 0 if unknown
 	ConfigurationVersion uint64                  `json:"table"`               // version of the active configuration
+	ConfigurationAge     time.Duration           `json:"tableage"`            // time since the last successful read of the configuration, in a reply to a request
 	Age                  time.Duration           `json:"age"`                 // age of its list
 	Loads                map[string]float64      `json:"loads,omitempty"`     // load of its own requests by engine
 	Instances            []cowslipproxy.Instance `json:"instances,omitempty"` // the complete list, if it was requested
@@ -64,5 +69,5 @@
 
 // Check reports the first invalid field.
 func (r Reply) Check() error {
-	return Share{From: "answer", Age: r.Age, Instances: r.Instances}.Check()
+	return Share{From: "answer", Age: r.Age, ConfigurationAge: r.ConfigurationAge, Instances: r.Instances}.Check()
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -28,9 +28,10 @@
 type Watcher[T any] struct {
 	Name      string // name of the feed, for the log
 	Feed      cowslipproxy.Feed[T]
-	Wait      time.Duration            // longest time that a read waits for a change; 0 to return at once
+	Wait      func() time.Duration     // longest time that a read waits for a change; nil to return at once
 	Interval  time.Duration            // delay between reads
 	Skip      func(now time.Time) bool // whether another daemon reads the feed for this one
+	Position  func() uint64            // position up to which the feed is known after Skip reported true; 0 for the complete feed
 	IsReader  func() bool              // whether other daemons depend on this one's reads
 	Apply     func(now time.Time, changes cowslipproxy.Changes[T])
 	OnFailure func() // called after a failed read; may be nil
@@ -38,21 +39,25 @@
 	Logger    *slog.Logger
 
 	position   uint64        // where the next read starts; 0 for the complete feed
+	standby    bool          // another daemon read the feed since the last read
 	retryDelay time.Duration // delay after the next failure
 	lostSince  time.Time     // when the feed was lost; zero if it can be read
 }
 
 // Run follows the feed until the context ends.
 func (w *Watcher[T]) Run(ctx context.Context) {
-	w.retryDelay = minRetryDelay
+	w.retryDelay, w.standby = minRetryDelay, true
 	for ctx.Err() == nil {
 		if w.Skip(w.Clock()) {
-			w.position, w.lostSince = 0, time.Time{}
+			w.standby, w.lostSince = true, time.Time{}
 			waiter.Wait(ctx, standbyInterval)
 			continue
 		}
+		if w.standby {
+			w.position, w.standby = w.Position(), false
+		}
 		delay := w.Interval
-		changes, err := w.Feed.Read(ctx, w.position, w.Wait)
+		changes, err := w.Feed.Read(ctx, w.position, w.wait())
 		if ctx.Err() != nil {
 			return
 		}
@@ -70,6 +75,13 @@
 	}
 }
 
+func (w *Watcher[T]) wait() time.Duration {
+	if w.Wait == nil {
+		return 0
+	}
+	return w.Wait()
+}
+
 func (w *Watcher[T]) handleError(ctx context.Context, err error) {
 	if w.lostSince.IsZero() {
 		w.lostSince = w.Clock()
