relayer: bound the memory for replies, events and request bodies

An upstream that sends bytes without end, in a head or a body, could make a daemon run out of memory and so end all its callers' requests. Each reply had a limit of 8 MiB and no limit for all replies together, io.ReadAll doubles its buffer as it grows, events of streams were bounded by 1 MiB each, and the transport had the default limit of 10 MB for a head.

Package allocator gives the messages of a process 15 % of its memory setting. Messages up to 16 KiB are not counted, since connections bound them. When the memory is used up, the largest reply that is still being received is dropped, so that its caller gets 502 or another try and smaller ones go on; a request body that does not fit is refused with 503 before anything was sent.

--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/allocator"
 	"github.com/cowslipproxy/cowslipproxy/gossiper"
 	"github.com/cowslipproxy/cowslipproxy/holder"
 	"github.com/cowslipproxy/cowslipproxy/leaser"
@@ -43,6 +44,7 @@
 		Dialect:   d.Platform.Dialect,
 		Engines:   d.Platform.Engines,
 		Transport: Transport(false),
+		Memory:    &allocator.Allocator{Limit: d.Settings.Memory * megabyte * messagePercent / 100},
 		Stopping:  d.stopping.Load,
 		Rejecting: d.rejecting.Load,
 		Clock:     d.Clock,
@@ -51,5 +53,12 @@
 	}
 }
 
+const (
+	megabyte = 1 << 20 // bytes
+	// messagePercent is the memory for bodies of requests and replies, in percent of the
+	// memory setting. Garbage of the same size may exist beside it.
+	messagePercent = 15
+)
+
 // maxNameLength bounds the name of an entry daemon, in bytes.
 const maxNameLength = 64
--- a/cowslipd/relay/dump.go
+++ b/cowslipd/relay/dump.go
@@ -44,6 +44,7 @@
 	reporter.SetGauge(d.Metrics, reporter.MetricVersionLag, int64(d.announced.lag(now, d.configurationVersion())))
 	reporter.SetGauge(d.Metrics, reporter.MetricRelayListAge, int64(d.sharing.listAge(now)))
 	reporter.SetGauge(d.Metrics, reporter.MetricLiveUpstreams, int64(countLive(d.registrar.Instances())))
+	reporter.SetGauge(d.Metrics, reporter.MetricMessageMemory, d.server.Memory.Used())
 	reporter.SetFlag(d.Metrics, reporter.MetricReader, d.sharing.isReader())
 	reporter.SetFlag(d.Metrics, reporter.MetricLeader, leader)
 	w.Header().Set("Content-Type", reporter.TextFormat)
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -39,6 +39,9 @@
 	// headerTimeout bounds the header of a request. Callers send it within 3 s.
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10 // configurations allow 16 KiB
+	// maxReplyHeaderBytes bounds the head of a reply of an upstream or the store. Each
+	// connection may hold that much.
+	maxReplyHeaderBytes = 16 << 10
 	// minLocalDaemons is the number of daemons in the caller's data centre that
 	// suffices to omit the daemons of other data centres from an address answer.
 	minLocalDaemons = 2
@@ -84,7 +87,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: 3}}
 	return &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: !reuse,
-		MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10,
+		MaxResponseHeaderBytes: maxReplyHeaderBytes, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10,
 	}
 }
 
--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -45,6 +45,7 @@
 const (
 	readHeaderTimeout      = 10 * time.Second
 	idleTimeout            = 2 * time.Minute
+	maxResponseHeader      = 16 << 10 // bytes of the head of a response of the log or the VM list
 	maxHeaderBytes         = 64 << 10
 	stopPollInterval       = 50 * time.Millisecond
 	flushTimeout           = 5 * time.Second        // for pending outcomes to be appended to the log during a stop
@@ -261,7 +262,7 @@
 // connection for each stream that the daemon follows, so that reads don't open new
 // connections.
 func (r *Router) transport() *http.Transport {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2*r.Settings.Streams + 2, IdleConnTimeout: idleTimeout}
+	transport := &http.Transport{MaxIdleConnsPerHost: 2*r.Settings.Streams + 2, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxResponseHeader}
 	if r.Dial != nil {
 		transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return r.Dial(ctx, address) }
 	}
--- a/follower/client.go
+++ b/follower/client.go
@@ -23,11 +23,13 @@
 	callTimeout = 2 * time.Second
 	// maxResponseSize is the maximum size of a response of the log, in bytes.
 	maxResponseSize = 16 << 20
+	// maxResponseHeader is the maximum size of the head of a response of the log, in bytes.
+	maxResponseHeader = 16 << 10
 )
 
 // directTransport ignores the proxy settings of the environment, since the log is
 // addressed by IP address.
-var directTransport = &http.Transport{MaxIdleConnsPerHost: 2 * maxConcurrentAppends, IdleConnTimeout: time.Minute}
+var directTransport = &http.Transport{MaxIdleConnsPerHost: 2 * maxConcurrentAppends, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxResponseHeader}
 
 // Client is a client of the log service. It implements cowslipproxy.Log.
 type Client struct {
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -6,6 +6,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy/allocator"
 )
 
 // maxEventSize bounds an event of a stream, in bytes.
@@ -21,6 +23,7 @@
 // sent to the caller when the stream breaks off.
 type eventReader struct {
 	source *bufio.Reader
+	memory *allocator.Allocation // of data
 	data   []byte
 }
 
@@ -31,10 +34,12 @@
 	r.data = r.data[:0]
 	for {
 		line, err := r.source.ReadSlice('\n')
-		r.data = append(r.data, line...)
-		if len(r.data) > maxEventSize {
+		if len(r.data)+len(line) > maxEventSize {
 			return event{}, errors.Errorf("event exceeds %d bytes", maxEventSize)
 		}
+		if err := r.append(line); err != nil {
+			return event{}, err
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -54,3 +59,16 @@
 		}
 	}
 }
+
+// append appends to the current event.
+func (r *eventReader) append(line []byte) error {
+	if len(r.data)+len(line) > cap(r.data) {
+		grown := 2 * (cap(r.data) + len(line))
+		if err := r.memory.Resize(int64(grown + cap(r.data))); err != nil { // the old and the new buffer
+			return err
+		}
+		r.data = append(make([]byte, 0, grown), r.data...)
+	}
+	r.data = append(r.data, line...)
+	return nil
+}
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -12,9 +12,13 @@
 	"github.com/cowslipproxy/cowslipproxy"
 )
 
-// maxReplyBody bounds the body in bytes of a reply that is buffered until it is
-// complete.
-const maxReplyBody = 8 << 20
+const (
+	// maxReplyBody bounds the body in bytes of a reply that is buffered until it is
+	// complete.
+	maxReplyBody = 8 << 20
+	// maxRejectionBody bounds the body in bytes of an engine's rejection.
+	maxRejectionBody = 64 << 10
+)
 
 // errInvalidReply reports a response that is not the upstream's reply to this
 // request.
@@ -71,19 +75,18 @@
 	return nil
 }
 
-// readReply reads and closes the body of a reply. It returns an error if the body
-// exceeds maxReplyBody.
-func readReply(reply upstreamReply) ([]byte, error) {
+// discardReply reads and closes the body of a reply that the caller does not get. It
+// returns an error if the body exceeds maxRejectionBody.
+func discardReply(reply upstreamReply) error {
 	defer reply.Body.Close()
-	var body []byte
-	var err error
-	if body, err = io.ReadAll(io.LimitReader(reply.Body, maxReplyBody+1)); err != nil {
-		return nil, errors.WithStack(err)
+	n, err := io.Copy(io.Discard, io.LimitReader(reply.Body, maxRejectionBody+1))
+	if err != nil {
+		return errors.WithStack(err)
 	}
-	if len(body) > maxReplyBody {
-		return nil, errors.Errorf("reply body exceeds %d bytes", maxReplyBody)
+	if n > maxRejectionBody {
+		return errors.Errorf("reply body exceeds %d bytes", maxRejectionBody)
 	}
-	return body, nil
+	return nil
 }
 
 // copyHeader copies the end-to-end headers of an upstream's reply to the response.
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -18,6 +18,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/allocator"
 	"github.com/cowslipproxy/cowslipproxy/matcher"
 	"github.com/cowslipproxy/cowslipproxy/pathfinder"
 	"github.com/cowslipproxy/cowslipproxy/picker"
@@ -54,8 +55,9 @@
 	Dialect   cowslipproxy.Dialect
 	Engines   cowslipproxy.EngineControl
 	Transport http.RoundTripper
-	Stopping  func() bool // whether to close connections after the reply, so that callers connect elsewhere
-	Rejecting func() bool // whether to refuse new requests
+	Memory    *allocator.Allocator // for the bodies of requests and replies
+	Stopping  func() bool          // whether to close connections after the reply, so that callers connect elsewhere
+	Rejecting func() bool          // whether to refuse new requests
 	Clock     func() time.Time
 	Logger    *slog.Logger
 	Metrics   metrics.Registry
@@ -71,6 +73,7 @@
 type exchange struct {
 	*Server
 	w             http.ResponseWriter
+	bodyMemory    *allocator.Allocation // of the request's body
 	callerRequest cowslipproxy.RelayRequest
 	route         cowslipproxy.Route
 	service       cowslipproxy.RelayService
@@ -90,7 +93,8 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	x := &exchange{Server: s, w: w}
+	x := &exchange{Server: s, w: w, bodyMemory: s.Memory.Open(nil)}
+	defer x.bodyMemory.Release()
 	if s.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
@@ -157,13 +161,15 @@
 		return cowslipproxy.Refuse(cowslipproxy.ReasonTooLarge, "request body of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
 	}
 	var err error
-	if x.callerRequest.Body, err = io.ReadAll(http.MaxBytesReader(x.w, r.Body, limit)); err == nil {
+	if x.callerRequest.Body, err = x.bodyMemory.ReadAll(r.Body, limit); err == nil {
 		return nil
 	}
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	if errors.Is(err, allocator.ErrTooLarge) {
 		return cowslipproxy.Refuse(cowslipproxy.ReasonTooLarge, "request body exceeds the limit of %d bytes", limit)
 	}
+	if errors.Is(err, allocator.ErrExhausted) {
+		return cowslipproxy.Refuse(cowslipproxy.ReasonOverloaded, "%v", err).After(overloadRetryAfter)
+	}
 	return cowslipproxy.Refuse(cowslipproxy.ReasonMalformed, "read request body: %v", err)
 }
 
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/allocator"
 	"github.com/cowslipproxy/cowslipproxy/pathfinder"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/throttler"
@@ -190,7 +191,7 @@
 // handleRejection processes a reply with a status other than 200, and reports the
 // engine at fault to the finder.
 func (a *streamAttempt) handleRejection(reply upstreamReply) (notExecuted bool, err error) {
-	_, err = readReply(reply)
+	err = discardReply(reply)
 	address := reply.FailedEngine
 	if !address.IsValid() {
 		address = a.path.First().Address
@@ -212,7 +213,9 @@
 // relayEvents forwards events to the caller as they arrive.
 func (a *streamAttempt) relayEvents(reply upstreamReply) error {
 	defer reply.Body.Close()
-	events := eventReader{source: bufio.NewReaderSize(reply.Body, streamBufferSize)}
+	memory := a.Memory.Open(func() { a.cancel(allocator.ErrExhausted) })
+	defer memory.Release()
+	events := eventReader{source: bufio.NewReaderSize(reply.Body, streamBufferSize), memory: memory}
 	for {
 		next, err := events.next()
 		if err != nil && !errors.Is(err, io.EOF) {
--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/allocator"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/retrier"
 )
@@ -20,9 +21,10 @@
 
 // result is the outcome of an attempt at one server.
 type result struct {
-	reply upstreamReply
-	body  []byte
-	err   error
+	reply  upstreamReply
+	body   []byte
+	memory *allocator.Allocation // of the body
+	err    error
 }
 
 // notExecuted reports whether the server provably did not execute the request.
@@ -48,6 +50,9 @@
 			break
 		}
 		tried = append(tried, server.ID)
+		if last.memory != nil {
+			last.memory.Release()
+		}
 		last = x.attempt(ctx, server, len(tried))
 		servers.Done(x.Clock(), server.ID, last.isFailure(), loadOf(last.reply))
 		if !last.isFailure() || ctx.Err() != nil {
@@ -63,6 +68,7 @@
 	if len(tried) == 0 {
 		return cowslipproxy.Refuse(cowslipproxy.ReasonNoUpstream, "service %s has no live server", x.service.Name).After(overloadRetryAfter)
 	}
+	defer last.memory.Release()
 	return x.finish(ctx, last)
 }
 
@@ -85,20 +91,28 @@
 
 // attempt sends the request to one server and reads its complete reply.
 func (x *exchange) attempt(ctx context.Context, server cowslipproxy.Instance, number int) result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	if limit := attemptTimeoutFactor * x.route.Target; x.route.Effect == cowslipproxy.EffectRepeat && number < x.route.Attempts && limit > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, limit)
-		defer cancel()
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, limit)
+		defer stop()
 	}
-	reply, err := x.send(ctx, cowslipproxy.Dispatch{Instance: server.ID, Address: server.Address, LastEventID: x.callerRequest.LastEventID})
-	if !errors.Is(err, cowslipproxy.ErrNotStarted) {
+	last := result{memory: x.Memory.Open(func() { cancel(allocator.ErrExhausted) })}
+	last.reply, last.err = x.send(ctx, cowslipproxy.Dispatch{Instance: server.ID, Address: server.Address, LastEventID: x.callerRequest.LastEventID})
+	if !errors.Is(last.err, cowslipproxy.ErrNotStarted) {
 		x.attempts++
 	}
-	if err != nil {
-		return result{err: err}
+	if last.err != nil {
+		return last
+	}
+	defer last.reply.Body.Close()
+	if last.body, last.err = last.memory.ReadAll(last.reply.Body, maxReplyBody); last.err == nil {
+		last.memory.Keep()
+	} else if errors.Is(context.Cause(ctx), allocator.ErrExhausted) {
+		last.err = errors.WithStack(allocator.ErrExhausted)
 	}
-	body, err := readReply(reply)
-	return result{reply, body, err}
+	return last
 }
 
 // finish sends the result of the last attempt to the caller.
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -56,6 +56,7 @@
 	MetricFetchesFailed  = "relay.fetches.failed" // failed fetches of a configuration from another daemon
 	MetricRelayListAge   = "relay.list.seconds"   // age of the list of upstreams
 	MetricLiveUpstreams  = "relay.upstreams"      // upstreams that may get new work
+	MetricMessageMemory  = "relay.messages.bytes" // memory that bodies of requests and replies use, without small ones
 	MetricReader         = "relay.reader"         // 1 if the daemon reads the store for its data centre, else 0
 	MetricLeader         = "relay.leader"         // 1 if the daemon places layers, else 0
 
