relayer: keep answers that cannot be resumed at once

Two decisions ended an answer although its caller still waited. When the path of a stalled stream could not be changed, the attempt was cancelled after 0.26 s although its first engine still held the stream. When a resumption was refused, for example for want of memory, it was repeated at most until five sends, some 0.7 s, or not at all without retry budget.

An attempt with events is now cancelled only if its first engine does not respond, or after 1.4 s without an event; until then the change of the path is repeated. A refused resumption is repeated, each time charged to the retry budget, until the caller disconnects; so is the search for a path when some layer is held by no engine. The bound of five attempts still holds for those that engines may have run.

--- a/cowslipd/relay/streams_test.go
+++ b/cowslipd/relay/streams_test.go
@@ -155,3 +155,45 @@
 		require.Greater(t, duration, minDuration)
 	}
 }
+
+// Guards against the daemon ending a stream that a refused attempt could not resume,
+// although engines accept requests again while the caller still waits.
+func TestRefusedStreamIsResumedOnceAnEngineAccepts(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	wait := d.startStreams(8)
+	time.Sleep(500 * time.Millisecond)
+	entries := d.enginesAt(0)
+	for _, engine := range entries {
+		engine.SetFault(worker.FaultFull)
+	}
+	time.AfterFunc(time.Second, func() {
+		for _, engine := range entries {
+			engine.SetFault(worker.FaultNone)
+		}
+	})
+	entries[0].Crash()
+	wait()
+}
+
+// Guards against the daemon ending a stream because an engine is silent, although no
+// other path exists. The engine may still continue the stream.
+func TestStalledStreamIsKeptWithoutAnotherPath(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	wait := d.startStreams(4)
+	time.Sleep(500 * time.Millisecond)
+	for _, engine := range d.enginesAt(0) {
+		engine.SetFault(worker.FaultFull)
+	}
+	stalled := d.enginesAt(smallKindLayers)
+	for _, engine := range stalled {
+		engine.SetFault(worker.FaultStall)
+	}
+	time.AfterFunc(1200*time.Millisecond, func() {
+		for _, engine := range stalled {
+			engine.SetFault(worker.FaultNone)
+		}
+	})
+	wait()
+}
--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -112,9 +112,16 @@
 		for _, engine := range failedEngines {
 			a.finder.ReportFailure(now, engine)
 		}
-		if !a.reroutePath(path, failedEngines) {
-			a.abort(lastProgress, errStalled)
+		if a.reroutePath(path, failedEngines) {
+			return
 		}
+		if received > 0 && idle < stallTimeout && a.isFirstAlive(path) {
+			// Another attempt needs an engine for the same layers too, and its prompt
+			// would be prefilled again.
+			a.rearm(lastProgress, stallCheckInterval)
+			return
+		}
+		a.abort(lastProgress, errStalled)
 	case idle >= stallTimeout:
 		a.abort(lastProgress, errStalled)
 	case a.recordLate(now, path) && received == 0:
@@ -182,13 +189,12 @@
 // queryStall asks the first engine which engine the request is stalled at. An
 // engine that does not answer counts as the stalled one.
 func (a *streamAttempt) queryStall(path *pathfinder.Path) (netip.AddrPort, bool) {
-	first := path.First()
-	state, err := a.stateCache.state(a.ctx, a.Engines, a.Clock(), cowslipproxy.Instance{ID: first.Instance, Address: first.Address})
+	state, err := a.firstState(path)
 	if a.ctx.Err() != nil {
 		return netip.AddrPort{}, false
 	}
 	if err != nil {
-		return first.Address, true
+		return path.First().Address, true
 	}
 	for _, stall := range state.Stalled {
 		if stall.Request == a.callerRequest.ID {
@@ -198,6 +204,19 @@
 	return netip.AddrPort{}, false
 }
 
+// firstState returns the state that the first engine of a path reports.
+func (a *streamAttempt) firstState(path *pathfinder.Path) (cowslipproxy.EngineState, error) {
+	first := path.First()
+	return a.stateCache.state(a.ctx, a.Engines, a.Clock(), cowslipproxy.Instance{ID: first.Instance, Address: first.Address})
+}
+
+// isFirstAlive reports whether the first engine of a path, which keeps the stream,
+// responds.
+func (a *streamAttempt) isFirstAlive(path *pathfinder.Path) bool {
+	_, err := a.firstState(path)
+	return err == nil
+}
+
 // reroutePath replaces the failed engines of the path and reports whether the
 // request continues on the new path. Other engines of the path may refuse the new
 // path because they are unloading layers; they are replaced too.
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -22,7 +22,7 @@
 
 const (
 	// maxSends bounds how often a request is sent, including attempts that were
-	// not executed.
+	// not executed before the first event was sent to the caller.
 	maxSends = 5
 	// retryBackoff is the initial delay after an attempt that was not executed,
 	// usually because an engine was out of memory. It doubles with each attempt.
@@ -32,6 +32,9 @@
 	// pathPollInterval is the time between two searches for a path while some layer
 	// is held by no engine.
 	pathPollInterval = 50 * time.Millisecond
+	// resumePollInterval is the time between two checks whether the retry budget allows
+	// to resume a stream, and the longest delay after a refused resumption.
+	resumePollInterval = 200 * time.Millisecond
 	// streamBufferSize is the read buffer of a stream in bytes; it holds a few events.
 	streamBufferSize = 2 << 10
 )
@@ -42,7 +45,8 @@
 // layers of the model.
 type streamExchange struct {
 	*exchange
-	sends int // number of attempts so far, including the current one
+	sends          int // number of attempts so far, including the current one
+	refusedResumes int // number of these that were not executed, after the first event was sent to the caller
 	// retryGranted is set if the retry was charged to the retry budget before the
 	// attempt was aborted. The attempt's mutex guards it until the attempt ends.
 	retryGranted       bool
@@ -75,25 +79,50 @@
 		if notExecuted, err = s.attempt(ctx, finder, path); err == nil {
 			return nil
 		}
-		if ctx.Err() != nil || !s.retryGranted && !s.canRetry(notExecuted) {
+		if notExecuted && s.eventsSent > 0 {
+			s.refusedResumes++
+		}
+		if ctx.Err() != nil || !s.retryGranted && !s.awaitRetry(ctx, notExecuted) {
 			break
 		}
-		if notExecuted && !waiter.Wait(ctx, retryBackoff<<(s.sends-1)+rand.N(retryBackoff)) {
+		if notExecuted && !waiter.Wait(ctx, s.backoff()) {
 			break
 		}
 	}
 	return s.finalFailure(ctx, err)
 }
 
+// awaitRetry reports whether the request may be sent again. Once the caller has got
+// events, it waits until the retry budget allows that, because the answer would be lost
+// otherwise. The caller disconnects when it has waited too long.
+func (s *streamExchange) awaitRetry(ctx context.Context, notExecuted bool) bool {
+	for !s.canRetry(notExecuted) {
+		if s.eventsSent == 0 || !s.hasSendsLeft() || !waiter.Wait(ctx, resumePollInterval) {
+			return false
+		}
+	}
+	return true
+}
+
+// backoff returns the delay after an attempt that was not executed.
+func (s *streamExchange) backoff() time.Duration {
+	delay := retryBackoff << min(s.sends-1, maxSends)
+	if s.eventsSent > 0 {
+		delay = min(delay, resumePollInterval)
+	}
+	return delay + rand.N(retryBackoff)
+}
+
 // awaitPath returns a path for the next attempt. If there is none, because some
-// layer is held by no engine yet, it waits for one up to the route's target.
+// layer is held by no engine yet, it waits for one up to the route's target, or while
+// the caller waits for the rest of its answer.
 func (s *streamExchange) awaitPath(ctx context.Context, finder *pathfinder.Finder) (*pathfinder.Path, error) {
 	limit := s.Clock().Add(s.route.Target)
 	for {
 		if path, ok := finder.Choose(s.Clock(), s.need()); ok {
 			return path, nil
 		}
-		if s.Clock().After(limit) {
+		if s.eventsSent == 0 && s.Clock().After(limit) {
 			return nil, errors.WithStack(errNoPath)
 		}
 		if !waiter.Wait(ctx, pathPollInterval) {
@@ -124,9 +153,12 @@
 // canRetry reports whether the request may be sent again. An allowed retry is
 // charged to the retry budget.
 func (s *streamExchange) canRetry(notExecuted bool) bool {
-	return s.sends < maxSends && s.chargeRetry(notExecuted, 0)
+	return s.hasSendsLeft() && s.chargeRetry(notExecuted, 0)
 }
 
+// hasSendsLeft reports whether the number of attempts allows another one.
+func (s *streamExchange) hasSendsLeft() bool { return s.sends-s.refusedResumes < maxSends }
+
 // finalFailure returns the failure that the caller gets when no further attempt
 // is made.
 func (s *streamExchange) finalFailure(ctx context.Context, err error) *cowslipproxy.Failure {
