--- a/cowslipd/relay/forwarding_test.go
+++ b/cowslipd/relay/forwarding_test.go
@@ -7,7 +7,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -112,3 +114,26 @@
 	require.Equal(t, http.StatusBadRequest, d.send(d.daemons[0], call{path: feesPath + "1", header: http.Header{"X-Deadline-Ms": {"soon"}}, wait: -1}).status)
 	require.Equal(t, http.StatusOK, d.send(d.daemons[0], call{path: feesPath + "1"}).status)
 }
+
+// Guards against callers that get a connection reset instead of a refusal, because the
+// daemon closes their connection before it has read their body.
+func TestRefusalsReachCallersThatCloseTheirConnections(t *testing.T) {
+	t.Parallel()
+	d := newFleet(t)
+	node := d.startDaemon(d.settings())
+	require.Eventually(t, func() bool { return d.send(node, call{path: "/nowhere/"}).status == http.StatusNotFound }, waitLimit, 20*time.Millisecond)
+	var group sync.WaitGroup
+	for range 6 {
+		group.Go(func() {
+			for range 100 {
+				got := d.send(node, call{path: feesPath + "1", body: strings.Repeat("x", 65537)})
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusRequestEntityTooLarge, got.status)
+				got = d.send(node, call{path: "/nowhere/", body: strings.Repeat("x", 60000)})
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusNotFound, got.status)
+			}
+		})
+	}
+	group.Wait()
+}
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -36,6 +36,10 @@
 	// defaultMaxBody bounds a request's body in bytes if the configuration sets no
 	// limit.
 	defaultMaxBody = 4 << 20
+	// maxDrainedBytes and drainTimeout bound what is read of the body of a refused
+	// request.
+	maxDrainedBytes = 256 << 10
+	drainTimeout    = 500 * time.Millisecond
 	// defaultTimeout applies to requests on routes without a timeout.
 	defaultTimeout = 30 * time.Second
 )
@@ -104,6 +108,7 @@
 	}
 	if failure != nil {
 		x.refuse(failure)
+		x.drainBody(r)
 	}
 	x.log(r.Context(), failure)
 	if failure != nil && failure.Reason == cowslipproxy.ReasonAnswerLost {
@@ -203,6 +208,23 @@
 	_, _ = io.WriteString(x.w, failure.Message+"\n") // fails only if the caller disconnected
 }
 
+// drainBody reads the rest of the body of a refused request whose connection closes. A
+// connection that is closed with unread bytes is reset, so that the caller might not get
+// the response. net/http does that itself for connections that stay open.
+func (x *exchange) drainBody(r *http.Request) {
+	if !r.Close && x.w.Header().Get("Connection") != "close" {
+		return
+	}
+	controller := http.NewResponseController(x.w)
+	if err := controller.Flush(); err != nil {
+		return // the caller disconnected
+	}
+	if err := controller.SetReadDeadline(x.Clock().Add(drainTimeout)); err != nil {
+		return // the body might not end
+	}
+	_, _ = io.CopyN(io.Discard, r.Body, maxDrainedBytes) // the connection closes in any case
+}
+
 func (x *exchange) log(ctx context.Context, failure *cowslipproxy.Failure) {
 	outcome, reason, message := cowslipproxy.OutcomeDone, cowslipproxy.Reason(""), ""
 	if failure != nil {
