relay: open all addresses before any of them is served

The listeners were opened and served one after the other, in the random order of a map.

All listeners are opened first now, and closed again if one can't be opened.

--- a/cowslipd/relay/lifecycle_test.go
+++ b/cowslipd/relay/lifecycle_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowslipproxy/cowslipproxy/cowslipd/relay"
+	"github.com/cowslipproxy/cowslipproxy/platform"
 	"github.com/cowslipproxy/cowslipproxy/standin/keeper"
 	"github.com/cowslipproxy/cowslipproxy/standin/worker"
 )
@@ -177,3 +181,23 @@
 	}
 	require.Less(t, failed, requests/4)
 }
+
+// Guards against a daemon that accepts callers although another of its addresses is not
+// open yet, for example that for readiness checks.
+func TestCallersAreAcceptedOnceAllAddressesAreOpen(t *testing.T) {
+	t.Parallel()
+	d := newFleet(t)
+	for range 20 {
+		settings := d.settings()
+		occupied, err := net.Listen("tcp", settings.Ready.String())
+		require.NoError(t, err)
+		daemonProcess := &relay.Daemon{
+			Settings: settings, Platform: platform.Open(settings.Store, relay.Transport(true), relay.Transport(false)),
+			Clock: time.Now, Logger: logger(), Metrics: metrics.NewRegistry(),
+		}
+		require.Error(t, daemonProcess.Run(t.Context()))
+		_, err = net.Dial("tcp", settings.Callers.String())
+		require.Error(t, err)
+		require.NoError(t, occupied.Close())
+	}
+}
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -102,21 +102,12 @@
 	if err = d.openPeerNetwork(); err != nil {
 		return err
 	}
-	servers := map[netip.AddrPort]http.Handler{
-		d.Settings.Callers:   d.server,
-		d.Settings.Ready:     d.Platform.Ready(d.isReady),
-		d.Settings.Directory: d.Platform.Directory(d.addresses),
-	}
-	if d.Settings.Metrics != 0 {
-		servers[netip.AddrPortFrom(d.Settings.Callers.Addr(), d.Settings.Metrics)] = d.operatorHandler()
+	var servers []httpServer
+	if servers, err = d.openServers(); err != nil {
+		return err
 	}
-	for address, handler := range servers {
-		var listener net.Listener
-		if listener, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address)); err != nil {
-			return errors.WithStack(err)
-		}
-		server := d.httpServer(handler)
-		group.Go(func() error { return ignoreClosed(server.Serve(listener)) })
+	for _, server := range servers {
+		group.Go(func() error { return ignoreClosed(server.Serve(server.listener)) })
 		context.AfterFunc(workCtx, func() { _ = server.Close() }) // an error has no effect, since the process exits
 	}
 	group.Go(func() error { return d.gossiper.Run(workCtx) })
@@ -159,7 +150,49 @@
 	return errors.WithStack(err)
 }
 
-func (d *Daemon) httpServer(handler http.Handler) *http.Server {
+// httpServer is an HTTP server and its listener.
+type httpServer struct {
+	*http.Server
+	listener net.Listener
+}
+
+// openServers opens all listeners before any of them is served, so that a daemon that
+// accepts callers also answers readiness checks. After an error, none is open.
+func (d *Daemon) openServers() (servers []httpServer, err error) {
+	defer func() {
+		if err != nil {
+			closeListeners(servers)
+		}
+	}()
+	endpoints := []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{d.Settings.Ready, d.Platform.Ready(d.isReady)},
+		{d.Settings.Directory, d.Platform.Directory(d.addresses)},
+		{d.Settings.Callers, d.server},
+		{netip.AddrPortFrom(d.Settings.Callers.Addr(), d.Settings.Metrics), d.operatorHandler()},
+	}
+	for _, endpoint := range endpoints {
+		if endpoint.address.Port() == 0 {
+			continue // no operator address is set
+		}
+		var listener net.Listener
+		if listener, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(endpoint.address)); err != nil {
+			return servers, errors.WithStack(err)
+		}
+		servers = append(servers, httpServer{d.newServer(endpoint.handler), listener})
+	}
+	return servers, nil
+}
+
+func closeListeners(servers []httpServer) {
+	for _, server := range servers {
+		_ = server.listener.Close() // an error has no effect, since the daemon ends
+	}
+}
+
+func (d *Daemon) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(d.Logger.Handler(), slog.LevelDebug),
