driver: wait for engines that other suspects hold

A suspect runs on an engine that no other suspect holds; one that did not get the hold avoided the only engine left, found no chain and was refused at once.

--- a/driver/job.go
+++ b/driver/job.go
@@ -68,7 +68,7 @@
 	defer cancel()
 	r := &run{driver: d, job: job, usedUpstreams: map[string]bool{}}
 	defer r.release()
-	if err := r.begin(); err != nil {
+	if err := r.begin(ctx); err != nil {
 		return r.usage, r.failure(ctx, err)
 	}
 	tokens := metrics.GetOrRegisterCounter(reporter.MetricTokens, d.Metrics)
--- a/driver/replace.go
+++ b/driver/replace.go
@@ -63,7 +63,7 @@
 }
 
 // begin returns an error if the job may not run. Otherwise it chooses the job's chain.
-func (r *run) begin() error {
+func (r *run) begin(ctx context.Context) error {
 	d := r.driver
 	if d.Permit != nil {
 		suspect, refusal := d.Permit(d.Clock(), r.job)
@@ -74,7 +74,7 @@
 			r.suspectTokens = r.job.MaxNewTokens + 1 // stays a suspect to its end, since the token at which an upstream crashed is unknown
 		}
 	}
-	return r.plan()
+	return r.plan(ctx)
 }
 
 // permit waits until the job may be sent to an engine again. It waits for at most
@@ -133,7 +133,8 @@
 // substitute returns the chain with the failed stage replaced, or a new chain if no
 // engines hold exactly its layers. If there is neither, it retries for up to
 // maxRecoveryWait, since ejections end and engines reconnect. It does not retry if no
-// upstream can have started a step, since the job can then be refused.
+// upstream can have started a step, since the job can then be refused, unless other
+// suspects hold the engines.
 func (r *run) substitute(ctx context.Context, index int) ([]stage, error) {
 	d := r.driver
 	start := d.Clock()
@@ -150,7 +151,7 @@
 			r.resume = resumption{} // no stage of the new chain has run a step
 			return withoutContext(chosen), nil
 		}
-		if !r.dispatched || d.Clock().Sub(start) > maxRecoveryWait {
+		if !r.dispatched && !errors.Is(err, cowslipproxy.ErrHeld) || d.Clock().Sub(start) > maxRecoveryWait {
 			return nil, err
 		}
 		avoid = nil // an engine that failed this job before may be the only one left
--- a/driver/run.go
+++ b/driver/run.go
@@ -54,16 +54,20 @@
 func (e *stageError) Error() string { return e.err.Error() }
 func (e *stageError) Unwrap() error { return e.err }
 
-// plan chooses a chain for the whole model.
-func (r *run) plan() error {
+// plan chooses a chain for the whole model. It waits while other suspects hold the
+// engines that the job needs.
+func (r *run) plan(ctx context.Context) error {
 	whole := cowslipproxy.LayerRange{First: 0, End: r.job.Model.Layers}
-	var chosen []cowslipproxy.Stage
-	var err error
-	if chosen, err = r.driver.Chooser.Chain(r.driver.Clock(), r.requirements(whole, nil)); err != nil {
-		return err
+	for {
+		chosen, err := r.driver.Chooser.Chain(r.driver.Clock(), r.requirements(whole, nil))
+		if err == nil {
+			r.setStages(withoutContext(chosen))
+			return nil
+		}
+		if !errors.Is(err, cowslipproxy.ErrHeld) || sleep(ctx, maxRetryDelay) != nil {
+			return err
+		}
 	}
-	r.setStages(withoutContext(chosen))
-	return nil
 }
 
 // setStages replaces the current chain and registers the request on the new one's
--- a/interfaces.go
+++ b/interfaces.go
@@ -11,6 +11,10 @@
 	"github.com/pkg/errors"
 )
 
+// ErrHeld marks the failure of a choice of upstreams for a suspect whose only candidates
+// are held by other suspects. Holds end with the requests that have them.
+var ErrHeld = errors.New("held by another suspect")
+
 // ErrNotStarted marks errors of work that an upstream provably did not start.
 var ErrNotStarted = errors.New("not started")
 
--- a/outcome.go
+++ b/outcome.go
@@ -49,8 +49,12 @@
 	Reason     Reason
 	Message    string
 	RetryAfter time.Duration // zero when a retry can't help
+	Cause      error         // nil if the reason says it all
 }
 
+// Unwrap returns the cause of the failure.
+func (f *Failure) Unwrap() error { return f.Cause }
+
 // Error implements error.
 func (f *Failure) Error() string {
 	return fmt.Sprintf("%s: %s: %s", f.Outcome, f.Reason, f.Message)
--- a/pooler/choose.go
+++ b/pooler/choose.go
@@ -28,13 +28,18 @@
 	if need.Suspect {
 		attempts = maxSuspectAttempts
 	}
+	held := false // an upstream was avoided because another suspect holds it
 	for range attempts {
-		if chain, err = p.chooser.Chain(now, need); err != nil {
+		if chain, err = p.chooser.Chain(now, need); err != nil && !held {
 			return nil, err
 		}
+		if err != nil {
+			break
+		}
 		unavailable := p.beginProbes(chain, now)
 		if unavailable == "" && need.Suspect {
 			unavailable = p.acquireHolds(now, need.Request, chain.Stages)
+			held = held || unavailable != ""
 		}
 		if unavailable == "" {
 			p.recordDispatch(chain, now)
@@ -42,7 +47,11 @@
 		}
 		need.Avoid = append(need.Avoid[:len(need.Avoid):len(need.Avoid)], unavailable)
 	}
-	return nil, cowslipproxy.Refuse(cowslipproxy.ReasonNoChain, "layers %v: each chain that was chosen has an engine that is being probed or is held by another suspect", need.Range).After(time.Second)
+	failure := cowslipproxy.Refuse(cowslipproxy.ReasonNoChain, "layers %v: each chain that was chosen has an engine that is being probed or is held by another suspect", need.Range).After(time.Second)
+	if held {
+		failure.Cause = cowslipproxy.ErrHeld
+	}
+	return nil, failure
 }
 
 // Explain returns how a chain would be chosen now.
