--- a/cowslipd/relay/document.go
+++ b/cowslipd/relay/document.go
@@ -32,8 +32,9 @@
 	if d.currentDocument.Version == m.RelayConfiguration.Version {
 		return d.currentDocument, true
 	}
-	document, err := encodeConfiguration(m.RelayConfiguration)
-	if err != nil {
+	var document gossiper.Document
+	var err error
+	if document, err = encodeConfiguration(m.RelayConfiguration); err != nil {
 		reporter.EventExchangeFailed.Log(context.Background(), d.Logger, slog.Any("error", err))
 		return gossiper.Document{}, false
 	}
@@ -52,8 +53,9 @@
 
 func encodeConfiguration(configuration cowslipproxy.RelayConfiguration) (gossiper.Document, error) {
 	var compressed bytes.Buffer
-	writer, err := gzip.NewWriterLevel(&compressed, gzip.BestSpeed)
-	if err != nil {
+	var writer *gzip.Writer
+	var err error
+	if writer, err = gzip.NewWriterLevel(&compressed, gzip.BestSpeed); err != nil {
 		return gossiper.Document{}, errors.WithStack(err)
 	}
 	if err := json.NewEncoder(writer).Encode(configuration); err != nil {
@@ -67,8 +69,9 @@
 
 func decodeConfiguration(document gossiper.Document) (cowslipproxy.RelayConfiguration, error) {
 	var configuration cowslipproxy.RelayConfiguration
-	reader, err := gzip.NewReader(bytes.NewReader(document.Data))
-	if err != nil {
+	var reader *gzip.Reader
+	var err error
+	if reader, err = gzip.NewReader(bytes.NewReader(document.Data)); err != nil {
 		return configuration, errors.WithStack(err)
 	}
 	var data []byte
--- a/cowslipd/relay/endless_test.go
+++ b/cowslipd/relay/endless_test.go
@@ -153,46 +153,47 @@
 // Guards against an upstream whose bytes without end exhaust the daemon's memory, keep
 // connections open, pass for an answer, or delay requests to other upstreams.
 func TestEndlessBytesOfUpstreamAreBounded(t *testing.T) {
-	const wait = time.Second // time to the callers' deadline
 	for name, reply := range endlessReplies {
 		for _, drip := range []bool{false, true} {
-			for _, path := range []string{feesPath, readsPath, lettersPath} {
+			for path, service := range map[string]string{feesPath: "ledger", readsPath: "ledger", lettersPath: "scribe"} {
 				t.Run(fmt.Sprintf("%s, drip %v, %s", name, drip, path), func(t *testing.T) {
 					d := newFleet(t)
 					upstream := &endlessServer{head: reply.head, filler: reply.filler, drip: drip}
-					service := "ledger"
-					if path == lettersPath {
-						service = "scribe"
-					}
 					upstream.start(d, service)
 					d.serveOther()
 					node := d.startDaemon(d.settings())
 					require.Eventually(t, func() bool { return d.send(node, call{path: otherPath}).status == http.StatusOK }, waitLimit, 20*time.Millisecond)
-					runtime.GC()
-					var before runtime.MemStats
-					runtime.ReadMemStats(&before)
-					peak := peakHeap()
-					var group sync.WaitGroup
-					for range endlessCallers {
-						group.Go(func() {
-							got := d.send(node, call{path: path + "1", tokens: 100, wait: wait})
-							require.NotEqual(t, http.StatusOK, got.status, got.body)
-						})
-					}
-					for range 10 {
-						begin := time.Now()
-						got := d.send(node, call{path: otherPath})
-						require.Equal(t, http.StatusOK, got.status)
-						require.Less(t, time.Since(begin), otherTarget)
-					}
-					group.Wait()
-					ended := time.Now()
-					require.Eventually(t, func() bool { return upstream.open.Load() == 0 }, disconnectBound, time.Millisecond)
-					growth := peak() - int64(before.HeapInuse)
-					t.Logf("heap +%d MB, %d MB sent, closed after %v", growth>>20, upstream.sent.Load()>>20, time.Since(ended))
-					require.Less(t, growth, int64(smallVM))
+					checkEndlessReplies(d, node, upstream, path)
 				})
 			}
 		}
 	}
 }
+
+// checkEndlessReplies sends requests to an endless upstream, and others beside them.
+func checkEndlessReplies(d *deployment, node *daemon, upstream *endlessServer, path string) {
+	t := d.t
+	runtime.GC()
+	var before runtime.MemStats
+	runtime.ReadMemStats(&before)
+	peak := peakHeap()
+	var group sync.WaitGroup
+	for range endlessCallers {
+		group.Go(func() {
+			got := d.send(node, call{path: path + "1", tokens: 100, wait: time.Second})
+			require.NotEqual(t, http.StatusOK, got.status, got.body)
+		})
+	}
+	for range 10 {
+		begin := time.Now()
+		got := d.send(node, call{path: otherPath})
+		require.Equal(t, http.StatusOK, got.status)
+		require.Less(t, time.Since(begin), otherTarget)
+	}
+	group.Wait()
+	ended := time.Now()
+	require.Eventually(t, func() bool { return upstream.open.Load() == 0 }, disconnectBound, time.Millisecond)
+	growth := peak() - int64(before.HeapInuse)
+	t.Logf("heap +%d MB, %d MB sent, closed after %v", growth>>20, upstream.sent.Load()>>20, time.Since(ended))
+	require.Less(t, growth, int64(smallVM))
+}
--- a/cowslipd/relay/fetch.go
+++ b/cowslipd/relay/fetch.go
@@ -81,8 +81,8 @@
 		return false
 	}
 	d.logFetch(ctx, peer, start, document.Version, len(document.Data))
-	configuration, err := decodeConfiguration(document)
-	if err != nil {
+	var configuration cowslipproxy.RelayConfiguration
+	if configuration, err = decodeConfiguration(document); err != nil {
 		reporter.EventRelayConfigInvalid.Log(ctx, d.Logger, slog.String("from", peer.String()), slog.Any("error", err))
 		return false
 	}
@@ -95,8 +95,9 @@
 // which sends it uncompressed and in one piece.
 func (d *Daemon) fetchSnapshot(ctx context.Context, peer netip.AddrPort) bool {
 	start := d.Clock()
-	response, err := d.gossiper.FetchSnapshot(ctx, peer.String())
-	if err != nil {
+	var response gossiper.SnapshotResponse
+	var err error
+	if response, err = d.gossiper.FetchSnapshot(ctx, peer.String()); err != nil {
 		d.logFetchFailure(ctx, peer, start, err)
 		return false
 	}
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -133,8 +133,9 @@
 		return errors.WithStack(err)
 	}
 	d.gossiper.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-		peer, err := netip.ParseAddrPort(address)
-		if err != nil {
+		var peer netip.AddrPort
+		var err error
+		if peer, err = netip.ParseAddrPort(address); err != nil {
 			return nil, errors.WithStack(err)
 		}
 		return d.PeerNetwork.Dial(ctx, peer)
--- a/gossiper/document.go
+++ b/gossiper/document.go
@@ -88,8 +88,9 @@
 func (g *Gossiper) FetchDocument(ctx context.Context, address string, download *Download) (Document, error) {
 	g.setup()
 	for complete := false; !complete; {
-		segment, err := g.fetchSegment(ctx, address, SegmentRequest{Version: download.version, Sum: download.sum, From: len(download.data)})
-		if err != nil {
+		var segment Segment
+		var err error
+		if segment, err = g.fetchSegment(ctx, address, SegmentRequest{Version: download.version, Sum: download.sum, From: len(download.data)}); err != nil {
 			return Document{}, err
 		}
 		if complete, err = download.add(segment); err != nil {
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -79,8 +79,9 @@
 // returns an error if the body exceeds maxRejectionBody.
 func discardReply(reply upstreamReply) error {
 	defer reply.Body.Close()
-	n, err := io.Copy(io.Discard, io.LimitReader(reply.Body, maxRejectionBody+1))
-	if err != nil {
+	var n int64
+	var err error
+	if n, err = io.Copy(io.Discard, io.LimitReader(reply.Body, maxRejectionBody+1)); err != nil {
 		return errors.WithStack(err)
 	}
 	if n > maxRejectionBody {
