relay: name positions in shares, presize bodies and settle fleets in tests

Shares and replies name positions and ages by one word each, and a position is recorded after the list that it belongs to was applied, so that a child never gets a position ahead of its list. Bodies with a known length are read into a buffer of that size, so that several large ones fit into the memory for messages.

TestLargeConfigurationReachesEachDaemonInTime failed once beside other work, with 28 calls to the store instead of 26 at most, and once with 105 at a load of 10.

--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -75,21 +75,23 @@
 	memory := &allocator.Allocator{Limit: 1 << 20}
 	for _, size := range []int{0, 1, 4 * kilobyte, 4*kilobyte + 1, 100 * kilobyte} {
 		want := bytes.Repeat([]byte("x"), size)
-		l := memory.Open(nil)
-		got, err := l.ReadAll(iotest.HalfReader(bytes.NewReader(want)), int64(size))
-		require.NoError(t, err)
-		require.Equal(t, want, got)
-		l.Release()
+		for _, announced := range []int{-1, size, size / 2, 2 * size} {
+			l := memory.Open(nil)
+			got, err := l.ReadAll(iotest.HalfReader(bytes.NewReader(want)), int64(announced), int64(size))
+			require.NoError(t, err)
+			require.Equal(t, want, got)
+			l.Release()
+		}
 		if size > 0 {
-			_, err = memory.Open(nil).ReadAll(bytes.NewReader(want), int64(size-1))
+			_, err := memory.Open(nil).ReadAll(bytes.NewReader(want), -1, int64(size-1))
 			require.ErrorIs(t, err, allocator.ErrTooLarge)
 		}
 	}
 	l := memory.Open(nil)
 	defer l.Release()
-	_, err := l.ReadAll(endless{}, 1<<40)
+	_, err := l.ReadAll(endless{}, -1, 1<<40)
 	require.ErrorIs(t, err, allocator.ErrExhausted)
-	_, err = memory.Open(nil).ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), 1)
+	_, err = memory.Open(nil).ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), -1, 1)
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
 
--- a/cowslipd/relay/apply.go
+++ b/cowslipd/relay/apply.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// configurationWait bounds a long poll for a newer configuration. It is shorter
+	// maxConfigurationWait bounds a long poll for a newer configuration. It is shorter
 	// than the store allows, because a connection to the store may stall unnoticed.
-	configurationWait = 2 * time.Second
-	// readerConfigurationWait is that of a reader, whose followers find out by the age of
-	// its last read that it stalled.
+	maxConfigurationWait = 2 * time.Second
+	// readerConfigurationWait is the bound for a reader. The age of its last read tells
+	// other daemons that it stalled.
 	readerConfigurationWait = 600 * time.Millisecond
 )
 
@@ -24,7 +24,7 @@
 	if d.sharing.isReader() {
 		return readerConfigurationWait
 	}
-	return configurationWait
+	return maxConfigurationWait
 }
 
 // handleConfigurations applies configurations read from the store.
@@ -38,6 +38,7 @@
 			d.apply(item.Value, "store")
 		}
 	}
+	// After the activation, so that the position is never ahead of the active version.
 	d.sharing.recordRead(&d.sharing.configuration, now, changes.Next)
 }
 
@@ -65,7 +66,7 @@
 	}
 	changed := d.registrar.Apply(now, changes)
 	d.sharing.recordRead(&d.sharing.list, now, changes.Next)
-	d.sharing.setListSource(d.owner.Name, 0)
+	d.sharing.setList(d.owner.Name, 0, changes.Next)
 	d.updateInstances(changed)
 	d.share(context.Background())
 }
--- a/cowslipd/relay/fetch.go
+++ b/cowslipd/relay/fetch.go
@@ -37,13 +37,11 @@
 	defer d.fetching.Store(false)
 	for number := range maxFetches {
 		sources := d.sharing.sources(d.owner, d.announced.source())
-		if len(sources) == 0 || d.announced.lag(d.Clock(), d.configurationVersion()) == 0 {
+		if len(sources) == 0 {
 			return
 		}
-		if d.fetchConfiguration(ctx, sources[number%len(sources)]) {
-			continue
-		}
-		if !waiter.Wait(ctx, fetchRetryDelay) {
+		d.fetchConfiguration(ctx, sources[number%len(sources)])
+		if d.announced.lag(d.Clock(), d.configurationVersion()) == 0 || !waiter.Wait(ctx, fetchRetryDelay) {
 			return
 		}
 	}
@@ -66,49 +64,48 @@
 	return sources
 }
 
-// fetchConfiguration fetches the configuration of another daemon, activates it if it is
-// newer than the current one, and reports whether the other daemon sent it.
-func (d *Daemon) fetchConfiguration(ctx context.Context, peer netip.AddrPort) bool {
+// fetchConfiguration fetches the configuration of another daemon and activates it if it
+// is newer than the current one.
+func (d *Daemon) fetchConfiguration(ctx context.Context, peer netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	start := d.Clock()
 	document, err := d.gossiper.FetchDocument(ctx, peer.String(), &d.download)
 	if errors.Is(err, gossiper.ErrNoDocuments) {
-		return d.fetchSnapshot(ctx, peer)
+		d.fetchSnapshot(ctx, peer)
+		return
 	}
 	if err != nil {
 		d.logFetchFailure(ctx, peer, start, err)
-		return false
+		return
 	}
 	d.logFetch(ctx, peer, start, document.Version, len(document.Data))
 	var configuration cowslipproxy.RelayConfiguration
 	if configuration, err = decodeConfiguration(document); err != nil {
 		reporter.EventRelayConfigInvalid.Log(ctx, d.Logger, slog.String("from", peer.String()), slog.Any("error", err))
-		return false
+		return
 	}
 	d.keepDocument(document)
 	d.apply(configuration, peer.String())
-	return true
 }
 
 // fetchSnapshot fetches the configuration of a daemon that runs an earlier build,
 // which sends it uncompressed and in one piece.
-func (d *Daemon) fetchSnapshot(ctx context.Context, peer netip.AddrPort) bool {
+func (d *Daemon) fetchSnapshot(ctx context.Context, peer netip.AddrPort) {
 	start := d.Clock()
 	var response gossiper.SnapshotResponse
 	var err error
 	if response, err = d.gossiper.FetchSnapshot(ctx, peer.String()); err != nil {
 		d.logFetchFailure(ctx, peer, start, err)
-		return false
+		return
 	}
 	d.logFetch(ctx, peer, start, response.Offset, len(response.Data))
 	var configuration cowslipproxy.RelayConfiguration
 	if err := decoder.JSON(response.Data, &configuration); err != nil {
 		reporter.EventRelayConfigInvalid.Log(ctx, d.Logger, slog.String("from", peer.String()), slog.Any("error", err))
-		return false
+		return
 	}
 	d.apply(configuration, peer.String())
-	return true
 }
 
 func (d *Daemon) logFetch(ctx context.Context, peer netip.AddrPort, start time.Time, version uint64, bytes int) {
--- a/cowslipd/relay/poll.go
+++ b/cowslipd/relay/poll.go
@@ -72,7 +72,7 @@
 	var reply sharer.Reply
 	var err error
 	if reply, err = d.exchangeShare(ctx, peer, sharer.Share{
-		From: d.owner.Name, RequestList: true, ListFeed: d.sharing.position(&d.sharing.list), ConfigurationVersion: d.configurationVersion(),
+		From: d.owner.Name, RequestList: true, ListPosition: d.sharing.position(&d.sharing.list), ConfigurationVersion: d.configurationVersion(),
 	}); err != nil {
 		return // the next poll may choose another daemon
 	}
@@ -80,28 +80,28 @@
 	if d.recordAnnouncement(reply.ConfigurationVersion, peer) {
 		go d.fetchAnnounced(ctx)
 	}
-	if reply.Age > sharer.MaxAge || !d.sharing.acceptReply(now, reply, d.configurationVersion()) {
+	if reply.Age > sharer.MaxAge {
 		return
 	}
-	d.updateInstances(d.registrar.Replace(now, reply.Instances))
+	if len(reply.Instances) > 0 {
+		changed := d.registrar.Replace(now, reply.Instances)
+		d.sharing.setList("", 0, reply.ListPosition)
+		d.updateInstances(changed)
+	}
+	d.sharing.acceptReply(now, reply, d.configurationVersion())
 }
 
-// acceptReply records the response to a request for the instance list and reports
-// whether it contains a list.
-func (s *sharing) acceptReply(now time.Time, reply sharer.Reply, configurationVersion uint64) (newList bool) {
+// acceptReply records the ages that the response to a request for the instance list
+// reports, if this daemon holds the same list now. A daemon without a list, or with an
+// older one, sends none.
+func (s *sharing) acceptReply(now time.Time, reply sharer.Reply, configurationVersion uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	newList = len(reply.Instances) > 0
-	if !newList && reply.ListFeed != s.list.position {
-		return false // a daemon that has no list, or an older one
+	if reply.ListPosition != s.list.position {
+		return
 	}
 	s.list.recordShare(now, reply.Age)
-	s.list.position = reply.ListFeed
-	if newList {
-		s.listSource, s.listVersion = "", 0
-	}
 	if reply.ConfigurationVersion == configurationVersion {
 		s.configuration.recordShare(now, reply.ConfigurationAge)
 	}
-	return newList
 }
--- a/cowslipd/relay/share.go
+++ b/cowslipd/relay/share.go
@@ -62,8 +62,8 @@
 	s := &d.sharing
 	listVersion := d.registrar.Version()
 	share := sharer.Share{
-		From: d.owner.Name, Age: now.Sub(s.list.knownAt()), ListFeed: s.list.position, ListVersion: listVersion, Loads: loads,
-		ConfigurationVersion: d.configurationVersion(), ConfigurationAge: now.Sub(s.configuration.knownAt()), ConfigurationFeed: s.configuration.position,
+		From: d.owner.Name, Age: now.Sub(s.list.knownAt()), ListPosition: s.list.position, ListVersion: listVersion, Loads: loads,
+		ConfigurationVersion: d.configurationVersion(), ConfigurationAge: now.Sub(s.configuration.knownAt()), ConfigurationPosition: s.configuration.position,
 	}
 	if heldListVersion, ok := s.heldListVersion[member.Name]; member.Centre == d.Settings.Centre && ok && heldListVersion != listVersion {
 		share.Complete, share.Instances = true, d.registrar.Instances()
@@ -131,14 +131,18 @@
 	}
 	accepted := sender.Centre == d.Settings.Centre && !share.RequestList && share.Age <= sharer.MaxAge
 	newList := accepted && s.accept(now, share, d.configurationVersion())
-	reply := sharer.Reply{Reader: s.listSource, ListVersion: s.listVersion, ListFeed: s.list.position, ConfigurationVersion: d.configurationVersion()}
 	s.mu.Unlock()
 	if newList {
-		d.updateInstances(d.registrar.Replace(now, share.Instances))
+		changed := d.registrar.Replace(now, share.Instances)
+		s.setList(share.From, share.ListVersion, share.ListPosition)
+		d.updateInstances(changed)
 	}
+	s.mu.Lock()
+	reply := sharer.Reply{Reader: s.listSource, ListVersion: s.listVersion, ListPosition: s.list.position, ConfigurationVersion: d.configurationVersion()}
+	s.mu.Unlock()
 	if share.RequestList {
 		reply.Age, reply.ConfigurationAge = s.ages(now)
-		if share.ListFeed == 0 || share.ListFeed < reply.ListFeed {
+		if share.ListPosition == 0 || share.ListPosition < reply.ListPosition {
 			reply.Instances = d.registrar.Instances()
 		}
 	} else {
@@ -165,16 +169,10 @@
 	s.configuration.recordShare(now, share.ConfigurationAge)
 	s.setParent(share.From)
 	if share.ConfigurationVersion == configurationVersion {
-		s.configuration.position = max(s.configuration.position, share.ConfigurationFeed)
-	}
-	if share.Complete {
-		newList = share.ListFeed == 0 || share.ListFeed >= s.list.position
-	}
-	if newList {
-		s.listSource, s.listVersion, s.list.position = share.From, share.ListVersion, share.ListFeed
+		s.configuration.position = max(s.configuration.position, share.ConfigurationPosition)
 	}
 	if share.From == s.listSource && share.ListVersion == s.listVersion {
-		s.list.position = max(s.list.position, share.ListFeed)
+		s.list.position = max(s.list.position, share.ListPosition)
 	}
-	return newList
+	return share.Complete && (share.ListPosition == 0 || share.ListPosition >= s.list.position)
 }
--- a/cowslipd/relay/sharing.go
+++ b/cowslipd/relay/sharing.go
@@ -183,12 +183,13 @@
 	return feed.position
 }
 
-// setListSource sets the daemon whose instance list this daemon holds, and the version
-// of that list.
-func (s *sharing) setListSource(name string, version uint64) {
+// setList records which daemon's instance list this daemon holds, the version of that
+// list, and the position up to which it is known. It is called after the list was
+// applied, so that the position is never ahead of the list.
+func (s *sharing) setList(source string, version, position uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.listSource, s.listVersion = name, version
+	s.listSource, s.listVersion, s.list.position = source, version, position
 }
 
 // setParent records which daemon sends shares. The loads that the former parent
--- a/cowslipd/relay/spread_test.go
+++ b/cowslipd/relay/spread_test.go
@@ -27,6 +27,10 @@
 	// fleetConfigBound: a read of the list each 700 ms, of the configuration and of the
 	// lease each 2 s, and a renewal of the lease each 1.3 s.
 	readerCalls = 2 * (5 + 3 + 2 + 3)
+	// settleTime is the time after which daemons that know each other no longer read the
+	// store for themselves: they act on new members once a second, and a read that they
+	// began before waits for a change up to 2 s.
+	settleTime  = 4 * time.Second
 	startRoutes = 240
 	newRoutes   = 1400
 )
@@ -55,7 +59,7 @@
 	for _, node := range d.daemons {
 		require.Eventually(d.t, func() bool { return d.membersOf(node) == len(d.daemons) }, time.Minute, 200*time.Millisecond)
 	}
-	time.Sleep(2 * time.Second) // daemons act on new members once a second
+	time.Sleep(settleTime)
 }
 
 // membersOf returns how many ready daemons a daemon knows, including itself.
@@ -181,7 +185,6 @@
 	reader := d.startDaemon(settings)
 	d.seeds = append(d.seeds, settings.Peers)
 	d.startFleet(4)
-	time.Sleep(3 * time.Second) // the reads end that daemons began before they got shares
 	d.publishRoutes(startRoutes + 1)
 	time.Sleep(configBound)
 	require.Zero(t, d.countWithoutRoute(startRoutes))
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -166,7 +166,7 @@
 		return cowslipproxy.Refuse(cowslipproxy.ReasonTooLarge, "request body of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
 	}
 	var err error
-	if x.callerRequest.Body, err = x.bodyMemory.ReadAll(r.Body, limit); err == nil {
+	if x.callerRequest.Body, err = x.bodyMemory.ReadAll(r.Body, r.ContentLength, limit); err == nil {
 		return nil
 	}
 	if errors.Is(err, allocator.ErrTooLarge) {
