relay: cancel a test request once an engine runs it

TestDisconnectCancelsRequest cancelled its request 300 ms after its start and expects that an engine has run it.

The test now cancels when an engine streams the answer, and checks as before that the request ran once and that no engine runs it 500 ms later.

--- a/cowslipd/relay/retry_test.go
+++ b/cowslipd/relay/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -117,9 +118,17 @@
 	t.Parallel()
 	d := deploy(t, 1)
 	ctx, cancel := context.WithCancel(context.Background())
-	time.AfterFunc(300*time.Millisecond, cancel)
+	defer cancel()
+	next := fmt.Sprintf("%016x", d.ids.Load()+1)
+	go func() {
+		for !d.fleet.IsStreaming(next) && ctx.Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
 	got := d.send(d.daemons[0], call{path: lettersPath + "1", tokens: 10_000, ctx: ctx})
 	require.Error(t, got.err)
+	require.Equal(t, next, got.id)
 	time.Sleep(disconnectBound)
 	runs := d.fleet.RunsOf(got.id)
 	require.Len(t, runs, 1)
