--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -14,8 +14,7 @@
 
 const kilobyte = 1 << 10
 
-// Guards against messages without end that displace others, and against dropping a
-// message for one that is larger.
+// Guards against messages without end that displace smaller ones.
 func TestLargestMessageMakesRoom(t *testing.T) {
 	memory := &allocator.Allocator{Limit: 100 * kilobyte}
 	var dropped []string
@@ -35,8 +34,7 @@
 	require.Zero(t, memory.Used())
 }
 
-// Guards against dropping a message that is still needed, such as the body of a request
-// that was sent.
+// Guards against dropping a message that is in use, such as the body of a request.
 func TestMessageWithoutDropIsKept(t *testing.T) {
 	memory := &allocator.Allocator{Limit: 100 * kilobyte}
 	kept, next := memory.Open(nil), memory.Open(func() {})
--- a/cowslipd/relay/apply.go
+++ b/cowslipd/relay/apply.go
@@ -14,8 +14,8 @@
 	// maxConfigurationWait bounds a long poll for a newer configuration. It is shorter
 	// than the store allows, because a connection to the store may stall unnoticed.
 	maxConfigurationWait = 2 * time.Second
-	// readerConfigurationWait is the bound for a reader. The age of its last read tells
-	// other daemons that it stalled.
+	// readerConfigurationWait is the bound for a reader. Other daemons detect by the age
+	// of its last read that it stalled.
 	readerConfigurationWait = 600 * time.Millisecond
 )
 
--- a/cowslipd/relay/endless_test.go
+++ b/cowslipd/relay/endless_test.go
@@ -150,8 +150,7 @@
 	return func() int64 { close(done); return <-result }
 }
 
-// Guards against an upstream whose bytes without end exhaust the daemon's memory, keep
-// connections open, pass for an answer, or delay requests to other upstreams.
+// Guards against an upstream whose bytes without end exhaust the daemon or delay others.
 func TestEndlessBytesOfUpstreamAreBounded(t *testing.T) {
 	for name, reply := range endlessReplies {
 		for _, drip := range []bool{false, true} {
--- a/cowslipd/relay/fetch.go
+++ b/cowslipd/relay/fetch.go
@@ -28,8 +28,8 @@
 )
 
 // fetchAnnounced fetches the configuration until the newest announced version is
-// active. It starts with the daemon that announced it and goes on with those through
-// which configurations reach this one.
+// active. It starts with the daemon that announced it and continues with the parent and
+// the reader.
 func (d *Daemon) fetchAnnounced(ctx context.Context) {
 	if !d.fetching.CompareAndSwap(false, true) {
 		return
--- a/cowslipd/relay/forwarding_test.go
+++ b/cowslipd/relay/forwarding_test.go
@@ -115,8 +115,7 @@
 	require.Equal(t, http.StatusOK, d.send(d.daemons[0], call{path: feesPath + "1"}).status)
 }
 
-// Guards against callers that get a connection reset instead of a refusal, because the
-// daemon closes their connection before it has read their body.
+// Guards against a connection reset instead of a refusal, due to an unread body.
 func TestRefusalsReachCallersThatCloseTheirConnections(t *testing.T) {
 	t.Parallel()
 	d := newFleet(t)
--- a/cowslipd/relay/lifecycle_test.go
+++ b/cowslipd/relay/lifecycle_test.go
@@ -182,8 +182,7 @@
 	require.Less(t, failed, requests/4)
 }
 
-// Guards against a daemon that accepts callers although another of its addresses is not
-// open yet, for example that for readiness checks.
+// Guards against callers that are accepted while readiness checks are refused.
 func TestCallersAreAcceptedOnceAllAddressesAreOpen(t *testing.T) {
 	t.Parallel()
 	d := newFleet(t)
--- a/cowslipd/relay/spread_test.go
+++ b/cowslipd/relay/spread_test.go
@@ -23,9 +23,9 @@
 	fleetConfigBound = 3 * time.Second
 	// slowLink is the slowest link that the documentation states for a VM, 14 Mbit/s.
 	slowLink = 14e6 / 8 // bytes per second
-	// readerCalls is twice the number of store calls that one reader makes within
-	// fleetConfigBound: a read of the list each 700 ms, of the configuration and of the
-	// lease each 2 s, and a renewal of the lease each 1.3 s.
+	// readerCalls bounds the store calls of a fleet of any size within fleetConfigBound:
+	// twice those of one daemon that reads the list each 700 ms, configuration and lease
+	// each 2 s, and renews the lease each 1.3 s.
 	readerCalls = 2 * (5 + 3 + 2 + 3)
 	// settleTime is the time after which daemons that know each other no longer read the
 	// store for themselves: they act on new members once a second, and a read that they
@@ -133,8 +133,7 @@
 	return d.store.Calls("/api/log-read") + d.store.Calls("/api/log-newest") + d.store.Calls("/api/log-append")
 }
 
-// Guards against a configuration that takes effect too late because one daemon sends
-// it to all others over its own link, and against a fallback to the store by all.
+// Guards against a late configuration because one daemon's link or the store serves all.
 func TestLargeConfigurationReachesEachDaemonInTime(t *testing.T) {
 	for _, daemons := range fleetSizes {
 		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
@@ -154,8 +153,7 @@
 	}
 }
 
-// Guards against a daemon that relies on others for a configuration that none of them
-// manages to send, because it still gets their instance list.
+// Guards against relying on daemons that send the instance list but no configuration.
 func TestConfigurationIsReadFromStoreWhenFetchesFail(t *testing.T) {
 	t.Parallel()
 	d := newFleet(t)
@@ -166,8 +164,7 @@
 	require.Zero(t, d.countWithoutRoute(startRoutes+newRoutes-1))
 }
 
-// Guards against a reader that no longer gets the configuration from the store, but
-// whose shares of the instance list keep all others from reading it.
+// Guards against a reader whose reads of the configuration alone have stalled.
 func TestConfigurationIsReadFromStoreWhenReaderStalls(t *testing.T) {
 	t.Parallel()
 	d := newFleet(t)
--- a/cowslipd/relay/streams_test.go
+++ b/cowslipd/relay/streams_test.go
@@ -156,8 +156,7 @@
 	}
 }
 
-// Guards against the daemon ending a stream that a refused attempt could not resume,
-// although engines accept requests again while the caller still waits.
+// Guards against an answer that is lost because engines refuse its resumption for a while.
 func TestRefusedStreamIsResumedOnceAnEngineAccepts(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 1)
@@ -176,8 +175,7 @@
 	wait()
 }
 
-// Guards against the daemon ending a stream because an engine is silent, although no
-// other path exists. The engine may still continue the stream.
+// Guards against an answer that is lost because an engine of its only path was silent.
 func TestStalledStreamIsKeptWithoutAnotherPath(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 1)
--- a/outcome.go
+++ b/outcome.go
@@ -49,7 +49,7 @@
 	Reason     Reason
 	Message    string
 	RetryAfter time.Duration // zero when a retry can't help
-	Cause      error         // nil if the reason says it all
+	Cause      error         // nil if there is none besides the reason
 }
 
 // Unwrap returns the cause of the failure.
--- a/sharer/tree_test.go
+++ b/sharer/tree_test.go
@@ -10,8 +10,7 @@
 	"github.com/cowslipproxy/cowslipproxy/sharer"
 )
 
-// Guards against daemons that no share reaches, and against traffic of a daemon or
-// delays that grow with the data centre.
+// Guards against daemons that no share reaches, and against traffic that grows with them.
 func TestTreeReachesAllDaemonsWithBoundedFanOut(t *testing.T) {
 	for _, count := range []int{1, 2, 9, 42, 160, 640} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -24,8 +24,7 @@
 	return cowslipproxy.Changes[int]{Next: from + 1}, ctx.Err()
 }
 
-// Guards against a daemon that reads the complete feed each time it stops relying on
-// another daemon, which adds load when many do so at once.
+// Guards against a complete read of the feed whenever another daemon stops sharing it.
 func TestReadsResumeAtThePositionKnownFromOthers(t *testing.T) {
 	const standbyCall = 3 // call of Skip that reports that another daemon reads the feed
 	var calls, known atomic.Uint64
