relayer: log the shared parts of prompts with failed attempts

Event 901 did not show which parts a broken stream's prompt has, nor how many events the upstream had sent, so that the requests in flight at several crashes could not be compared.

--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -206,7 +206,7 @@
 	}
 	if err != nil {
 		reporter.EventAttemptFailed.Log(ctx, s.Logger, slog.String("request", s.callerRequest.ID), slog.String("upstream", first.Instance),
-			slog.Bool("started", !notExecuted), slog.Int("events", s.eventsSent), slog.Any("error", err))
+			slog.Bool("started", !notExecuted), slog.Int("events", s.eventsSent), slog.Int("received", a.received), slog.Any("parts", s.callerRequest.SharedParts), slog.Any("error", err))
 	}
 	return notExecuted, err
 }
--- a/relays.go
+++ b/relays.go
@@ -21,9 +21,10 @@
 	Deadline    time.Time // zero if the caller set none
 	LastEventID string    // id of the last event that the caller received, if it resumes a stream
 	Model       string
-	Prompt      int // length of the prompt in tokens
-	MaxOutput   int // maximum number of tokens of the answer
-	LengthHint  int // caller's estimate of the answer's length in tokens; 0 if it gave none
+	Prompt      int      // length of the prompt in tokens
+	SharedParts []string // ids of the parts of the prompt that other requests may share, in order
+	MaxOutput   int      // maximum number of tokens of the answer
+	LengthHint  int      // caller's estimate of the answer's length in tokens; 0 if it gave none
 }
 
 // Hop is an engine of a path and the layers that it runs.
