relay: reproduce repeated crashes by one part of prompts

The stand-in engine crashes 60 ms after it begins to write on a given part and is back 1.5 s later. Sound requests share the first part with the poisonous ones.

--- a/cowslipd/relay/fleet_race_test.go
+++ b/cowslipd/relay/fleet_race_test.go
@@ -5,3 +5,6 @@
 // fleetSizes omits the largest fleet: with the race detector, 120 daemons need several
 // times the processors of a test machine. `make test` runs it without the detector.
 var fleetSizes = []int{10, 40}
+
+// poisonFleets omits the largest fleet for the same reason.
+var poisonFleets = []int{4, 15}
--- a/cowslipd/relay/fleet_test.go
+++ b/cowslipd/relay/fleet_test.go
@@ -3,3 +3,5 @@
 package relay_test
 
 var fleetSizes = []int{10, 40, 120}
+
+var poisonFleets = []int{4, 15, 126}
--- /dev/null
+++ b/cowslipd/relay/poison_test.go
@@ -0,0 +1,171 @@
+package relay_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Bounds that the platform's rules state for requests with a part that crashes engines.
+const (
+	stabilityWindow       = 3 * time.Second
+	allowedPartCrashes    = 5 // crashes after which a part must be known
+	allowedRequestCrashes = 3 // crashes after which a request that is repeated alike must be known
+	allowedSends          = 3 // later requests that may reach engines
+	minSoundShare         = 0.5
+)
+
+const (
+	poisonousPart    = "bad0bad0"
+	sharedPart       = "5c1e07a2"
+	soundInterval    = 50 * time.Millisecond
+	poisonInterval   = 300 * time.Millisecond
+	soundTokens      = 60
+	enginesPerRange  = 7
+	warmUpDuration   = 4 * time.Second
+	poisonedDuration = 12 * time.Second
+)
+
+// promptHeader returns the header that names the parts of a prompt.
+func promptHeader(parts ...string) http.Header {
+	return http.Header{"X-Prompt-Prefix": {strings.Join(parts, ":40,") + ":300"}}
+}
+
+// soundTraffic sends requests that the engines can answer and records their results.
+type soundTraffic struct {
+	mu      sync.Mutex
+	results []soundResult
+}
+
+type soundResult struct {
+	at     time.Time
+	served bool
+}
+
+func (s *soundTraffic) add(at time.Time, served bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.results = append(s.results, soundResult{at, served})
+}
+
+// served returns how many of the requests sent within a time were served.
+func (s *soundTraffic) served(from, to time.Time) (served, sent int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, result := range s.results {
+		if result.at.Before(from) || !result.at.Before(to) {
+			continue
+		}
+		sent++
+		if result.served {
+			served++
+		}
+	}
+	return served, sent
+}
+
+// repeat calls send at an interval until a time. It returns when all calls have ended.
+func repeat(interval time.Duration, until time.Time, send func(number int)) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for number := 0; time.Now().Before(until); number++ {
+		group.Go(func() { send(number) })
+		time.Sleep(interval)
+	}
+}
+
+// sendSound sends a request whose parts are sound.
+func (d *deployment) sendSound(traffic *soundTraffic, number int) {
+	at := time.Now()
+	header := promptHeader(sharedPart, fmt.Sprintf("%08x", 0xa0+number%3), fmt.Sprintf("%08x", 0x1000+number))
+	got := d.send(d.daemons[number%len(d.daemons)], call{path: lettersPath + "1", tokens: soundTokens, header: header})
+	traffic.add(at, got.err == nil && got.body == streamBody(got.id, 1, soundTokens))
+}
+
+// poisonRuns returns the runs of requests with the poisonous part after a time.
+func (d *deployment) poisonRuns(after time.Time) (count int) {
+	for _, run := range d.fleet.Runs() {
+		if run.At.After(after) && strings.Contains(run.Header.Get("X-Prompt-Prefix"), poisonousPart) {
+			count++
+		}
+	}
+	return count
+}
+
+// deployForPoison deploys daemons with several engines for each range of layers.
+func deployForPoison(t *testing.T, daemons int) *deployment {
+	d := deploy(t, daemons)
+	for range (enginesPerRange - 2) * layers / smallKindLayers {
+		d.startServer("scribe", "small")
+	}
+	require.Eventually(t, func() bool { return len(d.enginesAt(0)) >= enginesPerRange }, waitLimit, 100*time.Millisecond)
+	d.awaitSync()
+	return d
+}
+
+// checkPoison sends sound requests, and poisonous ones beside them after a while. It
+// checks that few poisonous requests reach engines once the part has crashed some, and
+// that sound requests are served meanwhile.
+func checkPoison(t *testing.T, d *deployment, allowedCrashes int, poisonParts func(number int) []string) {
+	var traffic soundTraffic
+	begin := time.Now()
+	poisonedFrom, end := begin.Add(warmUpDuration), begin.Add(warmUpDuration+poisonedDuration)
+	d.fleet.SetPoison(poisonousPart)
+	var group sync.WaitGroup
+	group.Go(func() {
+		repeat(soundInterval, end, func(number int) { d.sendSound(&traffic, number) })
+	})
+	time.Sleep(warmUpDuration)
+	repeat(poisonInterval, end, func(number int) {
+		d.send(d.daemons[(3*number+1)%len(d.daemons)], call{path: lettersPath + "1", tokens: soundTokens, header: promptHeader(poisonParts(number)...)})
+	})
+	group.Wait()
+	crashes := d.fleet.Crashes()
+	require.NotEmpty(t, crashes, "no engine crashed, so the test is ineffective")
+	decisive := crashes[min(len(crashes), allowedCrashes)-1].At
+	sends := 0
+	if len(crashes) >= allowedCrashes {
+		sends = d.poisonRuns(decisive.Add(stabilityWindow))
+	}
+	servedBefore, sentBefore := traffic.served(begin, poisonedFrom)
+	served, sent := traffic.served(decisive.Add(2*stabilityWindow), end)
+	t.Logf("%d daemons: %d crashes, %d runs later than %v after the decisive one; sound requests served: %d of %d before, %d of %d from %v after",
+		len(d.daemons), len(crashes), sends, stabilityWindow, servedBefore, sentBefore, served, sent, 2*stabilityWindow)
+	require.LessOrEqual(t, sends, allowedSends)
+	require.GreaterOrEqual(t, sentBefore, 20)
+	require.GreaterOrEqual(t, sent, 20)
+	require.GreaterOrEqual(t, float64(served)/float64(sent), minSoundShare*float64(servedBefore)/float64(sentBefore))
+}
+
+// Guards against one part of prompts that crashes engine after engine.
+func TestPartThatCrashesEnginesIsQuarantined(t *testing.T) {
+	for _, daemons := range poisonFleets {
+		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
+			t.Parallel()
+			checkPoison(t, deployForPoison(t, daemons), allowedPartCrashes, func(number int) []string {
+				return []string{sharedPart, poisonousPart, fmt.Sprintf("%08x", 0x9000+number)}
+			})
+		})
+	}
+}
+
+// Guards against holding the first part of prompts, which sound requests share, or none.
+func TestFirstPartThatCrashesEnginesIsQuarantined(t *testing.T) {
+	t.Parallel()
+	checkPoison(t, deployForPoison(t, 4), allowedPartCrashes, func(number int) []string {
+		return []string{poisonousPart, fmt.Sprintf("%08x", 0xa0+number%3), fmt.Sprintf("%08x", 0x9000+number)}
+	})
+}
+
+// Guards against a request that its caller repeats without a change, and that crashes
+// engine after engine.
+func TestRequestThatCrashesEnginesIsQuarantined(t *testing.T) {
+	t.Parallel()
+	checkPoison(t, deployForPoison(t, 4), allowedRequestCrashes, func(int) []string { return []string{sharedPart, poisonousPart} })
+}
--- a/standin/worker/fleet.go
+++ b/standin/worker/fleet.go
@@ -31,9 +31,85 @@
 	mu      sync.Mutex
 	servers map[netip.AddrPort]*Server
 	runs    []Run
+	crashes []Crash
+	closed  bool
+	poison  string // part of prompts that crashes the engines which write an answer on it
 	lastID  atomic.Int64
 }
 
+// Crash is a crash of an engine by a request.
+type Crash struct {
+	Server string
+	At     time.Time
+}
+
+const (
+	// crashDelay is the time from the first event of a request with a poisonous part
+	// until the engine crashes.
+	crashDelay = 60 * time.Millisecond
+	// crashDuration is the time until a crashed engine is back, under another id.
+	crashDuration = 1500 * time.Millisecond
+	// entryTimeout is the time after which the platform deletes the entry of a silent server.
+	entryTimeout = 3 * HeartbeatInterval
+)
+
+// SetPoison sets a part of prompts that crashes each engine which begins to write an
+// answer on it. An empty one ends that.
+func (f *Fleet) SetPoison(part string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.poison = part
+}
+
+// isPoisonous reports whether the prompt of a request contains the poisonous part.
+func (f *Fleet) isPoisonous(r *http.Request) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.poison == "" {
+		return false
+	}
+	for _, part := range strings.Split(r.Header.Get("X-Prompt-Prefix"), ",") {
+		if id, _, _ := strings.Cut(part, ":"); id == f.poison {
+			return true
+		}
+	}
+	return false
+}
+
+// Crashes returns the crashes of engines by requests, in order.
+func (f *Fleet) Crashes() []Crash {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]Crash(nil), f.crashes...)
+}
+
+// crash crashes an engine that runs a poisonous request. The engine starts again at its
+// address, without layers.
+func (f *Fleet) crash(s *Server) {
+	if s.isStopped() {
+		return
+	}
+	s.Crash()
+	f.mu.Lock()
+	f.crashes = append(f.crashes, Crash{s.ID, time.Now()})
+	f.mu.Unlock()
+	time.AfterFunc(entryTimeout, func() { f.Store.Put("keyed.servers", s.ID, nil) })
+	time.AfterFunc(crashDuration, func() { f.restart(s) })
+}
+
+// restart starts a server at the address of a crashed one, unless the fleet is closed.
+func (f *Fleet) restart(s *Server) {
+	f.mu.Lock()
+	closed := f.closed
+	f.mu.Unlock()
+	if closed {
+		return
+	}
+	if _, err := f.StartAt(s.Address, s.Settings); err != nil {
+		time.AfterFunc(HeartbeatInterval, func() { f.restart(s) }) // the port is still in use
+	}
+}
+
 // Run is one execution of a request by a server.
 type Run struct {
 	Server    string
@@ -184,6 +260,9 @@
 
 // Close stops all servers.
 func (f *Fleet) Close() {
+	f.mu.Lock()
+	f.closed = true
+	f.mu.Unlock()
 	for _, s := range f.allServers() {
 		s.Crash()
 	}
--- a/standin/worker/stream.go
+++ b/standin/worker/stream.go
@@ -46,6 +46,9 @@
 	index := s.fleet.recordRun(s, r, body)
 	w.Header().Set("X-Response-Signature", "sig-"+s.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if s.fleet.isPoisonous(r) {
+		defer time.AfterFunc(eventInterval+crashDelay, func() { s.fleet.crash(s) }).Stop()
+	}
 	for number := last + 1; number <= count; number++ {
 		if !s.waitForToken(r, id) {
 			panic(http.ErrAbortHandler)
