--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -28,6 +28,7 @@
 		Snapshot: d.snapshot,
 		Document: d.document,
 		OnShare:  d.handleShare,
+		OnChange: d.handleItem,
 		Logger:   d.Logger,
 	}
 	d.sharing.started = start
@@ -38,18 +39,20 @@
 		Leaser: &leaser.Leaser{Name: "placement", Self: d.owner.Key(), TTL: leaseDuration},
 		Clock:  d.Clock, Logger: d.Logger,
 	}
+	d.quarantine.build(d.owner)
 	d.server = &relayer.Server{
-		Matcher:   func() *matcher.Matcher { return d.matcher.Load() },
-		Upstreams: &d.pools,
-		Dialect:   d.Platform.Dialect,
-		Engines:   d.Platform.Engines,
-		Transport: Transport(false),
-		Memory:    &allocator.Allocator{Limit: d.Settings.Memory * megabyte * messagePercent / 100},
-		Stopping:  d.stopping.Load,
-		Rejecting: d.rejecting.Load,
-		Clock:     d.Clock,
-		Logger:    d.Logger,
-		Metrics:   d.Metrics,
+		Matcher:    func() *matcher.Matcher { return d.matcher.Load() },
+		Upstreams:  &d.pools,
+		Dialect:    d.Platform.Dialect,
+		Engines:    d.Platform.Engines,
+		Transport:  Transport(false),
+		Memory:     &allocator.Allocator{Limit: d.Settings.Memory * megabyte * messagePercent / 100},
+		Quarantine: d.quarantine.Quarantiner,
+		Stopping:   d.stopping.Load,
+		Rejecting:  d.rejecting.Load,
+		Clock:      d.Clock,
+		Logger:     d.Logger,
+		Metrics:    d.Metrics,
 	}
 }
 
--- a/cowslipd/relay/dump.go
+++ b/cowslipd/relay/dump.go
@@ -25,6 +25,7 @@
 	Members        []cowslipproxy.Member   `json:"members"`
 	Instances      []cowslipproxy.Instance `json:"instances"`
 	Loads          map[string]float64      `json:"loads"` // load of this daemon's requests on each engine
+	Quarantine     []quarantineEntry       `json:"quarantine"`
 }
 
 // operatorHandler returns the handler of the operator's address, which serves the
@@ -33,6 +34,7 @@
 	routes := mux.NewRouter()
 	routes.HandleFunc("/metrics", d.serveMetrics).Methods(http.MethodGet)
 	routes.HandleFunc("/dump", d.serveDump).Methods(http.MethodGet)
+	routes.HandleFunc("/v1/quarantine/{fingerprint}", d.serveLift).Methods(http.MethodDelete)
 	return routes
 }
 
@@ -45,6 +47,7 @@
 	reporter.SetGauge(d.Metrics, reporter.MetricRelayListAge, int64(d.sharing.listAge(now)))
 	reporter.SetGauge(d.Metrics, reporter.MetricLiveUpstreams, int64(countLive(d.registrar.Instances())))
 	reporter.SetGauge(d.Metrics, reporter.MetricMessageMemory, d.server.Memory.Used())
+	d.quarantine.setGauges(now, d.Metrics)
 	reporter.SetFlag(d.Metrics, reporter.MetricReader, d.sharing.isReader())
 	reporter.SetFlag(d.Metrics, reporter.MetricLeader, leader)
 	w.Header().Set("Content-Type", reporter.TextFormat)
@@ -58,6 +61,7 @@
 		Name: d.owner.Key(), Version: d.configurationVersion(), Ready: d.isReady(), Stopping: d.stopping.Load(),
 		Reader: d.sharing.isReader(), Leader: leader, Age: cowslipproxy.Duration(d.sharing.listAge(d.Clock()).Round(time.Millisecond)),
 		ActiveRequests: d.server.InFlight(), Members: d.gossiper.Members(), Instances: d.registrar.Instances(), Loads: d.pools.ownLoads(),
+		Quarantine: d.quarantine.dump(d.Clock()),
 	})
 	if err != nil {
 		reporter.EventExchangeFailed.Log(r.Context(), d.Logger, slog.Any("error", err))
--- a/cowslipd/relay/members.go
+++ b/cowslipd/relay/members.go
@@ -72,4 +72,9 @@
 	slices.SortFunc(live, func(a, b cowslipproxy.Member) int { return cmp.Compare(a.Name, b.Name) })
 	d.sharing.setMembers(d.owner, d.Settings.Centre, live)
 	d.pools.setDaemons(now, len(live))
+	var keys []string
+	for _, member := range live {
+		keys = append(keys, member.Key())
+	}
+	d.quarantine.SetPeers(keys)
 }
--- /dev/null
+++ b/cowslipd/relay/quarantine.go
@@ -0,0 +1,251 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/decoder"
+	"github.com/cowslipproxy/cowslipproxy/gossiper"
+	"github.com/cowslipproxy/cowslipproxy/quarantiner"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/waiter"
+)
+
+const (
+	// quarantineThreshold is the number of upstreams that a request or a part of prompts
+	// must crash to be quarantined. Two crashes are often a coincidence, because a request
+	// that was in flight at a crash is sent to another upstream at once.
+	quarantineThreshold = 3
+	// quarantineInterval is the longest time between two updates of the quarantine.
+	quarantineInterval = time.Second
+	quarantineTimeout  = time.Second // of a call to the store
+)
+
+// quarantine holds the fingerprints of requests that crash upstreams, as all daemons
+// know them. Changes are published by gossip, and those of quarantined fingerprints are
+// also written to the store, from which daemons read them when they start.
+type quarantine struct {
+	*quarantiner.Quarantiner
+	changed   chan struct{}
+	published map[quarantiner.RequestFingerprint]bool // items that this daemon has published
+	unstored  map[string]quarantiner.Record           // records to write to the store
+	storing   bool                                    // a write is in progress
+	stored    chan storeResult
+}
+
+// storeResult is the result of writing a record to the store.
+type storeResult struct {
+	record quarantiner.Record
+	err    error
+}
+
+func (q *quarantine) build(self cowslipproxy.Owner) {
+	q.changed, q.stored = make(chan struct{}, 1), make(chan storeResult, 1)
+	q.published, q.unstored = map[quarantiner.RequestFingerprint]bool{}, map[string]quarantiner.Record{}
+	q.Quarantiner = &quarantiner.Quarantiner{Self: self.Key(), Threshold: quarantineThreshold, Concurrent: true, OnChange: func() {
+		select {
+		case q.changed <- struct{}{}:
+		default: // an update is already pending
+		}
+	}}
+}
+
+// exchangeQuarantine publishes changes of the quarantine, clears suspects that this
+// daemon knows to be sound, and writes quarantined fingerprints to the store.
+func (d *Daemon) exchangeQuarantine(ctx context.Context) {
+	timer := time.NewTimer(quarantineInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.quarantine.changed:
+		case <-timer.C:
+		case result := <-d.quarantine.stored:
+			d.handleStored(ctx, result)
+		}
+		wait := quarantineInterval
+		now := d.Clock()
+		if next := d.quarantine.Object(now); !next.IsZero() {
+			wait = min(wait, next.Sub(now))
+		}
+		for _, change := range d.quarantine.TakeChanges(now) {
+			d.handleChange(ctx, now, change)
+		}
+		d.withdrawExpired(ctx, now)
+		d.storeQuarantine(ctx)
+		timer.Reset(wait)
+	}
+}
+
+// handleChange logs a change of the quarantine, and publishes it if this daemon made it.
+func (d *Daemon) handleChange(ctx context.Context, now time.Time, change quarantiner.Change) {
+	q := &d.quarantine
+	var crashes []string
+	for _, crash := range change.Crashes {
+		crashes = append(crashes, crash.Upstream+" seen by "+crash.Source+" "+now.Sub(crash.Time).Round(time.Millisecond).String()+" ago")
+	}
+	reporter.EventQuarantineChanged.Log(ctx, d.Logger, slog.String("fingerprint", change.Key()), slog.String("customer", change.Customer), slog.Bool("part", change.Part),
+		slog.String("before", string(change.Before)), slog.String("after", string(change.After)), slog.Uint64("version", change.Version), slog.Any("crashes", crashes),
+		slog.Int("tried", change.Tried), slog.Bool("local", change.Local))
+	if !change.Local {
+		return
+	}
+	data, err := gossiper.Encode(change.Record)
+	if err == nil {
+		err = d.gossiper.PublishSuspect(change.Key(), data)
+	}
+	if err != nil {
+		reporter.EventExchangeFailed.Log(ctx, d.Logger, slog.Any("error", err))
+		return
+	}
+	q.published[change.RequestFingerprint] = true
+	if change.Before == quarantiner.StateQuarantined || change.After == quarantiner.StateQuarantined {
+		q.unstored[change.Key()] = change.Record
+	}
+}
+
+// withdrawExpired withdraws the published records that have expired.
+func (d *Daemon) withdrawExpired(ctx context.Context, now time.Time) {
+	for fp := range d.quarantine.published {
+		if d.quarantine.Holds(now, fp) {
+			continue
+		}
+		delete(d.quarantine.published, fp)
+		if err := d.gossiper.Withdraw(gossiper.KindPoison, fp.Key(), gossiper.ReachAll); err != nil {
+			reporter.EventExchangeFailed.Log(ctx, d.Logger, slog.Any("error", err))
+		}
+	}
+}
+
+// handleItem handles a gossip item from another daemon.
+func (d *Daemon) handleItem(item gossiper.Item) {
+	if item.Kind != gossiper.KindPoison || item.Withdrawn {
+		return
+	}
+	var record quarantiner.Record
+	if err := decoder.CBOR(item.Data, &record); err != nil {
+		reporter.EventItemInvalid.Log(context.Background(), d.Logger, slog.String("from", item.Owner.Name), slog.Any("error", err))
+		return
+	}
+	d.quarantine.Merge(d.Clock(), []quarantiner.Record{record})
+}
+
+// storeQuarantine writes one record to the store, unless a write is in progress. The
+// others follow when it has ended.
+func (d *Daemon) storeQuarantine(ctx context.Context) {
+	q := &d.quarantine
+	if q.storing {
+		return
+	}
+	for _, record := range q.unstored {
+		q.storing = true
+		go func() {
+			err := d.putQuarantine(ctx, record)
+			if err != nil {
+				waiter.Wait(ctx, quarantineInterval) // before the next attempt
+			}
+			q.stored <- storeResult{record, err}
+		}()
+		return
+	}
+}
+
+func (d *Daemon) putQuarantine(ctx context.Context, record quarantiner.Record) error {
+	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
+	defer cancel()
+	data, err := json.Marshal(record)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return d.Platform.Quarantine.Put(ctx, record.Key(), data)
+}
+
+func (d *Daemon) handleStored(ctx context.Context, result storeResult) {
+	q := &d.quarantine
+	q.storing = false
+	if result.err != nil {
+		reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.String("fingerprint", result.record.Key()), slog.Any("error", result.err))
+		return
+	}
+	if latest, ok := q.unstored[result.record.Key()]; ok && latest.Equal(result.record) {
+		delete(q.unstored, result.record.Key())
+	}
+}
+
+// loadQuarantine reads the quarantined fingerprints from the store when the daemon
+// starts. Others that run since may have been killed together with this one.
+func (d *Daemon) loadQuarantine(ctx context.Context) {
+	for {
+		records, err := d.readQuarantine(ctx)
+		if err == nil {
+			d.quarantine.Merge(d.Clock(), records)
+			return
+		}
+		reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.Any("error", err))
+		if !waiter.Wait(ctx, quarantineInterval) {
+			return
+		}
+	}
+}
+
+func (d *Daemon) readQuarantine(ctx context.Context) (records []quarantiner.Record, err error) {
+	var stored map[string][]byte
+	if stored, err = d.Platform.Quarantine.All(ctx); err != nil {
+		return nil, err
+	}
+	for key, data := range stored {
+		var record quarantiner.Record
+		if err := decoder.JSON(data, &record); err != nil {
+			reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.String("fingerprint", key), slog.Any("error", err))
+			continue
+		}
+		records = append(records, record)
+	}
+	return records, nil
+}
+
+// quarantineEntry is a fingerprint in the dump.
+type quarantineEntry struct {
+	quarantiner.Record
+	Fingerprint string            `json:"fingerprint"` // as in the path /v1/quarantine/{fingerprint}
+	State       quarantiner.State `json:"state"`
+}
+
+func (q *quarantine) dump(now time.Time) (entries []quarantineEntry) {
+	for _, record := range q.Records(now) {
+		entries = append(entries, quarantineEntry{record, record.Key(), q.State(now, record.RequestFingerprint)})
+	}
+	return entries
+}
+
+func (q *quarantine) setGauges(now time.Time, registry metrics.Registry) {
+	states := map[quarantiner.State]int64{}
+	for _, record := range q.Records(now) {
+		states[q.State(now, record.RequestFingerprint)]++
+	}
+	reporter.SetGauge(registry, reporter.MetricSuspects, states[quarantiner.StateSuspect])
+	reporter.SetGauge(registry, reporter.MetricQuarantined, states[quarantiner.StateQuarantined])
+}
+
+// serveLift ends the quarantine of a fingerprint on all daemons.
+func (d *Daemon) serveLift(w http.ResponseWriter, r *http.Request) {
+	now := d.Clock()
+	key := mux.Vars(r)["fingerprint"]
+	records := d.quarantine.Records(now)
+	i := slices.IndexFunc(records, func(record quarantiner.Record) bool { return record.Key() == key })
+	if i < 0 || !d.quarantine.Lift(now, records[i].RequestFingerprint) {
+		http.Error(w, "no such fingerprint is suspect or quarantined", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -79,6 +79,7 @@
 	gossiper         *gossiper.Gossiper
 	lease            *holder.Holder
 	server           *relayer.Server
+	quarantine       quarantine
 }
 
 // Transport returns an HTTP transport with limits on its connections. It reuses
@@ -118,6 +119,8 @@
 	group.Go(func() error { d.placeLayers(workCtx); return nil })
 	group.Go(func() error { d.trackMembers(workCtx); return nil })
 	group.Go(func() error { d.reload(workCtx); return nil })
+	group.Go(func() error { d.loadQuarantine(workCtx); return nil })
+	group.Go(func() error { d.exchangeQuarantine(workCtx); return nil })
 	reporter.EventStarted.Log(ctx, d.Logger, slog.String("name", d.owner.Key()), slog.Any("callers", d.Settings.Callers))
 	group.Go(func() error { d.stop(ctx, workCtx); cancel(); return nil })
 	err = group.Wait()
--- a/feeds.go
+++ b/feeds.go
@@ -12,6 +12,14 @@
 	Read(ctx context.Context, from uint64, wait time.Duration) (Changes[T], error)
 }
 
+// Table is a set of keyed records in the platform's store that daemons write.
+type Table interface {
+	// Put writes the record of a key. After an error, it may have been written.
+	Put(ctx context.Context, key string, value []byte) error
+	// All returns the records of all keys.
+	All(ctx context.Context) (map[string][]byte, error)
+}
+
 // Changes is the result of Feed.Read.
 type Changes[T any] struct {
 	Complete bool // the items are the complete set; a key that is missing was deleted
--- a/instances.go
+++ b/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,5 +38,12 @@
 	return nil
 }
 
+// Incarnation identifies this run of the server.
+func (i Instance) Incarnation() string { return incarnation(i.ID, i.StartedAt) }
+
+func incarnation(id string, startedAt time.Time) string {
+	return id + "/" + strconv.FormatInt(startedAt.UnixMilli(), 36)
+}
+
 // HasLayers reports whether the instance serves a range of layers.
 func (i Instance) HasLayers() bool { return i.Range.Len() > 0 }
--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -226,7 +226,7 @@
 func newPath(segments []segment, tokens float64) *Path {
 	p := &Path{segments: segments, tokens: tokens}
 	for _, s := range segments {
-		p.Hops = append(p.Hops, cowslipproxy.Hop{Instance: s.engine.ID, Address: s.engine.Address, Range: s.layers})
+		p.Hops = append(p.Hops, cowslipproxy.Hop{Instance: s.engine.ID, StartedAt: s.engine.StartedAt, Address: s.engine.Address, Range: s.layers})
 	}
 	return p
 }
--- a/platforms.go
+++ b/platforms.go
@@ -8,6 +8,7 @@
 // Platform holds the interfaces of a relay daemon to the platform that it runs on.
 type Platform struct {
 	Log                 Log
+	Quarantine          Table // records of quarantined fingerprints
 	RelayConfigurations Feed[RelayConfiguration]
 	Instances           Feed[Instance]
 	Dialect             Dialect
--- /dev/null
+++ b/quarantiner/evidence_test.go
@@ -0,0 +1,143 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy/quarantiner"
+)
+
+var (
+	soundPart = quarantiner.PartFingerprint("scribe", "shared")
+	bothParts = []quarantiner.RequestFingerprint{soundPart, badPart}
+)
+
+func newConcurrent(name string) *quarantiner.Quarantiner {
+	return &quarantiner.Quarantiner{Self: name, Threshold: fleetThreshold, Concurrent: true}
+}
+
+// crashUpstreams records crashes of distinct upstreams.
+func crashUpstreams(q *quarantiner.Quarantiner, now time.Time, first, count int, fingerprints ...quarantiner.RequestFingerprint) {
+	for i := range count {
+		q.Crash(now, fmt.Sprint("upstream-", first+i), fingerprints)
+	}
+}
+
+// Guards against counting the crash of one upstream once for each request or daemon that
+// saw it.
+func TestCrashOfOneUpstreamCountsOnce(t *testing.T) {
+	a, b := newConcurrent("a"), newConcurrent("b")
+	for range fleetThreshold {
+		crashUpstreams(a, epoch, 0, 2, badPart)
+		crashUpstreams(b, epoch, 0, 2, badPart)
+	}
+	a.Merge(epoch, b.Records(epoch))
+	require.Equal(t, quarantiner.StateSuspect, a.State(epoch, badPart))
+	require.Nil(t, a.Admit(epoch, bothParts))
+	crashUpstreams(b, epoch, 2, 1, badPart)
+	a.Merge(epoch, b.Records(epoch))
+	now := epoch.Add(time.Second)
+	require.Contains(t, a.Admit(now, bothParts).Message, "upstream-2")
+	require.Nil(t, a.Admit(now, bothParts[:1]))
+}
+
+// Guards against the quarantine of a part on which another daemon's requests are answered.
+func TestDaemonObjectsToCrashesOfAnsweredPart(t *testing.T) {
+	a, b := newConcurrent("a"), newConcurrent("b")
+	b.Survived(epoch, bothParts[:1])
+	now := epoch.Add(time.Second)
+	crashUpstreams(a, now, 0, fleetThreshold, bothParts...)
+	b.Merge(now, a.Records(now))
+	require.False(t, b.Object(now).IsZero() && len(b.TakeChanges(now)) == 0, "no objection is scheduled")
+	now = now.Add(time.Second)
+	b.Object(now)
+	a.Merge(now, b.Records(now))
+	require.Equal(t, quarantiner.StateClear, a.State(now, soundPart))
+	require.Equal(t, quarantiner.StateQuarantined, a.State(now, badPart))
+	crashUpstreams(a, now, fleetThreshold, fleetThreshold, soundPart)
+	require.Equal(t, quarantiner.StateClear, a.State(now, soundPart), "another daemon's answer does not protect the part")
+}
+
+// Guards against an answer that protects a part forever, such as one that turns bad with a
+// new version of the upstreams.
+func TestAnswersProtectPartsForLimitedTime(t *testing.T) {
+	q := newConcurrent("a")
+	q.Survived(epoch, bothParts)
+	crashUpstreams(q, epoch.Add(5*time.Second), 0, fleetThreshold, badPart)
+	require.Equal(t, quarantiner.StateClear, q.State(epoch, badPart))
+	crashUpstreams(q, epoch.Add(6*time.Second), 3, fleetThreshold, badPart)
+	require.Equal(t, quarantiner.StateQuarantined, q.State(epoch, badPart))
+}
+
+// Guards against a sound part that stays quarantined until its record expires, and against
+// a trial by each daemon.
+func TestOneDaemonTriesQuarantinedPart(t *testing.T) {
+	for _, daemons := range fleetSizes {
+		var all []*quarantiner.Quarantiner
+		var names []string
+		for i := range daemons {
+			names = append(names, fmt.Sprint("daemon-", i))
+			all = append(all, newConcurrent(names[i]))
+		}
+		crashUpstreams(all[0], epoch, 0, fleetThreshold, bothParts...)
+		for _, q := range all {
+			q.SetPeers(names)
+			q.Merge(epoch, all[0].Records(epoch))
+			require.NotNil(t, q.Admit(epoch.Add(2*time.Second), bothParts[:1]))
+		}
+		now := epoch.Add(4 * time.Second)
+		var trying *quarantiner.Quarantiner
+		trials := 0
+		for range 2 {
+			for _, q := range all {
+				if q.Admit(now, bothParts[:1]) == nil {
+					trying = q
+					trials++
+				}
+			}
+		}
+		require.Equal(t, 1, trials)
+		trying.Survived(now, bothParts[:1])
+		all[0].Merge(now, trying.Records(now))
+		require.Nil(t, all[0].Admit(now, bothParts[:1]))
+		require.Equal(t, quarantiner.StateQuarantined, all[0].State(now, badPart))
+	}
+}
+
+// Guards against trials that crash upstream after upstream.
+func TestFailedTrialsEnd(t *testing.T) {
+	q := newConcurrent("a")
+	crashUpstreams(q, epoch, 0, fleetThreshold, bothParts...)
+	now, crashes := epoch, fleetThreshold
+	for range 20 {
+		now = now.Add(4 * time.Second)
+		if q.Admit(now, bothParts) == nil {
+			require.NotNil(t, q.Reject(now, bothParts))
+			crashUpstreams(q, now, crashes, 1, bothParts...)
+			crashes++
+		}
+	}
+	require.Equal(t, fleetThreshold+1, crashes)
+	now = now.Add(4 * time.Second)
+	otherPart := quarantiner.PartFingerprint("scribe", "other")
+	crashUpstreams(q, now, crashes, fleetThreshold, otherPart)
+	now = now.Add(4 * time.Second)
+	require.Nil(t, q.Admit(now, []quarantiner.RequestFingerprint{soundPart, otherPart}), "one failed trial ends those of other requests")
+	q.Survived(now, []quarantiner.RequestFingerprint{soundPart, otherPart})
+	require.Nil(t, q.Admit(now, bothParts[:1]))
+	require.NotNil(t, q.Admit(now, bothParts))
+	require.True(t, q.Lift(now, badPart))
+	require.Nil(t, q.Admit(now, bothParts))
+}
+
+// Guards against a trial that is not repeated although the upstreams did not run it.
+func TestInconclusiveTrialIsRepeated(t *testing.T) {
+	q := newConcurrent("a")
+	crashUpstreams(q, epoch, 0, fleetThreshold, badPart)
+	for i := range 5 {
+		require.Nil(t, q.Admit(epoch.Add(time.Duration(i+1)*4*time.Second), bothParts))
+	}
+}
--- a/quarantiner/exchange.go
+++ b/quarantiner/exchange.go
@@ -72,17 +72,18 @@
 	}
 	e := q.entry(now, record.RequestFingerprint)
 	if e == nil {
-		q.add(now, record)
+		q.handleMerged(now, q.add(now, record), Record{})
 		return
 	}
 	merged := merge(e.Record, record)
-	if e.equal(merged) {
+	if e.Equal(merged) {
 		return
 	}
+	defer q.handleMerged(now, e, e.Record)
 	// The sender propagates its record to all daemons. This daemon does so too if
 	// the merged record differs from the one sent, or if it saw a crash itself,
 	// since its own callers wait until all daemons have the record.
-	propagates := e.dirty || !merged.equal(record)
+	propagates := e.dirty || !merged.Equal(record)
 	q.update(e, merged)
 	e.dirty = propagates
 }
@@ -96,7 +97,7 @@
 	}
 	for _, record := range sent {
 		e := q.entries[record.RequestFingerprint]
-		if e == nil || !e.equal(record) {
+		if e == nil || !e.Equal(record) {
 			continue
 		}
 		if e.acked == nil {
--- /dev/null
+++ b/quarantiner/fleet_test.go
@@ -0,0 +1,379 @@
+package quarantiner_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy/quarantiner"
+)
+
+// Parameters of a simulated fleet.
+const (
+	fleetStep       = 10 * time.Millisecond
+	fleetDuration   = 30 * time.Second
+	fleetWarmUp     = 3 * time.Second
+	fleetThreshold  = 3
+	fleetUpstreams  = 8
+	soundPerSecond  = 40
+	poisonPerSecond = 3
+	firstEventAfter = 200 * time.Millisecond
+	crashAfter      = 260 * time.Millisecond // the crash of an upstream by a poisonous request
+	survivedAfter   = firstEventAfter + time.Second
+	answeredAfter   = 3 * time.Second
+	restartAfter    = 2 * time.Second
+	middleParts     = 3 // parts that a third of the sound requests share
+)
+
+// Bounds that the platform states.
+const (
+	stabilityWindow = 3 * time.Second
+	allowedCrashes  = 5
+	allowedSends    = 3
+	minSample       = 20 // requests for which the share of served ones is compared
+)
+
+var badPart = quarantiner.PartFingerprint("scribe", "bad")
+
+// fleetRequest is a request that runs on an upstream.
+type fleetRequest struct {
+	fingerprints []quarantiner.RequestFingerprint
+	daemon       int
+	upstream     int
+	sent         time.Time
+	sends        int
+	poisonous    bool
+	survived     bool
+}
+
+// delivery is a record on its way to a daemon.
+type delivery struct {
+	at     time.Time
+	to     int
+	record quarantiner.Record
+}
+
+// fleet simulates daemons that exchange records with delays, and upstreams that crash.
+type fleet struct {
+	random      *rand.Rand
+	now         time.Time
+	daemons     []*quarantiner.Quarantiner
+	cut         int         // daemon that neither sends nor receives records; -1 for none
+	impaired    []time.Time // until when the platform's bounds do not apply to a daemon
+	requests    []*fleetRequest
+	downUntil   [fleetUpstreams]time.Time
+	runs        [fleetUpstreams]int // incarnation of each upstream
+	deliveries  []delivery
+	number      int
+	crashes     []time.Time // by poisonous requests
+	sends       []time.Time // of poisonous requests
+	refused     int         // sound requests that a daemon refused
+	sound       int         // sound requests that arrived
+	changed     []bool      // daemons with changes to publish
+	poisonFrom  time.Duration
+	rackCrashes int // crashes that no request caused
+}
+
+func newFleet(daemons int, seed uint64) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, uint64(daemons))), now: epoch, cut: -1, poisonFrom: fleetWarmUp, changed: make([]bool, daemons), impaired: make([]time.Time, daemons)}
+	for i := range daemons {
+		f.daemons = append(f.daemons, f.newDaemon(i, 0))
+	}
+	f.setPeers()
+	return f
+}
+
+func (f *fleet) newDaemon(number, incarnation int) *quarantiner.Quarantiner {
+	return &quarantiner.Quarantiner{
+		Self: fmt.Sprintf("daemon-%d-%d", number, incarnation), Threshold: fleetThreshold, Concurrent: true,
+		OnChange: func() { f.changed[number] = true },
+	}
+}
+
+func (f *fleet) setPeers() {
+	var names []string
+	for _, daemon := range f.daemons {
+		names = append(names, daemon.Self)
+	}
+	for _, daemon := range f.daemons {
+		daemon.SetPeers(names)
+	}
+}
+
+// restart restarts a daemon, which reads the records of another one.
+func (f *fleet) restart(number int) {
+	f.daemons[number] = f.newDaemon(number, int(f.now.Sub(epoch)))
+	f.setPeers()
+	f.synchronize((number+1)%len(f.daemons), number)
+}
+
+// synchronize sends the records of one daemon to another one.
+func (f *fleet) synchronize(from, to int) {
+	f.impaired[to] = f.now.Add(stabilityWindow)
+	for _, record := range f.daemons[from].Records(f.now) {
+		f.deliveries = append(f.deliveries, delivery{f.now.Add(500 * time.Millisecond), to, record})
+	}
+}
+
+// setCut cuts off a daemon, and connects the one that was cut off before.
+func (f *fleet) setCut(number int) {
+	if f.cut >= 0 {
+		healed := f.cut
+		f.synchronize((healed+1)%len(f.daemons), healed)
+		f.cut = -1
+		for _, record := range f.daemons[healed].Records(f.now) {
+			f.publish(healed, record)
+		}
+	}
+	f.cut = number
+}
+
+func (f *fleet) arrive(poisonous bool) {
+	f.number++
+	parts := []string{"shared", fmt.Sprint("middle-", f.number%middleParts)}
+	if poisonous {
+		parts[1] = "bad"
+	}
+	fingerprints := []quarantiner.RequestFingerprint{quarantiner.FingerprintOf("clerks", fmt.Sprint(f.number))}
+	for _, part := range parts {
+		fingerprints = append(fingerprints, quarantiner.PartFingerprint("scribe", part))
+	}
+	request := &fleetRequest{fingerprints: fingerprints, daemon: f.random.IntN(len(f.daemons)), poisonous: poisonous}
+	if !poisonous {
+		f.sound++
+	}
+	if failure := f.daemons[request.daemon].Admit(f.now, fingerprints); failure != nil {
+		if !poisonous {
+			f.refused++
+		}
+		return
+	}
+	f.send(request)
+}
+
+// send sends a request to an upstream that is up.
+func (f *fleet) send(request *fleetRequest) {
+	var up []int
+	for i, until := range f.downUntil {
+		if !f.now.Before(until) {
+			up = append(up, i)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	request.upstream, request.sent, request.survived = up[f.random.IntN(len(up))], f.now, false
+	request.sends++
+	if request.poisonous && request.daemon != f.cut && !f.now.Before(f.impaired[request.daemon]) {
+		f.sends = append(f.sends, f.now)
+	}
+	f.requests = append(f.requests, request)
+}
+
+// crash crashes an upstream. The requests on it are sent once more.
+func (f *fleet) crash(upstream int) {
+	incarnation := fmt.Sprintf("upstream-%d-%d", upstream, f.runs[upstream])
+	f.runs[upstream]++
+	f.downUntil[upstream] = f.now.Add(restartAfter)
+	var broken []*fleetRequest
+	f.requests = slices.DeleteFunc(f.requests, func(r *fleetRequest) bool {
+		if r.upstream == upstream {
+			broken = append(broken, r)
+		}
+		return r.upstream == upstream
+	})
+	for _, request := range broken {
+		daemon := f.daemons[request.daemon]
+		if !request.survived {
+			daemon.Crash(f.now, incarnation, request.fingerprints)
+		}
+		if request.sends < 2 && daemon.Reject(f.now, request.fingerprints) == nil {
+			f.send(request)
+		}
+	}
+}
+
+// step advances the time and handles what is due.
+func (f *fleet) step() {
+	f.now = f.now.Add(fleetStep)
+	for _, request := range slices.Clone(f.requests) {
+		age := f.now.Sub(request.sent)
+		switch {
+		case !slices.Contains(f.requests, request): // its upstream has crashed
+		case request.poisonous && age >= crashAfter:
+			f.crashes = append(f.crashes, f.now)
+			f.crash(request.upstream)
+		case age >= survivedAfter && !request.survived:
+			request.survived = true
+			f.daemons[request.daemon].Survived(f.now, request.fingerprints)
+		case age >= answeredAfter:
+			f.requests = slices.DeleteFunc(f.requests, func(r *fleetRequest) bool { return r == request })
+		}
+	}
+	f.deliveries = slices.DeleteFunc(f.deliveries, func(d delivery) bool {
+		if f.now.Before(d.at) {
+			return false
+		}
+		f.daemons[d.to].Merge(f.now, []quarantiner.Record{d.record})
+		return true
+	})
+	for i, daemon := range f.daemons {
+		if i == f.cut || !f.changed[i] {
+			continue
+		}
+		f.changed[i] = !daemon.Object(f.now).IsZero()
+		for _, change := range daemon.TakeChanges(f.now) {
+			if change.Local {
+				f.publish(i, change.Record)
+			}
+		}
+	}
+}
+
+func (f *fleet) publish(from int, record quarantiner.Record) {
+	for to := range f.daemons {
+		if to != from && to != f.cut {
+			delay := 20*time.Millisecond + time.Duration(f.random.IntN(300))*time.Millisecond
+			f.deliveries = append(f.deliveries, delivery{f.now.Add(delay), to, record})
+		}
+	}
+}
+
+// run lets requests arrive for fleetDuration and calls each at every step.
+func (f *fleet) run(poison bool, each func(elapsed time.Duration)) {
+	arrives := func(perSecond int) bool { return f.random.Float64() < float64(perSecond)*fleetStep.Seconds() }
+	for elapsed := time.Duration(0); elapsed < fleetDuration; elapsed += fleetStep {
+		if arrives(soundPerSecond) {
+			f.arrive(false)
+		}
+		if poison && elapsed >= f.poisonFrom && arrives(poisonPerSecond) {
+			f.arrive(true)
+		}
+		each(elapsed)
+		f.step()
+	}
+}
+
+// crashRacks crashes several upstreams at once, about once a second.
+func (f *fleet) crashRacks(elapsed time.Duration) {
+	if elapsed < fleetWarmUp || f.random.IntN(100) > 0 {
+		return
+	}
+	for range 1 + f.random.IntN(fleetUpstreams/2) {
+		f.crash(f.random.IntN(fleetUpstreams))
+		f.rackCrashes++
+	}
+}
+
+var fleetSizes = []int{4, 15, 40, 126}
+
+// fleetWork is the number of seeds of a test times the number of daemons. With 6300, each
+// number of daemons gets 50 seeds.
+var fleetWork = flag.Int("fleet.work", 40, "seeds times daemons of a simulated fleet")
+
+// fleetSeeds returns the number of seeds for a number of daemons.
+func fleetSeeds(daemons int) uint64 {
+	return uint64(min(max(*fleetWork/daemons, 1), 50))
+}
+
+// checkPoisonedFleet checks that poisonous requests reach few upstreams once the part has
+// crashed some, and that sound requests are not refused.
+func checkPoisonedFleet(t *testing.T, f *fleet, seed uint64) (crashes int) {
+	checkPoisonSends(t, f, seed)
+	require.LessOrEqual(t, f.refused, f.sound/20, "seed %d: sound requests were refused", seed)
+	return len(f.crashes)
+}
+
+func checkPoisonSends(t *testing.T, f *fleet, seed uint64) {
+	require.GreaterOrEqual(t, len(f.crashes), fleetThreshold, "seed %d", seed)
+	later := 0
+	if len(f.crashes) >= allowedCrashes {
+		for _, at := range f.sends {
+			if at.After(f.crashes[allowedCrashes-1].Add(stabilityWindow)) {
+				later++
+			}
+		}
+	}
+	require.LessOrEqual(t, later, allowedSends, "seed %d", seed)
+}
+
+// Guards against one part of prompts that crashes upstream after upstream because no
+// daemon sees enough of the crashes.
+func TestFleetQuarantinesPartThatCrashesUpstreams(t *testing.T) {
+	for _, daemons := range fleetSizes {
+		most := 0
+		for seed := range fleetSeeds(daemons) {
+			f := newFleet(daemons, seed)
+			f.run(true, func(time.Duration) {})
+			most = max(most, checkPoisonedFleet(t, f, seed))
+		}
+		t.Logf("%d daemons: at most %d crashes in %d runs", daemons, most, fleetSeeds(daemons))
+	}
+}
+
+// Guards against daemons that forget a quarantined part in a restart, or that never learn
+// of it because they were cut off.
+func TestFleetQuarantineOutlivesRestartsAndCuts(t *testing.T) {
+	for _, daemons := range fleetSizes {
+		for seed := range fleetSeeds(daemons) {
+			f := newFleet(daemons, seed)
+			f.run(true, func(elapsed time.Duration) {
+				if elapsed < 2*fleetWarmUp || elapsed%time.Second != 0 {
+					return
+				}
+				f.restart(f.random.IntN(daemons))
+				if elapsed%(4*time.Second) == 0 {
+					f.setCut(f.random.IntN(daemons))
+				}
+			})
+			checkPoisonedFleet(t, f, seed)
+		}
+	}
+}
+
+// Guards against an outage after all daemons started again while such requests come, when
+// no daemon knows yet which parts are sound.
+func TestFleetWithoutHistoryServesSoundRequests(t *testing.T) {
+	for _, daemons := range fleetSizes {
+		effective := 0
+		for seed := range fleetSeeds(daemons) {
+			f := newFleet(daemons, seed)
+			f.poisonFrom = 0
+			refused, sound := 0, 0
+			f.run(true, func(time.Duration) {
+				if len(f.crashes) > 0 && f.now.Sub(f.crashes[min(len(f.crashes), allowedCrashes)-1]) < 2*stabilityWindow {
+					refused, sound = f.refused, f.sound
+				}
+			})
+			checkPoisonSends(t, f, seed)
+			if f.sound-sound < minSample {
+				continue // the last of fewer crashes was too late
+			}
+			effective++
+			require.LessOrEqual(t, f.refused-refused, (f.sound-sound)/2, "%d daemons, seed %d", daemons, seed)
+		}
+		t.Logf("%d daemons: %d of %d runs are effective", daemons, effective, fleetSeeds(daemons))
+		require.Greater(t, effective, int(fleetSeeds(daemons)-1)/2)
+	}
+}
+
+// Guards against the quarantine of parts that many requests share because upstreams crash
+// for other reasons.
+func TestFleetDoesNotQuarantineSharedParts(t *testing.T) {
+	for _, daemons := range fleetSizes {
+		crashes := 0
+		for seed := range fleetSeeds(daemons) {
+			f := newFleet(daemons, seed)
+			f.run(false, f.crashRacks)
+			crashes += f.rackCrashes
+			require.Zero(t, f.refused, "seed %d: sound requests were refused", seed)
+		}
+		require.Greater(t, crashes, 10*int(fleetSeeds(daemons)))
+		t.Logf("%d daemons: %d crashes in %d runs", daemons, crashes, fleetSeeds(daemons))
+	}
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -14,6 +14,7 @@
 const (
 	DefaultTTL        = 10 * time.Minute
 	DefaultMaxEntries = 4096
+	DefaultThreshold  = 2
 )
 
 // suspectRetryAfter is the Retry-After of a suspect that can't run now. Daemons
@@ -22,24 +23,39 @@
 const suspectRetryAfter = time.Second
 
 // Quarantiner tracks the fingerprints of requests that were in flight when upstreams
-// crashed. A suspect is run only by the daemon that saw its first crash, and only
-// once all live daemons have its record: two daemons that each ran it alone could
-// crash two more upstreams.
+// crashed. It serves two policies.
+//
+// With Begin and Check, a suspect is run only by the daemon that saw its first crash,
+// and only once all live daemons have its record: two daemons that each ran it alone
+// could crash two more upstreams.
+//
+// With Admit and Reject, suspects run beside other requests, and only fingerprints that
+// reach the threshold are refused. Survived tells them from those that all requests
+// share. Concurrent must be set for this policy.
 type Quarantiner struct {
 	Self       string        // incarnation of this daemon
 	TTL        time.Duration // time after its last crash until a fingerprint expires
 	MaxEntries int           // largest number of fingerprints that are tracked
+	Threshold  int           // crashes of distinct upstreams that quarantine a fingerprint
+	Concurrent bool          // suspects run beside other requests
+	OnChange   func()        // called when TakeChanges has a record to return; must not call the Quarantiner
 
-	mutex   sync.Mutex
-	entries map[RequestFingerprint]*entry
-	peers   []string
+	mutex      sync.Mutex
+	entries    map[RequestFingerprint]*entry
+	peers      []string
+	survivals  survivals
+	objections map[RequestFingerprint]time.Time // when this daemon clears a suspect that it knows to be sound
 }
 
 type entry struct {
 	Record
-	running bool            // this daemon runs the suspect
-	dirty   bool            // this daemon must send the record to its peers
-	acked   map[string]bool // peers that have acknowledged this record
+	running  bool            // this daemon runs the suspect
+	dirty    bool            // this daemon must send the record to its peers
+	acked    map[string]bool // peers that have acknowledged this record
+	local    bool            // this daemon changed the record since the last TakeChanges
+	reported State           // as of the last TakeChanges
+	since    time.Time       // when this daemon first knew of a crash
+	trialDue time.Time       // before this time, no trial of the fingerprint begins
 }
 
 // Run is a permitted dispatch.
@@ -133,6 +149,9 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	for _, fp := range fingerprints {
+		if q.Concurrent && q.survivals.recent(now, fp) {
+			continue
+		}
 		q.crash(now, fp, Crash{Upstream: upstream, Source: q.Self, Time: now})
 	}
 }
@@ -146,7 +165,9 @@
 	if hasUpstream(e.Crashes, crash.Upstream) {
 		return // a second report could change the owner while the suspect runs
 	}
-	q.update(e, merge(e.Record, Record{RequestFingerprint: fp, Version: e.Version, Crashes: []Crash{crash}, Time: e.Time, Term: e.Term, Owner: e.Owner}))
+	e.recordEvidence(now)
+	q.markLocal(e)
+	q.update(e, merge(e.Record, Record{RequestFingerprint: fp, Version: e.Version, Crashes: []Crash{crash}, Time: e.Time, Term: e.Term, Owner: e.Owner, Tried: e.Tried}))
 }
 
 // CrashAlone records that an upstream crashed with a suspect in flight and no other
@@ -160,8 +181,11 @@
 // state returns the state of an entry's fingerprint. If the request never crashed an
 // upstream alone, crashes that another request explains don't count.
 func (q *Quarantiner) state(e *entry) State {
+	if q.Concurrent {
+		return q.stateAfter(len(e.Crashes))
+	}
 	if slices.ContainsFunc(e.Crashes, isAlone) {
-		return stateAfter(len(e.Crashes))
+		return q.stateAfter(len(e.Crashes))
 	}
 	unexplained := 0
 	for _, crash := range e.Crashes {
@@ -169,7 +193,7 @@
 			unexplained++
 		}
 	}
-	return stateAfter(unexplained)
+	return q.stateAfter(unexplained)
 }
 
 // explained reports whether a crash is attributed to another request. That request
@@ -177,7 +201,7 @@
 // the two with no other suspect in flight.
 func (q *Quarantiner) explained(e *entry, crash Crash) bool {
 	for fp, other := range q.entries {
-		if fp == e.RequestFingerprint || len(other.Crashes) < maxCrashes || !hasUpstream(other.Crashes, crash.Upstream) {
+		if fp == e.RequestFingerprint || len(other.Crashes) < q.threshold() || !hasUpstream(other.Crashes, crash.Upstream) {
 			continue
 		}
 		if slices.ContainsFunc(other.Crashes, isAlone) {
@@ -210,15 +234,38 @@
 	return StateClear
 }
 
+// Holds reports whether there is a record of a fingerprint.
+func (q *Quarantiner) Holds(now time.Time, fp RequestFingerprint) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.entry(now, fp) != nil
+}
+
 func (q *Quarantiner) clear(now time.Time, e *entry) {
+	q.markLocal(e)
 	q.update(e, Record{RequestFingerprint: e.RequestFingerprint, Version: e.Version + 1, Time: now})
 }
 
+// markLocal marks a record that this daemon changes to be returned by TakeChanges.
+func (q *Quarantiner) markLocal(e *entry) {
+	e.local = true
+	q.notify()
+}
+
+func (q *Quarantiner) notify() {
+	if q.OnChange != nil {
+		q.OnChange()
+	}
+}
+
 // update replaces the record of an entry and marks it to be sent to the peers.
 func (q *Quarantiner) update(e *entry, record Record) {
-	if !e.equal(record) {
+	if !e.Equal(record) {
 		e.Record, e.dirty, e.acked = record, true, nil
 	}
+	if len(record.Crashes) == 0 {
+		e.since = time.Time{}
+	}
 }
 
 // entry returns the entry of a fingerprint, or nil if there is none or it has expired.
@@ -235,6 +282,13 @@
 	return !now.Before(r.lastEvent().Add(q.ttl()))
 }
 
+func (q *Quarantiner) threshold() int {
+	if q.Threshold > 0 {
+		return q.Threshold
+	}
+	return DefaultThreshold
+}
+
 func (q *Quarantiner) ttl() time.Duration {
 	if q.TTL > 0 {
 		return q.TTL
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -3,33 +3,50 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
-// maxCrashes limits the crashes in a record. Crashes of two distinct upstreams
-// quarantine a fingerprint, so further ones have no effect.
-const maxCrashes = 2
+// maxCrashes limits the crashes in a record. It exceeds each threshold, so that the
+// crash of an upstream by a trial is recognized.
+const maxCrashes = 16
 
 // RequestFingerprint consists of a request's customer and a hash of its content. It
 // doesn't include the idempotency key, since a caller may send the same content with
 // another key. The customer is not hashed, so that no customer can cause requests of
 // another one to be quarantined.
+//
+// A fingerprint may also be that of one part of prompts. It then has no customer, since
+// requests of any customer with the part crash their upstreams.
 type RequestFingerprint struct {
 	Customer string `json:"customer"`
 	Content  uint64 `json:"content"`
+	Part     bool   `json:"part,omitempty"`
+}
+
+// Key returns a short identifier of the fingerprint for logs, operators and stores.
+func (f RequestFingerprint) Key() string { return strconv.FormatUint(f.Content, 16) }
+
+// PartFingerprint returns the fingerprint of a part of prompts for a service.
+func PartFingerprint(service, part string) RequestFingerprint {
+	return RequestFingerprint{Content: hashOf("part", service, part), Part: true}
 }
 
 // FingerprintOf returns the fingerprint of a request with the given parts of content.
 func FingerprintOf(customer string, parts ...string) RequestFingerprint {
+	return RequestFingerprint{Customer: customer, Content: hashOf(parts...)}
+}
+
+func hashOf(parts ...string) uint64 {
 	digest := xxhash.New()
 	for _, part := range parts {
 		_, _ = digest.WriteString(part) // never fails, by the documentation of xxhash
 		_, _ = digest.Write([]byte{0})
 	}
-	return RequestFingerprint{Customer: customer, Content: digest.Sum64()}
+	return digest.Sum64()
 }
 
 // Crash is a crash of an upstream with the request in flight.
@@ -48,12 +65,13 @@
 	Time    time.Time `json:"time"`              // start of the version
 	Term    uint64    `json:"term,omitempty"`    // incremented when another daemon takes over the suspect
 	Owner   string    `json:"owner,omitempty"`   // daemon that took over the suspect
+	Tried   int       `json:"tried,omitempty"`   // number of crashes when the first trial began; 0 if there was no trial
 }
 
 // Check returns an error for the first invalid field.
 func (r Record) Check() error {
-	if r.Customer == "" {
-		return errors.New("customer: missing")
+	if (r.Customer == "") != r.Part {
+		return errors.Errorf("customer: %q; a part of prompts has none, a request has one", r.Customer)
 	}
 	if len(r.Crashes) > maxCrashes {
 		return errors.Errorf("crashes: %d exceed the limit of %d", len(r.Crashes), maxCrashes)
@@ -63,6 +81,9 @@
 			return errors.Errorf("crashes[%d]: upstream, source or time is missing in %+v", i, crash)
 		}
 	}
+	if r.Tried < 0 || r.Tried > maxCrashes {
+		return errors.Errorf("tried: %d is not between 0 and %d", r.Tried, maxCrashes)
+	}
 	if (r.Term == 0) != (r.Owner == "") {
 		return errors.Errorf("owner: %q doesn't match term %d; an owner is set if and only if the term is at least 1", r.Owner, r.Term)
 	}
@@ -88,6 +109,9 @@
 		a.Term, a.Owner = b.Term, b.Owner
 	}
 	a.Crashes = mergeCrashes(a.Crashes, b.Crashes)
+	if a.Tried == 0 || b.Tried > 0 && b.Tried < a.Tried {
+		a.Tried = b.Tried
+	}
 	return a
 }
 
@@ -121,8 +145,9 @@
 	return slices.ContainsFunc(crashes, func(c Crash) bool { return c.Upstream == upstream })
 }
 
-func (r Record) equal(other Record) bool {
-	if r.Version != other.Version || r.Term != other.Term || r.Owner != other.Owner || !r.Time.Equal(other.Time) {
+// Equal reports whether two records are the same.
+func (r Record) Equal(other Record) bool {
+	if r.Version != other.Version || r.Term != other.Term || r.Owner != other.Owner || r.Tried != other.Tried || !r.Time.Equal(other.Time) {
 		return false
 	}
 	return slices.EqualFunc(r.Crashes, other.Crashes, func(a, b Crash) bool {
@@ -136,16 +161,16 @@
 // States of a fingerprint.
 const (
 	StateClear       State = "clear"       // runs concurrently with other requests
-	StateSuspect     State = "suspect"     // runs alone on its upstreams, one run at a time
+	StateSuspect     State = "suspect"     // was in flight at a crash
 	StateQuarantined State = "quarantined" // is refused
 )
 
 // stateAfter returns the state after a number of crashes.
-func stateAfter(crashes int) State {
-	switch crashes {
-	case 0:
+func (q *Quarantiner) stateAfter(crashes int) State {
+	switch {
+	case crashes == 0:
 		return StateClear
-	case 1:
+	case crashes < q.threshold():
 		return StateSuspect
 	default:
 		return StateQuarantined
@@ -160,6 +185,14 @@
 	return r.Crashes[0].Source
 }
 
+// failedTrials returns the number of upstreams that crashed after the first trial began.
+func (r Record) failedTrials() int {
+	if r.Tried == 0 {
+		return 0
+	}
+	return max(len(r.Crashes)-r.Tried, 0)
+}
+
 // lastEvent returns the time at which the TTL of the record starts: that of the last
 // crash, or the start of the version if there is none.
 func (r Record) lastEvent() time.Time {
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -20,6 +21,10 @@
 	maxRejectionBody = 64 << 10
 )
 
+// errConnectionBroken reports that an upstream closed or reset the connection before its
+// reply was complete, as it does when it crashes.
+var errConnectionBroken = errors.New("the upstream broke the connection")
+
 // errInvalidReply reports a response that is not the upstream's reply to this
 // request.
 var errInvalidReply = errors.New("not a valid reply to this request")
@@ -47,7 +52,7 @@
 		return upstreamReply{}, errors.Wrap(cowslipproxy.ErrNotStarted, err.Error())
 	}
 	if err != nil {
-		return upstreamReply{}, errors.WithStack(err)
+		return upstreamReply{}, readError(ctx, err)
 	}
 	reply := upstreamReply{response, x.Dialect.Reply(response)}
 	if err := x.check(reply); err != nil {
@@ -57,6 +62,17 @@
 	return reply, nil
 }
 
+// readError returns the error of reading from an upstream. It wraps errConnectionBroken
+// unless this daemon ended the request.
+func readError(ctx context.Context, err error) error {
+	for _, broken := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if ctx.Err() == nil && errors.Is(err, broken) {
+			return errors.Wrap(errConnectionBroken, err.Error())
+		}
+	}
+	return errors.WithStack(err)
+}
+
 // check returns an error if the response is not the upstream's reply to this
 // request.
 func (x *exchange) check(reply upstreamReply) error {
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -22,6 +22,7 @@
 	"github.com/cowslipproxy/cowslipproxy/matcher"
 	"github.com/cowslipproxy/cowslipproxy/pathfinder"
 	"github.com/cowslipproxy/cowslipproxy/picker"
+	"github.com/cowslipproxy/cowslipproxy/quarantiner"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/retrier"
 	"github.com/cowslipproxy/cowslipproxy/throttler"
@@ -54,17 +55,18 @@
 
 // Server relays requests. Its exported fields are set before the first use.
 type Server struct {
-	Matcher   func() *matcher.Matcher // nil until a configuration is known
-	Upstreams Upstreams
-	Dialect   cowslipproxy.Dialect
-	Engines   cowslipproxy.EngineControl
-	Transport http.RoundTripper
-	Memory    *allocator.Allocator // for the bodies of requests and replies
-	Stopping  func() bool          // whether to close connections after the reply, so that callers connect elsewhere
-	Rejecting func() bool          // whether to refuse new requests
-	Clock     func() time.Time
-	Logger    *slog.Logger
-	Metrics   metrics.Registry
+	Matcher    func() *matcher.Matcher // nil until a configuration is known
+	Upstreams  Upstreams
+	Dialect    cowslipproxy.Dialect
+	Engines    cowslipproxy.EngineControl
+	Transport  http.RoundTripper
+	Memory     *allocator.Allocator // for the bodies of requests and replies
+	Quarantine *quarantiner.Quarantiner
+	Stopping   func() bool // whether to close connections after the reply, so that callers connect elsewhere
+	Rejecting  func() bool // whether to refuse new requests
+	Clock      func() time.Time
+	Logger     *slog.Logger
+	Metrics    metrics.Registry
 
 	inFlight   atomic.Int64
 	stateCache stateCache
@@ -84,13 +86,14 @@
 	customer      cowslipproxy.RelayCustomer
 	priority      int
 	deadline      time.Time
-	version       uint64             // version of the configuration
-	attempts      int                // number of attempts that upstreams may have executed
-	status        int                // HTTP status sent to the caller; 0 before the header is sent
-	path          []cowslipproxy.Hop // path of the last attempt
-	eventsSent    int                // number of events sent to the caller
-	timeToFirst   time.Duration      // from the request's arrival to the first event
-	longestPause  time.Duration      // longest time between two events
+	version       uint64                           // version of the configuration
+	fingerprints  []quarantiner.RequestFingerprint // of the request and the shared parts of its prompt
+	attempts      int                              // number of attempts that upstreams may have executed
+	status        int                              // HTTP status sent to the caller; 0 before the header is sent
+	path          []cowslipproxy.Hop               // path of the last attempt
+	eventsSent    int                              // number of events sent to the caller
+	timeToFirst   time.Duration                    // from the request's arrival to the first event
+	longestPause  time.Duration                    // longest time between two events
 }
 
 // ServeHTTP implements http.Handler.
@@ -181,6 +184,11 @@
 func (x *exchange) run(ctx context.Context) *cowslipproxy.Failure {
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
+	x.fingerprints = fingerprintsOf(x.callerRequest, x.service.Name, x.customer.Name)
+	if failure := x.Quarantine.Admit(x.Clock(), x.fingerprints); failure != nil {
+		reporter.Count(x.Metrics, reporter.MetricQuarantineRefusals)
+		return failure
+	}
 	x.Upstreams.Budget(x.service.Name).RecordRequest(x.Clock())
 	if x.service.IsSplit() {
 		return (&streamExchange{exchange: x}).run(ctx)
@@ -194,7 +202,7 @@
 	if x.status != 0 {
 		return
 	}
-	x.status = failure.Status()
+	x.status = x.Dialect.Status(failure)
 	header := x.w.Header()
 	if x.callerRequest.ID != "" {
 		x.Dialect.SetID(header, x.callerRequest.ID)
--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -49,6 +49,9 @@
 	lastProgress time.Time // time of the last event or reroute, or of the start
 	started      time.Time // start of the attempt
 	received     int       // number of events received in this attempt
+	firstEventAt time.Time // time of the first of them
+	survived     bool      // the engine wrote the answer for longer than a crash takes
+	stalled      bool      // another engine of the path failed
 	timer        *time.Timer
 	ended        bool
 }
@@ -77,8 +80,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.lastProgress = a.Clock()
-	if a.received++; a.received == 1 && a.lastProgress.Sub(a.started) < a.route.Target {
-		a.finder.ReportOnTime(a.lastProgress, a.path)
+	if a.received++; a.received == 1 {
+		a.firstEventAt = a.lastProgress
+		if a.lastProgress.Sub(a.started) < a.route.Target {
+			a.finder.ReportOnTime(a.lastProgress, a.path)
+		}
+	}
+	if !a.survived && a.lastProgress.Sub(a.firstEventAt) >= survivalTime {
+		a.survived = true
+		a.Quarantine.Survived(a.lastProgress, a.fingerprints)
 	}
 	a.timer.Reset(a.stallCheckDelay(a.received))
 }
@@ -112,6 +122,7 @@
 		for _, engine := range failedEngines {
 			a.finder.ReportFailure(now, engine)
 		}
+		a.recordStall(path, failedEngines)
 		if a.reroutePath(path, failedEngines) {
 			return
 		}
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -82,7 +82,7 @@
 		if notExecuted && s.eventsSent > 0 {
 			s.refusedResumes++
 		}
-		if ctx.Err() != nil || !s.retryGranted && !s.awaitRetry(ctx, notExecuted) {
+		if ctx.Err() != nil || s.isQuarantined() || !s.retryGranted && !s.awaitRetry(ctx, notExecuted) {
 			break
 		}
 		if notExecuted && !waiter.Wait(ctx, s.backoff()) {
@@ -201,12 +201,13 @@
 	if notExecuted {
 		reporter.Count(s.Metrics, reporter.MetricNotRun)
 	}
+	a.recordCrash(first, err)
 	if err != nil && !notExecuted {
 		s.failedEntryEngines = append(s.failedEntryEngines, first.Instance)
 	}
 	if err != nil {
 		reporter.EventAttemptFailed.Log(ctx, s.Logger, slog.String("request", s.callerRequest.ID), slog.String("upstream", first.Instance),
-			slog.Bool("started", !notExecuted), slog.Int("events", s.eventsSent), slog.Int("received", a.received), slog.Any("parts", s.callerRequest.SharedParts), slog.Any("error", err))
+			slog.Bool("started", !notExecuted), slog.Int("events", s.eventsSent), slog.Int("received", a.received), slog.Any("parts", s.callerRequest.SharedParts()), slog.Any("error", err))
 	}
 	return notExecuted, err
 }
@@ -251,13 +252,14 @@
 	for {
 		next, err := events.next()
 		if err != nil && !errors.Is(err, io.EOF) {
-			return err
+			return readError(a.ctx, err)
 		}
 		a.recordEvent()
 		if err := a.writeEvent(reply, next); err != nil {
 			return err
 		}
 		if err != nil {
+			a.recordCompletion(reply)
 			return nil
 		}
 	}
--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -55,10 +55,17 @@
 		}
 		last = x.attempt(ctx, server, len(tried))
 		servers.Done(x.Clock(), server.ID, last.isFailure(), loadOf(last.reply))
-		if !last.isFailure() || ctx.Err() != nil {
+		if !last.isFailure() {
+			x.Quarantine.Survived(x.Clock(), x.fingerprints)
 			break
 		}
-		canRetry := x.canRetry(last)
+		if ctx.Err() != nil {
+			break
+		}
+		if errors.Is(last.err, errConnectionBroken) {
+			x.recordCrash(server.ID, server.Incarnation(), 0)
+		}
+		canRetry := !x.isQuarantined() && x.canRetry(last)
 		reporter.EventAttemptFailed.Log(ctx, x.Logger, slog.String("request", x.callerRequest.ID), slog.String("upstream", server.ID),
 			slog.Bool("started", !last.notExecuted()), slog.Int("answer", statusOf(last.reply)), slog.Any("error", last.err), slog.Bool("again", canRetry))
 		if !canRetry {
@@ -111,6 +118,8 @@
 		last.memory.Keep()
 	} else if errors.Is(context.Cause(ctx), allocator.ErrExhausted) {
 		last.err = errors.WithStack(allocator.ErrExhausted)
+	} else {
+		last.err = readError(ctx, last.err)
 	}
 	return last
 }
--- a/relays.go
+++ b/relays.go
@@ -22,18 +22,25 @@
 	LastEventID string    // id of the last event that the caller received, if it resumes a stream
 	Model       string
 	Prompt      int      // length of the prompt in tokens
-	SharedParts []string // ids of the parts of the prompt that other requests may share, in order
+	Parts       []string // ids of the parts of the prompt, in order; the last one belongs to the request itself or its session
 	MaxOutput   int      // maximum number of tokens of the answer
 	LengthHint  int      // caller's estimate of the answer's length in tokens; 0 if it gave none
 }
 
+// SharedParts returns the parts of the prompt that other requests may share.
+func (r RelayRequest) SharedParts() []string { return r.Parts[:max(len(r.Parts)-1, 0)] }
+
 // Hop is an engine of a path and the layers that it runs.
 type Hop struct {
-	Instance string
-	Address  netip.AddrPort
-	Range    LayerRange
+	Instance  string
+	StartedAt time.Time // start of the engine
+	Address   netip.AddrPort
+	Range     LayerRange
 }
 
+// Incarnation identifies this run of the engine.
+func (h Hop) Incarnation() string { return incarnation(h.Instance, h.StartedAt) }
+
 // Dispatch holds the routing information that a daemon adds to a request to an
 // upstream.
 type Dispatch struct {
@@ -73,6 +80,8 @@
 	Request(ctx context.Context, request RelayRequest, dispatch Dispatch) (*http.Request, error)
 	// Reply decodes the header of an upstream's response.
 	Reply(response *http.Response) ReplyHeader
+	// Status returns the HTTP status of a failure.
+	Status(failure *Failure) int
 	// SetID sets the request id in the header of a response that the daemon generates.
 	SetID(header http.Header, id string)
 }
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -31,9 +31,10 @@
 	MetricEjections     = "ejector.ejections" // ejections of upstreams
 	MetricEjected       = "ejector.ejected"   // upstreams currently ejected
 
-	MetricCrashes     = "quarantiner.crashes"     // upstreams lost with requests in flight
-	MetricSuspects    = "quarantiner.suspects"    // fingerprints of current suspects
-	MetricQuarantined = "quarantiner.quarantined" // fingerprints currently quarantined
+	MetricCrashes            = "quarantiner.crashes"     // upstreams lost with requests in flight
+	MetricSuspects           = "quarantiner.suspects"    // fingerprints of current suspects
+	MetricQuarantined        = "quarantiner.quarantined" // fingerprints currently quarantined
+	MetricQuarantineRefusals = "quarantiner.refusals"    // requests that the relay refused because of a quarantined fingerprint
 
 	MetricClaims         = "claimer.dispatched" // non-idempotent requests that were dispatched
 	MetricClaimsRefused  = "claimer.refused"    // non-idempotent requests that were refused
