relay: test the lift, the storage and the false positives of the quarantine

TestQuarantineOutlivesDaemonsUntilItIsLifted replaces all daemons and lets an operator lift the part. TestSharedPartIsNotQuarantinedByOtherCrashes crashes twelve engines for another reason while all requests share a part.

--- a/cowslipd/relay/poison_test.go
+++ b/cowslipd/relay/poison_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -19,6 +20,7 @@
 	allowedRequestCrashes = 3 // crashes after which a request that is repeated alike must be known
 	allowedSends          = 3 // later requests that may reach engines
 	minSoundShare         = 0.5
+	quarantineThreshold   = 3
 )
 
 const (
@@ -169,3 +171,96 @@
 	t.Parallel()
 	checkPoison(t, deployForPoison(t, 4), allowedRequestCrashes, func(int) []string { return []string{sharedPart, poisonousPart} })
 }
+
+// quarantined returns the fingerprints of parts that a daemon holds as quarantined.
+func (d *deployment) quarantined(node *daemon) (fingerprints []string) {
+	for _, entry := range d.dump(node).Quarantine {
+		if entry.Part && entry.State == "quarantined" {
+			fingerprints = append(fingerprints, entry.Fingerprint)
+		}
+	}
+	return fingerprints
+}
+
+// crashEngines sends poisonous requests until each daemon holds the part as quarantined.
+func (d *deployment) crashEngines() {
+	d.fleet.SetPoison(poisonousPart)
+	require.Eventually(d.t, func() bool {
+		for i, node := range d.daemons {
+			if len(d.quarantined(node)) == 0 {
+				d.sendPoison(i)
+				return false
+			}
+		}
+		return true
+	}, time.Minute, poisonInterval)
+	require.Len(d.t, d.quarantined(d.daemons[0]), 1)
+}
+
+func (d *deployment) sendPoison(daemon int) result {
+	return d.send(d.daemons[daemon], call{path: lettersPath + "1", tokens: soundTokens, header: promptHeader(poisonousPart, strconv.FormatInt(d.ids.Load(), 16))})
+}
+
+// Guards against a quarantine that is lost when all daemons are replaced, and against one
+// that operators cannot end.
+func TestQuarantineOutlivesDaemonsUntilItIsLifted(t *testing.T) {
+	t.Parallel()
+	d := deployForPoison(t, 2)
+	d.crashEngines()
+	require.Eventually(t, func() bool { return d.store.Calls("/api/log-append") > 0 && d.store.Holds("keyed.quarantine") }, waitLimit, 100*time.Millisecond)
+	for _, node := range d.daemons {
+		node.stop()
+	}
+	for _, node := range d.daemons {
+		require.NoError(t, <-node.done)
+	}
+	d.daemons = nil
+	settings := d.settings()
+	d.seeds = append(d.seeds, settings.Peers)
+	d.startDaemon(settings)
+	d.startFleet(1)
+	crashes := len(d.fleet.Crashes())
+	for i := range 6 {
+		if got := d.sendPoison(i % 2); got.status == http.StatusServiceUnavailable {
+			require.Empty(t, d.fleet.RunsOf(got.id))
+			require.NotEmpty(t, got.header.Get("Retry-After"))
+		}
+	}
+	require.LessOrEqual(t, len(d.fleet.Crashes()), crashes+1, "more than one trial crashed an engine")
+	d.fleet.SetPoison("")
+	address := netip.AddrPortFrom(d.daemons[0].settings.Callers.Addr(), d.daemons[0].settings.Metrics)
+	request, err := http.NewRequest(http.MethodDelete, "http://"+address.String()+"/v1/quarantine/"+d.quarantined(d.daemons[0])[0], nil)
+	require.NoError(t, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusNoContent, response.StatusCode)
+	require.Equal(t, http.StatusOK, d.sendPoison(0).status)
+}
+
+// Guards against the quarantine of the part that all requests share, because engines
+// crash while requests with it are in flight.
+func TestSharedPartIsNotQuarantinedByOtherCrashes(t *testing.T) {
+	t.Parallel()
+	d := deployForPoison(t, 4)
+	var traffic soundTraffic
+	begin := time.Now()
+	var group sync.WaitGroup
+	group.Go(func() {
+		repeat(soundInterval, begin.Add(warmUpDuration+poisonedDuration), func(number int) { d.sendSound(&traffic, number) })
+	})
+	for range 6 {
+		time.Sleep(poisonedDuration / 6)
+		for _, engine := range d.enginesAt(0)[:2] {
+			d.fleet.CrashAndRestart(engine)
+		}
+	}
+	group.Wait()
+	for _, node := range d.daemons {
+		require.Empty(t, d.quarantined(node))
+	}
+	served, sent := traffic.served(begin, time.Now())
+	t.Logf("%d of %d sound requests served beside %d crashes", served, sent, len(d.fleet.Crashes()))
+	require.GreaterOrEqual(t, float64(served)/float64(sent), minSoundShare)
+	require.GreaterOrEqual(t, len(d.fleet.Crashes()), 2*quarantineThreshold)
+}
--- a/cowslipd/relay/spread_test.go
+++ b/cowslipd/relay/spread_test.go
@@ -76,6 +76,11 @@
 type dump struct {
 	Reader  bool
 	Members []struct{ Down, Starting bool }
+
+	Quarantine []struct {
+		Fingerprint, State string
+		Part               bool
+	}
 }
 
 // dump returns the dump of a daemon, or an empty one if the daemon does not answer.
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -67,6 +67,13 @@
 	s.append(name, append(append([]byte{byte(len(key))}, key...), value...))
 }
 
+// Holds reports whether a topic has a record.
+func (s *Store) Holds(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.topic(name).records) > 0
+}
+
 // Publish writes a configuration to the operator's topic.
 func (s *Store) Publish(config []byte) { s.Put("keyed.op", "config", config) }
 
--- a/standin/worker/fleet.go
+++ b/standin/worker/fleet.go
@@ -37,7 +37,7 @@
 	lastID  atomic.Int64
 }
 
-// Crash is a crash of an engine by a request.
+// Crash is a crash of an engine that starts again.
 type Crash struct {
 	Server string
 	At     time.Time
@@ -76,16 +76,16 @@
 	return false
 }
 
-// Crashes returns the crashes of engines by requests, in order.
+// Crashes returns the crashes of engines, in order.
 func (f *Fleet) Crashes() []Crash {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return append([]Crash(nil), f.crashes...)
 }
 
-// crash crashes an engine that runs a poisonous request. The engine starts again at its
-// address, without layers.
-func (f *Fleet) crash(s *Server) {
+// CrashAndRestart crashes an engine, which starts again at its address without layers
+// and under another id.
+func (f *Fleet) CrashAndRestart(s *Server) {
 	if s.isStopped() {
 		return
 	}
--- a/standin/worker/stream.go
+++ b/standin/worker/stream.go
@@ -25,17 +25,8 @@
 		w.WriteHeader(status)
 		return
 	}
-	s.mu.Lock()
-	if s.paths == nil {
-		s.paths = map[string][]stage{}
-	}
-	s.paths[id] = path
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.paths, id)
-	}()
+	s.setPath(id, path)
+	defer s.deletePath(id)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // without the header, the stream starts at event 1
 	_, text, _ := strings.Cut(r.Header.Get("X-Token-Usage"), ",")
 	count, err := strconv.Atoi(text)
@@ -51,7 +42,7 @@
 		return
 	}
 	if s.fleet.isPoisonous(r) {
-		defer time.AfterFunc(eventInterval+crashDelay, func() { s.fleet.crash(s) }).Stop()
+		defer time.AfterFunc(eventInterval+crashDelay, func() { s.fleet.CrashAndRestart(s) }).Stop()
 	}
 	for number := last + 1; number <= count; number++ {
 		if !s.waitForToken(r, id) {
@@ -73,6 +64,21 @@
 	s.fleet.completeRun(index)
 }
 
+func (s *Server) setPath(id string, path []stage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.paths == nil {
+		s.paths = map[string][]stage{}
+	}
+	s.paths[id] = path
+}
+
+func (s *Server) deletePath(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.paths, id)
+}
+
 // writeUnframedStream writes an event and half of the next one without a length or chunks,
 // and closes the connection. Every second stream ends before its first event.
 func (s *Server) writeUnframedStream(w http.ResponseWriter, r *http.Request, number int) {
