relayer: log the limits that upstreams name

Event 900 has the limit that the last upstream named in its reply, so that the logs show which requests went to upstreams with a limit, and from which daemons.

--- a/names_test.go
+++ b/names_test.go
@@ -12,7 +12,7 @@
 
 // platformNames matches headers, paths, topics and fields of the users' platform.
 var platformNames = regexp.MustCompile(`X-(Request-Id|Deadline-Ms|Tenant|Expect-Instance|Hop-Count|Request-Priority|Token-Usage|Length-Hint|Prompt-Prefix|Response-Signature|Not-Executed|Server-Load|Weight-Versions)` +
-	`|At-Server|"keyed\.|log-(append|read|newest|join)|/api/(resolve|ready|report|order)|COWSLIPPROXY_BOOT|kv_token_bytes|target_latency_ms|path_prefix|api_keys|drain_mode`)
+	`|At-Server|Server-Limit|"keyed\.|log-(append|read|newest|join)|/api/(resolve|ready|report|order)|COWSLIPPROXY_BOOT|kv_token_bytes|target_latency_ms|path_prefix|api_keys|drain_mode`)
 
 // Guards against platform-specific names outside package platform, the stand-ins of
 // the platform and the tests that act as the platform towards the daemon.
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -59,6 +59,7 @@
 		return upstreamReply{}, readError(ctx, err)
 	}
 	reply := upstreamReply{response, x.Dialect.Reply(response)}
+	x.limit = reply.Limit
 	if err := x.check(reply); err != nil {
 		response.Body.Close()
 		return upstreamReply{}, err
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -91,6 +91,7 @@
 	attempts      int                              // number of attempts that upstreams may have executed
 	status        int                              // HTTP status sent to the caller; 0 before the header is sent
 	path          []cowslipproxy.Hop               // path of the last attempt
+	limit         float64                          // limit that the last upstream named, in requests per second; 0 if it named none
 	eventsSent    int                              // number of events sent to the caller
 	timeToFirst   time.Duration                    // from the request's arrival to the first event
 	longestPause  time.Duration                    // longest time between two events
@@ -244,7 +245,7 @@
 	reporter.EventRequestEnded.Log(ctx, x.Logger,
 		slog.String("request", x.callerRequest.ID), slog.String("route", x.route.Name), slog.Uint64("version", x.version),
 		slog.Int("tries", x.attempts), slog.Int("status", x.status), slog.Duration("took", took),
-		slog.String("path", formatPath(x.path)), slog.Int("events", x.eventsSent), slog.Duration("first", x.timeToFirst), slog.Duration("pause", x.longestPause),
+		slog.String("path", formatPath(x.path)), slog.Float64("limit", x.limit), slog.Int("events", x.eventsSent), slog.Duration("first", x.timeToFirst), slog.Duration("pause", x.longestPause),
 		slog.String("outcome", string(outcome)), slog.String("reason", string(reason)), slog.String("message", message))
 }
 
--- a/relays.go
+++ b/relays.go
@@ -61,6 +61,8 @@
 	FailedEngine netip.AddrPort // address of the engine of the path that refused or failed
 	Load         ServerLoad
 	HasLoad      bool
+	Limit        float64 // requests per second that the upstream accepts from all daemons together
+	HasLimit     bool
 }
 
 // ServerLoad is the load that a server reports.
