--- a/standin/worker/server.go
+++ b/standin/worker/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -45,6 +46,8 @@
 	layers         layerRange
 	fault          Fault
 	paths          map[string][]stage // by request id, for streams whose first stage is this engine
+	limit          string             // value of the header that names the server's limit; empty if it has none
+	arrivals       []time.Time        // of requests of any kind
 	stopped        bool
 }
 
@@ -120,9 +123,42 @@
 	return s.acceptedOrders
 }
 
+// SetLimit sets the limit that the server names in its replies, in requests per second
+// from all daemons together. It does not enforce it.
+func (s *Server) SetLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = strconv.FormatFloat(perSecond, 'f', -1, 64)
+}
+
+// LiftLimit ends the limit.
+func (s *Server) LiftLimit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = ""
+}
+
+// Arrivals returns when requests arrived, in order. It includes refused ones and orders.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
+// recordArrival records a request and returns the limit to name in its reply.
+func (s *Server) recordArrival() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, time.Now())
+	return s.limit
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Instance-Id", s.ID)
+	if limit := s.recordArrival(); limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
 	if wanted := r.Header.Get("X-Expect-Instance"); wanted != "" && wanted != s.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
