relay: keep the limits that upstreams name for all daemons together

Cause: nothing read the limit. Requests are spread by the memory that they need on engines, not by their number. A limit kept by each daemon for itself would not have held either: no daemon sent more than 2.7 requests a second to the engine with a limit of 7.8 that got 20.3.

Fix: limiter.Grants. One daemon for each upstream with a limit, chosen by the rendezvous hashing that pooler has for suspects, grants the requests of all daemons from one token bucket; the others ask it before each request. While daemons are missing it grants only the part of the visible ones, so that two sides of a cut together stay within the limit. Changes travel by gossip, with versions; only replies to requests sent after the last change make a new one. Requests go to other upstreams first and are refused at once with the time to come back if all are at their limits. Orders count, and reports that are not granted are not sent.

Ruled out: shares by demand, as limiter.Limits has them for customers.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 # Tests of whole daemons run on real clocks, so that few run at a time.
 test:
 	@sed -n 's/^Test/known red: &/p' KNOWN-RED.txt
-	go test -count 1 -run 'TestPartThatCrashesEnginesIsQuarantined|TestLargeConfigurationReachesEachDaemonInTime|TestEndlessBytesOfUpstreamAreBounded' ./cowslipd/relay
+	go test -count 1 -run 'TestPartThatCrashesEnginesIsQuarantined|TestUpstreamLimitBindsAllDaemons|TestLargeConfigurationReachesEachDaemonInTime|TestEndlessBytesOfUpstreamAreBounded' ./cowslipd/relay
 	go test -race -p 3 -parallel 4 -timeout 10m $(if $(RED),-skip '^($(RED))$$') $(PACKAGES)
 
 tools:
--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -21,12 +21,14 @@
 	start := d.Clock()
 	name := d.Settings.Name + "." + strconv.FormatUint(rand.Uint64()>>32, 36)
 	d.owner = cowslipproxy.Owner{Name: name[max(0, len(name)-maxNameLength):], Incarnation: uint64(start.UnixNano())}
+	d.limits.build(d)
 	d.pools = pools{centre: d.Settings.Centre, settings: d.Settings}
 	d.gossiper = &gossiper.Gossiper{
 		Self:     d.owner,
 		Hello:    cowslipproxy.Hello{Caller: d.Settings.Callers, Peer: d.Settings.Peers, Centre: d.Settings.Centre, LinkMbps: d.Settings.LinkMbps, Starting: true},
 		Snapshot: d.snapshot,
 		Document: d.document,
+		OnGrant:  d.limits.handleGrant,
 		OnShare:  d.handleShare,
 		OnChange: d.handleItem,
 		Logger:   d.Logger,
@@ -48,6 +50,7 @@
 		Transport:  Transport(false),
 		Memory:     &allocator.Allocator{Limit: d.Settings.Memory * megabyte * messagePercent / 100},
 		Quarantine: d.quarantine.Quarantiner,
+		Limits:     &d.limits,
 		Stopping:   d.stopping.Load,
 		Rejecting:  d.rejecting.Load,
 		Clock:      d.Clock,
--- a/cowslipd/relay/dump.go
+++ b/cowslipd/relay/dump.go
@@ -9,6 +9,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/limiter"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
 
@@ -26,6 +27,7 @@
 	Instances      []cowslipproxy.Instance `json:"instances"`
 	Loads          map[string]float64      `json:"loads"` // load of this daemon's requests on each engine
 	Quarantine     []quarantineEntry       `json:"quarantine"`
+	Limits         []limiter.GrantState    `json:"limits"` // limits that upstreams have named
 }
 
 // operatorHandler returns the handler of the operator's address, which serves the
@@ -61,7 +63,7 @@
 		Name: d.owner.Key(), Version: d.configurationVersion(), Ready: d.isReady(), Stopping: d.stopping.Load(),
 		Reader: d.sharing.isReader(), Leader: leader, Age: cowslipproxy.Duration(d.sharing.listAge(d.Clock()).Round(time.Millisecond)),
 		ActiveRequests: d.server.InFlight(), Members: d.gossiper.Members(), Instances: d.registrar.Instances(), Loads: d.pools.ownLoads(),
-		Quarantine: d.quarantine.dump(d.Clock()),
+		Quarantine: d.quarantine.dump(d.Clock()), Limits: d.limits.State(d.Clock()),
 	})
 	if err != nil {
 		reporter.EventExchangeFailed.Log(r.Context(), d.Logger, slog.Any("error", err))
--- a/cowslipd/relay/members.go
+++ b/cowslipd/relay/members.go
@@ -77,4 +77,5 @@
 		keys = append(keys, member.Key())
 	}
 	d.quarantine.SetPeers(keys)
+	d.limits.setMembers(now, live)
 }
--- a/cowslipd/relay/placement.go
+++ b/cowslipd/relay/placement.go
@@ -189,6 +189,7 @@
 		if _, holds := d.lease.Holds(); !holds {
 			return
 		}
+		d.limits.Charge(ctx, engine.Incarnation())
 		err := d.Platform.Engines.Place(ctx, engine, layers, accepted)
 		reporter.EventOrderSent.Log(ctx, d.Logger, slog.String("engine", engine.ID), slog.String("order", layers.String()), slog.Int("accepted", accepted))
 		if err == nil {
@@ -206,6 +207,7 @@
 // queryEngine queries an engine for its state after an order that failed or got
 // no answer.
 func (d *Daemon) queryEngine(ctx context.Context, state *placement, engine cowslipproxy.Instance) {
+	d.limits.Charge(ctx, engine.Incarnation())
 	reported, err := d.Platform.Engines.State(ctx, engine)
 	if err != nil {
 		reporter.EventOrderFailed.Log(ctx, d.Logger, slog.String("engine", engine.ID), slog.Any("error", err))
--- a/cowslipd/relay/quarantine.go
+++ b/cowslipd/relay/quarantine.go
@@ -127,19 +127,6 @@
 	}
 }
 
-// handleItem handles a gossip item from another daemon.
-func (d *Daemon) handleItem(item gossiper.Item) {
-	if item.Kind != gossiper.KindPoison || item.Withdrawn {
-		return
-	}
-	var record quarantiner.Record
-	if err := decoder.CBOR(item.Data, &record); err != nil {
-		reporter.EventItemInvalid.Log(context.Background(), d.Logger, slog.String("from", item.Owner.Name), slog.Any("error", err))
-		return
-	}
-	d.quarantine.Merge(d.Clock(), []quarantiner.Record{record})
-}
-
 // storeQuarantine writes one record to the store, unless a write is in progress. The
 // others follow when it has ended.
 func (d *Daemon) storeQuarantine(ctx context.Context) {
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -80,6 +80,7 @@
 	lease            *holder.Holder
 	server           *relayer.Server
 	quarantine       quarantine
+	limits           limits
 }
 
 // Transport returns an HTTP transport with limits on its connections. It reuses
@@ -121,6 +122,7 @@
 	group.Go(func() error { d.reload(workCtx); return nil })
 	group.Go(func() error { d.loadQuarantine(workCtx); return nil })
 	group.Go(func() error { d.exchangeQuarantine(workCtx); return nil })
+	group.Go(func() error { d.limits.exchange(workCtx); return nil })
 	reporter.EventStarted.Log(ctx, d.Logger, slog.String("name", d.owner.Key()), slog.Any("callers", d.Settings.Callers))
 	group.Go(func() error { d.stop(ctx, workCtx); cancel(); return nil })
 	err = group.Wait()
--- a/gossiper/item.go
+++ b/gossiper/item.go
@@ -22,6 +22,7 @@
 	KindOffset Kind = "offset" // last configuration offset that the owner has applied
 	KindPoison Kind = "poison" // suspect or quarantined request
 	KindDemand Kind = "demand" // demand of a customer at the owner
+	KindLimit  Kind = "limit"  // limit that an upstream named
 )
 
 // Reach defines which daemons receive an item.
--- a/gossiper/members.go
+++ b/gossiper/members.go
@@ -118,6 +118,11 @@
 	return g.Publish(Item{Kind: KindDemand, Key: customer, Reach: reach, Data: data})
 }
 
+// PublishLimit publishes the limit of an upstream to all daemons without delay.
+func (g *Gossiper) PublishLimit(upstream string, data []byte) error {
+	return g.Publish(Item{Kind: KindLimit, Key: upstream, Data: data, Urgent: true})
+}
+
 // Items returns all items of a kind that are held, including local ones.
 func (g *Gossiper) Items(kind Kind) []Item {
 	g.setup()
--- a/gossiper/service.go
+++ b/gossiper/service.go
@@ -62,6 +62,7 @@
 		}),
 		unary("Segment", func(g *Gossiper, _ context.Context, r *SegmentRequest) (*Segment, error) { return g.serveSegment(r) }),
 		unary("Hold", func(g *Gossiper, _ context.Context, p *Payload) (*Payload, error) { return g.handle(g.OnHold, p) }),
+		unary("Grant", func(g *Gossiper, _ context.Context, p *Payload) (*Payload, error) { return g.handle(g.OnGrant, p) }),
 		unary("Share", func(g *Gossiper, _ context.Context, p *Payload) (*Payload, error) { return g.handle(g.OnShare, p) }),
 		unary("Suspects", func(g *Gossiper, _ context.Context, p *Payload) (*Payload, error) { return g.handle(g.OnSuspects, p) }),
 	},
@@ -156,6 +157,14 @@
 	return response.Data, err
 }
 
+// SendGrant asks another daemon to grant a request to an upstream with a limit.
+func (g *Gossiper) SendGrant(ctx context.Context, address string, data []byte) ([]byte, error) {
+	g.setup()
+	var reply Payload
+	err := g.invoke(ctx, address, "Grant", &Payload{Data: data}, &reply)
+	return reply.Data, err
+}
+
 // SendShare sends data that was read from the platform's store to another daemon.
 func (g *Gossiper) SendShare(ctx context.Context, address string, data []byte) ([]byte, error) {
 	g.setup()
--- /dev/null
+++ b/limiter/grants.go
@@ -0,0 +1,241 @@
+package limiter
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+const (
+	// grantBurst is the time over which unused grants accumulate.
+	grantBurst = 500 * time.Millisecond
+	// maxGrantDebt is the longest time for which no request is granted because forced ones
+	// were sent.
+	maxGrantDebt = 4 * time.Second
+	// minGrantRate, in requests per second, is granted to an upstream with a smaller limit.
+	// The end of a limit shows only in the reply to a request.
+	minGrantRate = 0.2
+	// retryDelay is the time until a daemon asks again after it got no reply, or asked a
+	// daemon that does not grant the requests to the upstream. Daemons agree on that within
+	// seconds.
+	retryDelay = 200 * time.Millisecond
+)
+
+// Grants keeps the limits that upstreams name for the requests of all daemons together.
+// For each such upstream one daemon, chosen by rendezvous hashing over the live ones,
+// grants the requests of all. The shares of Limits do not serve here: a share of a few
+// requests a second is less than one request for each daemon of a large fleet.
+//
+// The exported fields must be set before the first use.
+type Grants struct {
+	Self     string // incarnation of this daemon
+	OnChange func() // called when TakeChanges has a limit to return; must not call the Grants
+
+	mutex     sync.Mutex
+	upstreams map[string]*limitedUpstream // by incarnation
+	daemons   []string                    // that grant requests; empty means this one alone
+	fleet     fleetSize
+	visible   float64 // part of the known daemons that is live; 0 until SetDaemons is called
+}
+
+const (
+	// missingDaemonTTL is how long a daemon counts that is not live any more.
+	missingDaemonTTL = 15 * time.Second
+	// assumedDaemons is the assumed number of daemons while a daemon that has just started
+	// knows no other one.
+	assumedDaemons = 16
+)
+
+// fleetSize is the number of daemons that were live recently. Those that are missing may be
+// cut off and grant requests themselves. The daemons on each side of a cut therefore
+// grant only their part of a limit, until the others count as gone.
+type fleetSize struct {
+	daemons int
+	at      time.Time // when that many were last live
+	started time.Time
+}
+
+// visible returns the part of the known daemons that is live.
+func (f *fleetSize) visible(now time.Time, live int) float64 {
+	if f.started.IsZero() {
+		f.started = now
+	}
+	if live >= f.daemons || now.Sub(f.at) >= missingDaemonTTL {
+		f.daemons, f.at = live, now
+	}
+	if f.daemons <= 1 && now.Sub(f.started) < missingDaemonTTL {
+		return 1.0 / assumedDaemons
+	}
+	return float64(live) / float64(f.daemons)
+}
+
+// limitedUpstream is an upstream that has named a limit.
+type limitedUpstream struct {
+	Limit
+	bucket       *bucket   // of grants; nil unless this daemon grants the requests
+	changed      time.Time // when this daemon learned of the version
+	seen         time.Time // when this daemon last heard of the limit
+	refusedUntil time.Time // before this time, no request is granted
+	reported     Limit     // as of the last TakeChanges
+	publish      bool      // this daemon must publish the limit
+}
+
+// Permission is the decision whether a request may be sent to an upstream.
+type Permission struct {
+	Granted bool          // the request may be sent
+	Wait    time.Duration // time after which the next request may be granted, if this one is not
+	Granter string        // incarnation of the daemon that must be asked with Ask; empty if Granted and Wait decide
+	Ask     GrantRequest
+}
+
+// GrantRequest asks the daemon that grants the requests to an upstream for one of them.
+type GrantRequest struct {
+	Limit  Limit `json:"limit"`            // as the asking daemon knows it
+	Forced bool  `json:"forced,omitempty"` // the request is sent in any case and only counts towards the limit
+}
+
+// Check reports the first invalid field.
+func (r GrantRequest) Check() error { return r.Limit.Check() }
+
+// GrantReply is the reply to a GrantRequest.
+type GrantReply struct {
+	Limit   Limit                 `json:"limit"` // as the granting daemon knows it
+	Granted bool                  `json:"granted"`
+	Wait    cowslipproxy.Duration `json:"wait"` // time after which the next request may be granted, if this one is not
+}
+
+// Check reports the first invalid field.
+func (r GrantReply) Check() error { return r.Limit.Check() }
+
+// Request decides whether a request may be sent to an upstream, or which daemon to ask. The
+// daemon's reply goes to HandleReply. A forced request is sent in any case and only counts
+// towards the limit.
+func (g *Grants) Request(now time.Time, upstream string, forced bool) Permission {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	u := g.upstreams[upstream]
+	if u == nil || u.Lifted {
+		return Permission{Granted: true}
+	}
+	if wait := u.refusedUntil.Sub(now); wait > 0 && !forced {
+		return Permission{Wait: wait}
+	}
+	ask := GrantRequest{Limit: u.Limit, Forced: forced}
+	if granter := g.granter(upstream); granter != g.Self {
+		return Permission{Granter: granter, Ask: ask}
+	}
+	reply := g.grant(now, u, forced)
+	return u.apply(now, reply)
+}
+
+// Grant decides on the request of another daemon.
+func (g *Grants) Grant(now time.Time, request GrantRequest) GrantReply {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	u := g.merge(now, request.Limit)
+	switch {
+	case u.Lifted:
+		return GrantReply{Limit: u.Limit, Granted: true}
+	case g.granter(u.Upstream) != g.Self:
+		return GrantReply{Limit: u.Limit, Wait: cowslipproxy.Duration(retryDelay)}
+	default:
+		return g.grant(now, u, request.Forced)
+	}
+}
+
+func (g *Grants) grant(now time.Time, u *limitedUpstream, forced bool) GrantReply {
+	g.fill(now, u)
+	u.seen = now
+	if forced {
+		u.bucket.availableTokens = math.Max(u.bucket.availableTokens-1, -u.bucket.rate*maxGrantDebt.Seconds())
+		return GrantReply{Limit: u.Limit, Granted: true}
+	}
+	wait, granted := u.bucket.take(now, 1)
+	return GrantReply{Limit: u.Limit, Granted: granted, Wait: cowslipproxy.Duration(wait)}
+}
+
+// fill makes the grants of an upstream available at the current rate. A daemon that becomes
+// responsible for an upstream starts without any, since its predecessor may have given
+// all of them a moment before.
+func (g *Grants) fill(now time.Time, u *limitedUpstream) {
+	if u.bucket == nil {
+		u.bucket = &bucket{at: now}
+	}
+	rate := math.Max(u.Rate, minGrantRate) * orDefault(g.visible, 1)
+	u.bucket.set(now, rate, math.Max(rate*grantBurst.Seconds(), 1))
+}
+
+// HandleReply applies the reply of the daemon that grants the requests to an upstream.
+func (g *Grants) HandleReply(now time.Time, upstream string, reply GrantReply) Permission {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if reply.Limit.Upstream != upstream {
+		return Permission{Wait: retryDelay}
+	}
+	return g.merge(now, reply.Limit).apply(now, reply)
+}
+
+// HandleNoReply records that the daemon that grants the requests to an upstream did not
+// reply. No request is sent until it is asked again.
+func (g *Grants) HandleNoReply(now time.Time, upstream string) Permission {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if u := g.upstreams[upstream]; u != nil {
+		u.refusedUntil = now.Add(retryDelay)
+	}
+	return Permission{Wait: retryDelay}
+}
+
+func (u *limitedUpstream) apply(now time.Time, reply GrantReply) Permission {
+	if reply.Granted {
+		return Permission{Granted: true}
+	}
+	u.refusedUntil = now.Add(time.Duration(reply.Wait))
+	return Permission{Wait: time.Duration(reply.Wait)}
+}
+
+// granter returns the daemon that grants the requests to an upstream.
+func (g *Grants) granter(upstream string) string {
+	if len(g.daemons) == 0 {
+		return g.Self
+	}
+	return cowslipproxy.RendezvousOwner(upstream, g.daemons[0], g.daemons[1:])
+}
+
+// SetDaemons sets the daemons that grant requests, and the number of live ones. It is
+// larger if some are about to stop.
+func (g *Grants) SetDaemons(now time.Time, granting []string, live int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.daemons, g.visible = granting, g.fleet.visible(now, live)
+	for _, u := range g.upstreams {
+		g.updateGranter(now, u)
+	}
+}
+
+// updateGranter starts or ends the grants of an upstream for which this daemon is or is
+// not responsible. The responsible daemon publishes the limit, so that daemons which start
+// later learn it.
+func (g *Grants) updateGranter(now time.Time, u *limitedUpstream) {
+	if u.Lifted || g.granter(u.Upstream) != g.Self {
+		u.bucket = nil
+		return
+	}
+	if u.bucket == nil {
+		g.markPublished(u)
+	}
+	g.fill(now, u)
+}
+
+func (g *Grants) markPublished(u *limitedUpstream) {
+	u.publish = true
+	g.notify()
+}
+
+func (g *Grants) notify() {
+	if g.OnChange != nil {
+		g.OnChange()
+	}
+}
--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -63,9 +63,10 @@
 
 // Need describes what a request requires of its path.
 type Need struct {
-	Tokens int      // prompt and answer tokens
-	Avoid  []string // engines that failed the request
-	Entry  []string // engines that the path may start at; empty allows all
+	Tokens  int      // prompt and answer tokens
+	Avoid   []string // engines that failed the request
+	Entry   []string // engines that the path may start at; empty allows all
+	AtLimit []string // engines that the path may not start at, since they accept no request for now
 }
 
 // Path is a sequence of engines chosen for a request.
@@ -156,7 +157,9 @@
 )
 
 // mayStartAt reports whether a path may start at an engine.
-func (n Need) mayStartAt(e *engine) bool { return len(n.Entry) == 0 || slices.Contains(n.Entry, e.ID) }
+func (n Need) mayStartAt(e *engine) bool {
+	return (len(n.Entry) == 0 || slices.Contains(n.Entry, e.ID)) && !slices.Contains(n.AtLimit, e.ID)
+}
 
 func usable(now time.Time, candidate *flow, need Need) bool {
 	for _, segment := range candidate.segments {
@@ -190,7 +193,7 @@
 
 // detour searches for a path around engines that are suspect or to be avoided.
 // If there is none, it allows suspect engines, and then also those to be
-// avoided.
+// avoided, unless there are engines that accept requests again soon.
 func (f *Finder) detour(now time.Time, need Need) []segment {
 	for _, accept := range []func(e *engine) bool{
 		func(e *engine) bool { return !now.Before(e.suspectUntil) && !slices.Contains(need.Avoid, e.ID) },
@@ -207,6 +210,9 @@
 		if segments := f.shortest(usable, allLayers, f.decodeCosts(f.jitteredLoad(now))); segments != nil {
 			return segments
 		}
+		if len(need.AtLimit) > 0 {
+			return nil
+		}
 	}
 	return nil
 }
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -107,6 +107,17 @@
 	return cost
 }
 
+// Release records that a chosen server got no request after all.
+func (p *Picker) Release(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		if s.ID == id {
+			s.inFlight = max(s.inFlight-1, 0)
+		}
+	}
+}
+
 // Done records the end of a request on a server, with the load that the server
 // reported, if any.
 func (p *Picker) Done(now time.Time, id string, failed bool, reported *cowslipproxy.ServerLoad) {
--- a/pooler/suspects.go
+++ b/pooler/suspects.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cowslipproxy/cowslipproxy"
 )
 
@@ -71,17 +69,9 @@
 func (s *suspects) owner(self, upstream string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	best := self
-	for _, daemon := range s.daemons {
-		if score(daemon, upstream) > score(best, upstream) {
-			best = daemon
-		}
-	}
-	return best
+	return cowslipproxy.RendezvousOwner(upstream, self, s.daemons)
 }
 
-func score(daemon, upstream string) uint64 { return xxhash.Sum64String(daemon + "\x00" + upstream) }
-
 // acquireHolds acquires holds on all upstreams of a chain for a suspect, or on none. It
 // returns the first upstream whose hold was refused, or an empty name.
 func (p *Pool) acquireHolds(now time.Time, request string, stages []cowslipproxy.Stage) string {
--- /dev/null
+++ b/relayer/limits.go
@@ -0,0 +1,65 @@
+package relayer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
+)
+
+// limitSpread is the time over which the callers that are refused because of a limit
+// come back, so that they do not compete for the same request.
+const limitSpread = time.Second
+
+var errAtLimit = errors.New("the upstream is at the limit that it named")
+
+// Limits keeps the limits that upstreams name for the requests of all daemons together.
+// Upstreams are given by their incarnation.
+type Limits interface {
+	// Acquire reports whether a request may be sent to an upstream. If it may not, wait is
+	// the time after which the next one may.
+	Acquire(ctx context.Context, upstream string) (granted bool, wait time.Duration)
+	// Charge counts a request that is sent in any case.
+	Charge(ctx context.Context, upstream string)
+	// Named records that a reply named a limit in requests per second.
+	Named(now, sent time.Time, upstream string, rate float64)
+	// NotNamed records that an upstream ran a request and named no limit in its reply.
+	NotNamed(now, sent time.Time, upstream string)
+}
+
+// acquire reports whether a request may be sent to an upstream.
+func (x *exchange) acquire(ctx context.Context, upstream string) bool {
+	granted, wait := x.Limits.Acquire(ctx, upstream)
+	if granted {
+		return true
+	}
+	reporter.Count(x.Metrics, reporter.MetricAtLimit)
+	if x.atLimit == 0 || wait < x.limitWait {
+		x.limitWait = wait
+	}
+	x.atLimit++
+	return false
+}
+
+// recordLimit records the limit that an upstream names, or that it names none.
+func (x *exchange) recordLimit(sent time.Time, upstream string, reply upstreamReply) {
+	x.limit = reply.Limit
+	switch {
+	case reply.HasLimit:
+		x.Limits.Named(x.Clock(), sent, upstream, reply.Limit)
+	case reply.Signed: // other replies may come from something before the upstream
+		x.Limits.NotNamed(x.Clock(), sent, upstream)
+	}
+}
+
+// refuseAtLimit refuses a request for which no upstream is below its limit.
+func (x *exchange) refuseAtLimit() *cowslipproxy.Failure {
+	longest := min(maxRetryAfter, time.Duration(retryAfterRatio*float64(x.timeLeft())))
+	after := min(x.limitWait+rand.N(limitSpread), longest)
+	return cowslipproxy.Refuse(cowslipproxy.ReasonOverloaded, "%d upstreams that could run the request are at the limits that they named; the next request is possible in %v",
+		x.atLimit, x.limitWait.Round(time.Millisecond)).After(max(after, time.Millisecond))
+}
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -41,8 +41,9 @@
 
 // send forwards the request on a connection of its own, so that its reply cannot
 // contain bytes of another request's reply. The error wraps
-// cowslipproxy.ErrNotStarted if no connection was established.
-func (x *exchange) send(ctx context.Context, to cowslipproxy.Dispatch) (upstreamReply, error) {
+// cowslipproxy.ErrNotStarted if no connection was established. The upstream is given by its
+// incarnation.
+func (x *exchange) send(ctx context.Context, upstream string, to cowslipproxy.Dispatch) (upstreamReply, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	to.Customer, to.Priority, to.TimeLeft = x.customer.Name, x.priority, x.timeLeft()
@@ -51,6 +52,7 @@
 	if request, err = x.Dialect.Request(httptrace.WithClientTrace(ctx, trace), x.callerRequest, to); err != nil {
 		return upstreamReply{}, errors.Wrap(cowslipproxy.ErrNotStarted, err.Error())
 	}
+	sent := x.Clock()
 	response, err := x.Transport.RoundTrip(request)
 	if err != nil && !connected.Load() {
 		return upstreamReply{}, errors.Wrap(cowslipproxy.ErrNotStarted, err.Error())
@@ -59,11 +61,11 @@
 		return upstreamReply{}, readError(ctx, err)
 	}
 	reply := upstreamReply{response, x.Dialect.Reply(response)}
-	x.limit = reply.Limit
 	if err := x.check(reply); err != nil {
 		response.Body.Close()
 		return upstreamReply{}, err
 	}
+	x.recordLimit(sent, upstream, reply)
 	return reply, nil
 }
 
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -62,6 +62,7 @@
 	Transport  http.RoundTripper
 	Memory     *allocator.Allocator // for the bodies of requests and replies
 	Quarantine *quarantiner.Quarantiner
+	Limits     Limits
 	Stopping   func() bool // whether to close connections after the reply, so that callers connect elsewhere
 	Rejecting  func() bool // whether to refuse new requests
 	Clock      func() time.Time
@@ -92,6 +93,8 @@
 	status        int                              // HTTP status sent to the caller; 0 before the header is sent
 	path          []cowslipproxy.Hop               // path of the last attempt
 	limit         float64                          // limit that the last upstream named, in requests per second; 0 if it named none
+	atLimit       int                              // number of attempts not made because the upstream was at its limit
+	limitWait     time.Duration                    // shortest time until one of these upstreams accepts a request
 	eventsSent    int                              // number of events sent to the caller
 	timeToFirst   time.Duration                    // from the request's arrival to the first event
 	longestPause  time.Duration                    // longest time between two events
@@ -245,7 +248,7 @@
 	reporter.EventRequestEnded.Log(ctx, x.Logger,
 		slog.String("request", x.callerRequest.ID), slog.String("route", x.route.Name), slog.Uint64("version", x.version),
 		slog.Int("tries", x.attempts), slog.Int("status", x.status), slog.Duration("took", took),
-		slog.String("path", formatPath(x.path)), slog.Float64("limit", x.limit), slog.Int("events", x.eventsSent), slog.Duration("first", x.timeToFirst), slog.Duration("pause", x.longestPause),
+		slog.String("path", formatPath(x.path)), slog.Float64("limit", x.limit), slog.Int("limited", x.atLimit), slog.Int("events", x.eventsSent), slog.Duration("first", x.timeToFirst), slog.Duration("pause", x.longestPause),
 		slog.String("outcome", string(outcome)), slog.String("reason", string(reason)), slog.String("message", message))
 }
 
--- a/relayer/state_cache.go
+++ b/relayer/state_cache.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cowslipproxy/cowslipproxy"
 )
 
@@ -34,8 +36,8 @@
 }
 
 // state returns the state of an engine, which may be the answer to an earlier
-// query.
-func (c *stateCache) state(ctx context.Context, engines cowslipproxy.EngineControl, now time.Time, engine cowslipproxy.Instance) (cowslipproxy.EngineState, error) {
+// query. The error wraps errAtLimit if the engine accepts no request for now.
+func (c *stateCache) state(ctx context.Context, server *Server, now time.Time, engine cowslipproxy.Instance) (cowslipproxy.EngineState, error) {
 	c.mu.Lock()
 	if c.queries == nil {
 		c.queries = map[netip.AddrPort]*stateQuery{}
@@ -48,8 +50,12 @@
 			// Other requests wait for the query, so it is not cancelled with this one.
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stateTimeout)
 			defer cancel()
-			query.state, query.err = engines.State(ctx, engine)
-			close(query.done)
+			defer close(query.done)
+			if granted, _ := server.Limits.Acquire(ctx, engine.Incarnation()); !granted {
+				query.err = errors.WithStack(errAtLimit)
+				return
+			}
+			query.state, query.err = server.Engines.State(ctx, engine)
 		}()
 	}
 	c.mu.Unlock()
--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -198,10 +198,11 @@
 }
 
 // queryStall asks the first engine which engine the request is stalled at. An
-// engine that does not answer counts as the stalled one.
+// engine that does not answer counts as the stalled one. One that is at its limit is not
+// asked.
 func (a *streamAttempt) queryStall(path *pathfinder.Path) (netip.AddrPort, bool) {
 	state, err := a.firstState(path)
-	if a.ctx.Err() != nil {
+	if a.ctx.Err() != nil || errors.Is(err, errAtLimit) {
 		return netip.AddrPort{}, false
 	}
 	if err != nil {
@@ -217,33 +218,38 @@
 
 // firstState returns the state that the first engine of a path reports.
 func (a *streamAttempt) firstState(path *pathfinder.Path) (cowslipproxy.EngineState, error) {
+	return a.stateCache.state(a.ctx, a.Server, a.Clock(), firstEngine(path))
+}
+
+func firstEngine(path *pathfinder.Path) cowslipproxy.Instance {
 	first := path.First()
-	return a.stateCache.state(a.ctx, a.Engines, a.Clock(), cowslipproxy.Instance{ID: first.Instance, Address: first.Address})
+	return cowslipproxy.Instance{ID: first.Instance, StartedAt: first.StartedAt, Address: first.Address}
 }
 
 // isFirstAlive reports whether the first engine of a path, which keeps the stream,
-// responds.
+// responds, or can't be asked because it is at its limit.
 func (a *streamAttempt) isFirstAlive(path *pathfinder.Path) bool {
 	_, err := a.firstState(path)
-	return err == nil
+	return err == nil || errors.Is(err, errAtLimit)
 }
 
 // reroutePath replaces the failed engines of the path and reports whether the
 // request continues on the new path. Other engines of the path may refuse the new
 // path because they are unloading layers; they are replaced too.
 func (a *streamAttempt) reroutePath(path *pathfinder.Path, failed []netip.AddrPort) bool {
-	first := path.First()
+	first := firstEngine(path)
 	var rerouted *pathfinder.Path
 	for try := 1; ; try++ {
 		var ok bool
 		if rerouted, ok = a.finder.Reroute(a.Clock(), path, failed); !ok {
 			return false
 		}
-		err := a.Engines.ReplacePath(a.ctx, cowslipproxy.Instance{ID: first.Instance, Address: first.Address}, a.callerRequest.ID, rerouted.Hops)
+		a.Limits.Charge(a.ctx, first.Incarnation())
+		err := a.Engines.ReplacePath(a.ctx, first, a.callerRequest.ID, rerouted.Hops)
 		if err == nil {
 			break
 		}
-		reporter.EventOrderFailed.Log(a.ctx, a.Logger, slog.String("engine", first.Instance), slog.Any("error", err))
+		reporter.EventOrderFailed.Log(a.ctx, a.Logger, slog.String("engine", first.ID), slog.Any("error", err))
 		var conflict *cowslipproxy.ConflictError
 		if !errors.As(err, &conflict) || !conflict.Address.IsValid() || try == maxRerouteTries {
 			return false
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -119,11 +119,12 @@
 func (s *streamExchange) awaitPath(ctx context.Context, finder *pathfinder.Finder) (*pathfinder.Path, error) {
 	limit := s.Clock().Add(s.route.Target)
 	for {
-		if path, ok := finder.Choose(s.Clock(), s.need()); ok {
+		path, err := s.choosePath(ctx, finder)
+		if err == nil {
 			return path, nil
 		}
-		if s.eventsSent == 0 && s.Clock().After(limit) {
-			return nil, errors.WithStack(errNoPath)
+		if s.eventsSent == 0 && (errors.Is(err, errAtLimit) || s.Clock().After(limit)) {
+			return nil, err
 		}
 		if !waiter.Wait(ctx, pathPollInterval) {
 			return nil, errors.WithStack(ctx.Err())
@@ -131,6 +132,24 @@
 	}
 }
 
+// choosePath returns a path whose first engine may get the request. The error wraps
+// errAtLimit if there is only none because engines are at their limits.
+func (s *streamExchange) choosePath(ctx context.Context, finder *pathfinder.Finder) (*pathfinder.Path, error) {
+	need := s.need()
+	for {
+		path, ok := finder.Choose(s.Clock(), need)
+		switch {
+		case !ok && len(need.AtLimit) > 0:
+			return nil, errors.WithStack(errAtLimit)
+		case !ok:
+			return nil, errors.WithStack(errNoPath)
+		case s.acquire(ctx, path.First().Incarnation()):
+			return path, nil
+		}
+		need.AtLimit = append(need.AtLimit, path.First().Instance)
+	}
+}
+
 // need returns the requirements of the next attempt on its path. Once the request
 // was sent to as many entry engines as its route allows, it resumes at one of
 // them.
@@ -171,6 +190,9 @@
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return cowslipproxy.Refuse(cowslipproxy.ReasonCancelled, "the caller disconnected")
 	}
+	if errors.Is(err, errAtLimit) {
+		return s.refuseAtLimit()
+	}
 	return cowslipproxy.Refuse(cowslipproxy.ReasonNoChain, "no engine accepted the request: %v", err).After(overloadRetryAfter)
 }
 
@@ -185,7 +207,7 @@
 	first := path.First()
 	s.path = path.Hops
 	s.serviceThrottler.Start(s.Clock(), s.place)
-	reply, err := s.send(a.ctx, cowslipproxy.Dispatch{Instance: first.Instance, Address: first.Address, Path: path.Hops, LastEventID: s.lastEventID})
+	reply, err := s.send(a.ctx, first.Incarnation(), cowslipproxy.Dispatch{Instance: first.Instance, Address: first.Address, Path: path.Hops, LastEventID: s.lastEventID})
 	switch {
 	case err == nil && reply.StatusCode == http.StatusOK:
 		s.countStarted(first)
--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/allocator"
+	"github.com/cowslipproxy/cowslipproxy/picker"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/retrier"
 )
@@ -45,7 +47,7 @@
 	var tried []string
 	var last result
 	for {
-		server, ok := servers.Pick(x.Clock(), tried)
+		server, ok := x.pick(ctx, servers, tried)
 		if !ok {
 			break
 		}
@@ -72,6 +74,9 @@
 			break
 		}
 	}
+	if len(tried) == 0 && x.atLimit > 0 {
+		return x.refuseAtLimit()
+	}
 	if len(tried) == 0 {
 		return cowslipproxy.Refuse(cowslipproxy.ReasonNoUpstream, "service %s has no live server", x.service.Name).After(overloadRetryAfter)
 	}
@@ -79,6 +84,19 @@
 	return x.finish(ctx, last)
 }
 
+// pick chooses a server that was not tried and may get another request.
+func (x *exchange) pick(ctx context.Context, servers *picker.Picker, tried []string) (cowslipproxy.Instance, bool) {
+	excluded := slices.Clone(tried)
+	for {
+		server, ok := servers.Pick(x.Clock(), excluded)
+		if !ok || x.acquire(ctx, server.Incarnation()) {
+			return server, ok
+		}
+		servers.Release(server.ID)
+		excluded = append(excluded, server.ID)
+	}
+}
+
 // canRetry reports whether the request may be sent to another server. An allowed
 // retry is charged to the retry budget.
 func (x *exchange) canRetry(last result) bool {
@@ -106,7 +124,7 @@
 		defer stop()
 	}
 	last := result{memory: x.Memory.Open(func() { cancel(allocator.ErrExhausted) })}
-	last.reply, last.err = x.send(ctx, cowslipproxy.Dispatch{Instance: server.ID, Address: server.Address, LastEventID: x.callerRequest.LastEventID})
+	last.reply, last.err = x.send(ctx, server.Incarnation(), cowslipproxy.Dispatch{Instance: server.ID, Address: server.Address, LastEventID: x.callerRequest.LastEventID})
 	if !errors.Is(last.err, cowslipproxy.ErrNotStarted) {
 		x.attempts++
 	}
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -22,9 +22,10 @@
 	MetricRepliesDropped = "engine.replies.dropped" // replies that matched no outstanding step
 	MetricInvariants     = "invariants.violated"    // violations of an invariant; always 0 in a correct program
 
-	MetricQueue         = "limiter.queue"  // requests waiting for admission, by model and class
-	MetricUnitsInFlight = "limiter.flight" // capacity units that admitted requests occupy, by model
-	MetricUnitLimit     = "limiter.units"  // limit on the occupied capacity units, by model
+	MetricQueue         = "limiter.queue"         // requests waiting for admission, by model and class
+	MetricUnitsInFlight = "limiter.flight"        // capacity units that admitted requests occupy, by model
+	MetricUnitLimit     = "limiter.units"         // limit on the occupied capacity units, by model
+	MetricGrantsFailed  = "limiter.grants.failed" // requests for a grant to send to an upstream with a limit that got no reply
 
 	MetricRetries       = "retrier.retries"   // retries of calls to plain services
 	MetricRetriesDenied = "retrier.denied"    // retries denied by the retry budget
@@ -49,6 +50,7 @@
 
 	MetricNotRun         = "relayer.notrun"       // attempts that an upstream provably didn't run
 	MetricThrottled      = "relayer.throttled"    // requests refused because too many were waiting for engines
+	MetricAtLimit        = "relayer.limited"      // attempts not made because the upstream was at the limit that it named
 	MetricStalls         = "relayer.stalls"       // stalls of streams that were traced to engines
 	MetricPathsReplaced  = "relayer.mends"        // paths replaced during a stream
 	MetricStreamsResumed = "relayer.resumes"      // streams resumed at another engine
