limiter: let one request ask again a daemon that did not reply

Cause: a missing reply was kept for the upstream, not for the daemon, and all requests that came before it asked too.

--- a/cowslipd/relay/limits.go
+++ b/cowslipd/relay/limits.go
@@ -66,9 +66,9 @@
 	if err != nil {
 		reporter.Count(l.daemon.Metrics, reporter.MetricGrantsFailed)
 		reporter.EventGrantFailed.Log(ctx, l.daemon.Logger, slog.String("upstream", upstream), slog.String("granter", permission.Granter), slog.Any("error", err))
-		return l.HandleNoReply(now, upstream)
+		return l.HandleNoReply(now, permission)
 	}
-	return l.HandleReply(now, upstream, reply)
+	return l.HandleReply(now, permission, reply)
 }
 
 func (l *limits) sendAsk(ctx context.Context, permission limiter.Permission) (reply limiter.GrantReply, err error) {
--- a/limiter/grants.go
+++ b/limiter/grants.go
@@ -1,7 +1,9 @@
 package limiter
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +37,7 @@
 
 	mutex     sync.Mutex
 	upstreams map[string]*limitedUpstream // by incarnation
+	silent    map[string]time.Time        // when to ask a daemon again that did not reply
 	daemons   []string                    // that grant requests; empty means this one alone
 	fleet     fleetSize
 	visible   float64 // part of the known daemons that is live; 0 until SetDaemons is called
@@ -122,12 +125,17 @@
 	if wait := u.refusedUntil.Sub(now); wait > 0 && !forced {
 		return Permission{Wait: wait}
 	}
-	ask := GrantRequest{Limit: u.Limit, Forced: forced}
-	if granter := g.granter(upstream); granter != g.Self {
-		return Permission{Granter: granter, Ask: ask}
+	granter := g.granter(upstream)
+	if granter == g.Self {
+		return u.apply(now, g.grant(now, u, forced))
 	}
-	reply := g.grant(now, u, forced)
-	return u.apply(now, reply)
+	if until, isSilent := g.silent[granter]; isSilent && !forced {
+		if now.Before(until) {
+			return Permission{Wait: until.Sub(now)}
+		}
+		g.silent[granter] = now.Add(retryDelay) // the other requests wait for the reply to this one
+	}
+	return Permission{Granter: granter, Ask: GrantRequest{Limit: u.Limit, Forced: forced}}
 }
 
 // Grant decides on the request of another daemon.
@@ -167,24 +175,26 @@
 	u.bucket.set(now, rate, math.Max(rate*grantBurst.Seconds(), 1))
 }
 
-// HandleReply applies the reply of the daemon that grants the requests to an upstream.
-func (g *Grants) HandleReply(now time.Time, upstream string, reply GrantReply) Permission {
+// HandleReply applies the reply of the daemon that was asked.
+func (g *Grants) HandleReply(now time.Time, asked Permission, reply GrantReply) Permission {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if reply.Limit.Upstream != upstream {
+	delete(g.silent, asked.Granter)
+	if reply.Limit.Upstream != asked.Ask.Limit.Upstream {
 		return Permission{Wait: retryDelay}
 	}
 	return g.merge(now, reply.Limit).apply(now, reply)
 }
 
-// HandleNoReply records that the daemon that grants the requests to an upstream did not
-// reply. No request is sent until it is asked again.
-func (g *Grants) HandleNoReply(now time.Time, upstream string) Permission {
+// HandleNoReply records that the daemon that was asked did not reply. Until it is asked
+// again, no request is sent to the upstreams for which it is responsible.
+func (g *Grants) HandleNoReply(now time.Time, asked Permission) Permission {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if u := g.upstreams[upstream]; u != nil {
-		u.refusedUntil = now.Add(retryDelay)
+	if g.silent == nil {
+		g.silent = map[string]time.Time{}
 	}
+	g.silent[asked.Granter] = now.Add(retryDelay)
 	return Permission{Wait: retryDelay}
 }
 
@@ -210,6 +220,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.daemons, g.visible = granting, g.fleet.visible(now, live)
+	maps.DeleteFunc(g.silent, func(daemon string, _ time.Time) bool { return !slices.Contains(granting, daemon) })
 	for _, u := range g.upstreams {
 		g.updateGranter(now, u)
 	}
--- a/limiter/grants_fleet_test.go
+++ b/limiter/grants_fleet_test.go
@@ -109,7 +109,6 @@
 // ask sends a daemon's question to the granting one and reports whether it was granted.
 func (f *grantFleet) ask(number int, permission limiter.Permission) bool {
 	asking := f.daemons[number]
-	upstream := permission.Ask.Limit.Upstream
 	for i, daemon := range f.daemons {
 		if daemon.Self != permission.Granter || i == f.frozen || f.side[i] != f.side[number] || f.random.Float64() < lossRate {
 			continue
@@ -118,9 +117,9 @@
 		if f.random.Float64() < lossRate {
 			break
 		}
-		return asking.HandleReply(f.now, upstream, reply).Granted
+		return asking.HandleReply(f.now, permission, reply).Granted
 	}
-	return asking.HandleNoReply(f.now, upstream).Granted
+	return asking.HandleNoReply(f.now, permission).Granted
 }
 
 // send lets a request of a caller arrive at a random daemon.
--- a/limiter/grants_test.go
+++ b/limiter/grants_test.go
@@ -138,6 +138,24 @@
 	require.Equal(t, 40, own)
 }
 
+// Guards against many requests that each wait for a daemon which does not reply.
+func TestSilentDaemonIsAskedByOneRequest(t *testing.T) {
+	g := &limiter.Grants{Self: "a"}
+	g.SetDaemons(epoch, []string{"b"}, 1)
+	for _, upstream := range []string{limited, "i-2/run"} {
+		g.Merge(epoch, limiter.Limit{Upstream: upstream, Version: 1, Rate: 100})
+	}
+	asked := g.Request(epoch, limited, false)
+	require.Equal(t, "b", asked.Granter)
+	require.False(t, g.HandleNoReply(epoch, asked).Granted)
+	require.Empty(t, g.Request(at(100*time.Millisecond), "i-2/run", false).Granter)
+	asked = g.Request(at(200*time.Millisecond), "i-2/run", false)
+	require.Equal(t, "b", asked.Granter)
+	require.Empty(t, g.Request(at(200*time.Millisecond), limited, false).Granter)
+	require.True(t, g.HandleReply(at(210*time.Millisecond), asked, limiter.GrantReply{Limit: asked.Ask.Limit, Granted: true}).Granted)
+	require.Equal(t, "b", g.Request(at(210*time.Millisecond), limited, false).Granter)
+}
+
 // Guards against a table that grows with each upstream that ever named a limit.
 func TestLimitsAreForgotten(t *testing.T) {
 	g := newGrants()
