limiter: grant the rest of answers before new requests

Cause: the daemon that grants requests did not know which of them continue an answer.

Fix: a request for a grant has a kind. A resumed stream that is refused keeps new requests off that upstream until the next grant and 200 ms more, within which it asks again.

--- a/cowslipd/relay/limits.go
+++ b/cowslipd/relay/limits.go
@@ -41,8 +41,12 @@
 }
 
 // Acquire implements relayer.Limits.
-func (l *limits) Acquire(ctx context.Context, upstream string) (granted bool, wait time.Duration) {
-	permission := l.Request(l.daemon.Clock(), upstream, false)
+func (l *limits) Acquire(ctx context.Context, upstream string, isResumed bool) (granted bool, wait time.Duration) {
+	kind := limiter.GrantNew
+	if isResumed {
+		kind = limiter.GrantResume
+	}
+	permission := l.Request(l.daemon.Clock(), upstream, kind)
 	if permission.Granter != "" {
 		permission = l.ask(ctx, upstream, permission)
 	}
@@ -51,7 +55,7 @@
 
 // Charge implements relayer.Limits.
 func (l *limits) Charge(ctx context.Context, upstream string) {
-	permission := l.Request(l.daemon.Clock(), upstream, true)
+	permission := l.Request(l.daemon.Clock(), upstream, limiter.GrantForced)
 	if permission.Granter != "" {
 		go l.ask(context.WithoutCancel(ctx), upstream, permission)
 	}
--- a/limiter/grants.go
+++ b/limiter/grants.go
@@ -7,12 +7,17 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cowslipproxy/cowslipproxy"
 )
 
 const (
 	// grantBurst is the time over which unused grants accumulate.
 	grantBurst = 500 * time.Millisecond
+	// resumeTime is how long new requests wait for a resumed one that was refused to ask
+	// again.
+	resumeTime = 200 * time.Millisecond
 	// maxGrantDebt is the longest time for which no request is granted because forced ones
 	// were sent.
 	maxGrantDebt = 4 * time.Second
@@ -77,12 +82,14 @@
 // limitedUpstream is an upstream that has named a limit.
 type limitedUpstream struct {
 	Limit
-	bucket       *bucket   // of grants; nil unless this daemon grants the requests
-	changed      time.Time // when this daemon learned of the version
-	seen         time.Time // when this daemon last heard of the limit
-	refusedUntil time.Time // before this time, no request is granted
-	reported     Limit     // as of the last TakeChanges
-	publish      bool      // this daemon must publish the limit
+	bucket       *bucket                 // of grants; nil unless this daemon grants the requests
+	changed      time.Time               // when this daemon learned of the version
+	seen         time.Time               // when this daemon last heard of the limit
+	refusedUntil map[GrantKind]time.Time // before this time, no request of a kind is granted
+	resumesUntil time.Time               // before this time, no new request is granted, since resumed ones wait
+	resumeUntil  time.Time               // before this time, only resumed streams are granted requests
+	reported     Limit                   // as of the last TakeChanges
+	publish      bool                    // this daemon must publish the limit
 }
 
 // Permission is the decision whether a request may be sent to an upstream.
@@ -93,14 +100,29 @@
 	Ask     GrantRequest
 }
 
+// GrantKind is the reason for a request to an upstream.
+type GrantKind string
+
+// Kinds of grants.
+const (
+	GrantNew    GrantKind = "new"    // the request has not been answered yet
+	GrantResume GrantKind = "resume" // the rest of an answer, before new requests
+	GrantForced GrantKind = "forced" // is sent in any case and only counts towards the limit
+)
+
 // GrantRequest asks the daemon that grants the requests to an upstream for one of them.
 type GrantRequest struct {
-	Limit  Limit `json:"limit"`            // as the asking daemon knows it
-	Forced bool  `json:"forced,omitempty"` // the request is sent in any case and only counts towards the limit
+	Limit Limit     `json:"limit"` // as the asking daemon knows it
+	Kind  GrantKind `json:"kind"`
 }
 
 // Check reports the first invalid field.
-func (r GrantRequest) Check() error { return r.Limit.Check() }
+func (r GrantRequest) Check() error {
+	if r.Kind != GrantNew && r.Kind != GrantResume && r.Kind != GrantForced {
+		return errors.Errorf("kind: %q is not new, resume or forced", r.Kind)
+	}
+	return r.Limit.Check()
+}
 
 // GrantReply is the reply to a GrantRequest.
 type GrantReply struct {
@@ -113,29 +135,28 @@
 func (r GrantReply) Check() error { return r.Limit.Check() }
 
 // Request decides whether a request may be sent to an upstream, or which daemon to ask. The
-// daemon's reply goes to HandleReply. A forced request is sent in any case and only counts
-// towards the limit.
-func (g *Grants) Request(now time.Time, upstream string, forced bool) Permission {
+// daemon's reply goes to HandleReply.
+func (g *Grants) Request(now time.Time, upstream string, kind GrantKind) Permission {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	u := g.upstreams[upstream]
 	if u == nil || u.Lifted {
 		return Permission{Granted: true}
 	}
-	if wait := u.refusedUntil.Sub(now); wait > 0 && !forced {
+	if wait := u.refusedUntil[kind].Sub(now); wait > 0 {
 		return Permission{Wait: wait}
 	}
 	granter := g.granter(upstream)
 	if granter == g.Self {
-		return u.apply(now, g.grant(now, u, forced))
+		return u.apply(now, kind, g.grant(now, u, kind))
 	}
-	if until, isSilent := g.silent[granter]; isSilent && !forced {
+	if until, isSilent := g.silent[granter]; isSilent && kind != GrantForced {
 		if now.Before(until) {
 			return Permission{Wait: until.Sub(now)}
 		}
 		g.silent[granter] = now.Add(retryDelay) // the other requests wait for the reply to this one
 	}
-	return Permission{Granter: granter, Ask: GrantRequest{Limit: u.Limit, Forced: forced}}
+	return Permission{Granter: granter, Ask: GrantRequest{Limit: u.Limit, Kind: kind}}
 }
 
 // Grant decides on the request of another daemon.
@@ -149,18 +170,24 @@
 	case g.granter(u.Upstream) != g.Self:
 		return GrantReply{Limit: u.Limit, Wait: cowslipproxy.Duration(retryDelay)}
 	default:
-		return g.grant(now, u, request.Forced)
+		return g.grant(now, u, request.Kind)
 	}
 }
 
-func (g *Grants) grant(now time.Time, u *limitedUpstream, forced bool) GrantReply {
+func (g *Grants) grant(now time.Time, u *limitedUpstream, kind GrantKind) GrantReply {
 	g.fill(now, u)
 	u.seen = now
-	if forced {
+	switch resumesFor := u.resumesUntil.Sub(now); {
+	case kind == GrantForced:
 		u.bucket.availableTokens = math.Max(u.bucket.availableTokens-1, -u.bucket.rate*maxGrantDebt.Seconds())
 		return GrantReply{Limit: u.Limit, Granted: true}
+	case kind == GrantNew && resumesFor > 0:
+		return GrantReply{Limit: u.Limit, Wait: cowslipproxy.Duration(resumesFor)}
 	}
 	wait, granted := u.bucket.take(now, 1)
+	if kind == GrantResume && !granted {
+		u.resumesUntil = now.Add(wait + resumeTime)
+	}
 	return GrantReply{Limit: u.Limit, Granted: granted, Wait: cowslipproxy.Duration(wait)}
 }
 
@@ -183,7 +210,7 @@
 	if reply.Limit.Upstream != asked.Ask.Limit.Upstream {
 		return Permission{Wait: retryDelay}
 	}
-	return g.merge(now, reply.Limit).apply(now, reply)
+	return g.merge(now, reply.Limit).apply(now, asked.Ask.Kind, reply)
 }
 
 // HandleNoReply records that the daemon that was asked did not reply. Until it is asked
@@ -198,11 +225,14 @@
 	return Permission{Wait: retryDelay}
 }
 
-func (u *limitedUpstream) apply(now time.Time, reply GrantReply) Permission {
+func (u *limitedUpstream) apply(now time.Time, kind GrantKind, reply GrantReply) Permission {
 	if reply.Granted {
 		return Permission{Granted: true}
 	}
-	u.refusedUntil = now.Add(time.Duration(reply.Wait))
+	if u.refusedUntil == nil {
+		u.refusedUntil = map[GrantKind]time.Time{}
+	}
+	u.refusedUntil[kind] = now.Add(time.Duration(reply.Wait))
 	return Permission{Wait: time.Duration(reply.Wait)}
 }
 
--- a/limiter/grants_fleet_test.go
+++ b/limiter/grants_fleet_test.go
@@ -126,7 +126,7 @@
 func (f *grantFleet) send() {
 	number := f.random.IntN(len(f.daemons))
 	daemon := f.daemons[number]
-	permission := daemon.Request(f.now, limited, false)
+	permission := daemon.Request(f.now, limited, limiter.GrantNew)
 	granted := permission.Granted
 	if permission.Granter != "" && number != f.frozen {
 		granted = f.ask(number, permission)
--- a/limiter/grants_test.go
+++ b/limiter/grants_test.go
@@ -24,13 +24,13 @@
 // exceeded or not used.
 func TestGrantsFollowTheNamedRate(t *testing.T) {
 	g := newGrants()
-	require.True(t, g.Request(epoch, "another", false).Granted)
-	refused := g.Request(epoch, limited, false)
+	require.True(t, g.Request(epoch, "another", limiter.GrantNew).Granted)
+	refused := g.Request(epoch, limited, limiter.GrantNew)
 	require.False(t, refused.Granted)
 	require.Equal(t, 500*time.Millisecond, refused.Wait)
 	granted := 0
 	for elapsed := time.Duration(0); elapsed < 10*time.Second; elapsed += 10 * time.Millisecond {
-		if g.Request(at(elapsed), limited, false).Granted {
+		if g.Request(at(elapsed), limited, limiter.GrantNew).Granted {
 			granted++
 		}
 	}
@@ -41,10 +41,20 @@
 func TestForcedRequestsCount(t *testing.T) {
 	g := newGrants()
 	for range 3 {
-		require.True(t, g.Request(epoch, limited, true).Granted)
+		require.True(t, g.Request(epoch, limited, limiter.GrantForced).Granted)
 	}
-	require.False(t, g.Request(at(1900*time.Millisecond), limited, false).Granted)
-	require.True(t, g.Request(at(2100*time.Millisecond), limited, false).Granted)
+	require.False(t, g.Request(at(1900*time.Millisecond), limited, limiter.GrantNew).Granted)
+	require.True(t, g.Request(at(2100*time.Millisecond), limited, limiter.GrantNew).Granted)
+}
+
+// Guards against new requests that take the grants for which answers that have begun wait.
+func TestResumedStreamsGoFirst(t *testing.T) {
+	g := newGrants()
+	require.False(t, g.Request(epoch, limited, limiter.GrantResume).Granted)
+	require.False(t, g.Request(at(500*time.Millisecond), limited, limiter.GrantNew).Granted)
+	require.True(t, g.Request(at(510*time.Millisecond), limited, limiter.GrantResume).Granted)
+	require.False(t, g.Request(at(520*time.Millisecond), limited, limiter.GrantResume).Granted)
+	require.True(t, g.Request(at(3*time.Second), limited, limiter.GrantNew).Granted, "the resumed stream has ended meanwhile")
 }
 
 // Guards against a limit that ends because of a reply to a request from before, and against
@@ -52,22 +62,22 @@
 func TestOnlyLaterRepliesChangeALimit(t *testing.T) {
 	g := newGrants()
 	g.NotNamed(at(time.Second), at(-time.Second), limited)
-	require.False(t, g.Request(at(0), limited, false).Granted)
+	require.False(t, g.Request(at(0), limited, limiter.GrantNew).Granted)
 	g.NotNamed(at(time.Second), at(500*time.Millisecond), limited)
-	require.True(t, g.Request(at(time.Second), limited, false).Granted)
-	require.True(t, g.Request(at(time.Second), limited, false).Granted)
+	require.True(t, g.Request(at(time.Second), limited, limiter.GrantNew).Granted)
+	require.True(t, g.Request(at(time.Second), limited, limiter.GrantNew).Granted)
 	g.Named(at(2*time.Second), at(900*time.Millisecond), limited, 2)
-	require.True(t, g.Request(at(2*time.Second), limited, false).Granted, "a late reply brought the limit back")
+	require.True(t, g.Request(at(2*time.Second), limited, limiter.GrantNew).Granted, "a late reply brought the limit back")
 	g.Named(at(3*time.Second), at(2*time.Second), limited, 2)
-	require.False(t, g.Request(at(3*time.Second), limited, false).Granted)
+	require.False(t, g.Request(at(3*time.Second), limited, limiter.GrantNew).Granted)
 }
 
 // Guards against a limit of 0 that never ends because its end can't be noticed.
 func TestLimitOfZeroIsTested(t *testing.T) {
 	g := &limiter.Grants{Self: "a"}
 	g.Named(epoch, epoch, limited, 0)
-	require.False(t, g.Request(at(time.Second), limited, false).Granted)
-	require.True(t, g.Request(at(6*time.Second), limited, false).Granted)
+	require.False(t, g.Request(at(time.Second), limited, limiter.GrantNew).Granted)
+	require.True(t, g.Request(at(6*time.Second), limited, limiter.GrantNew).Granted)
 }
 
 // Guards against daemons that end up with different limits, depending on the order in which
@@ -92,7 +102,7 @@
 // grantedIn returns how many requests are granted from a time on within 20 s.
 func grantedIn(g *limiter.Grants, from time.Duration) (granted int) {
 	for elapsed := from; elapsed < from+20*time.Second; elapsed += 10 * time.Millisecond {
-		if g.Request(at(elapsed), limited, false).Granted {
+		if g.Request(at(elapsed), limited, limiter.GrantNew).Granted {
 			granted++
 		}
 	}
@@ -145,15 +155,15 @@
 	for _, upstream := range []string{limited, "i-2/run"} {
 		g.Merge(epoch, limiter.Limit{Upstream: upstream, Version: 1, Rate: 100})
 	}
-	asked := g.Request(epoch, limited, false)
+	asked := g.Request(epoch, limited, limiter.GrantNew)
 	require.Equal(t, "b", asked.Granter)
 	require.False(t, g.HandleNoReply(epoch, asked).Granted)
-	require.Empty(t, g.Request(at(100*time.Millisecond), "i-2/run", false).Granter)
-	asked = g.Request(at(200*time.Millisecond), "i-2/run", false)
+	require.Empty(t, g.Request(at(100*time.Millisecond), "i-2/run", limiter.GrantNew).Granter)
+	asked = g.Request(at(200*time.Millisecond), "i-2/run", limiter.GrantNew)
 	require.Equal(t, "b", asked.Granter)
-	require.Empty(t, g.Request(at(200*time.Millisecond), limited, false).Granter)
+	require.Empty(t, g.Request(at(200*time.Millisecond), limited, limiter.GrantNew).Granter)
 	require.True(t, g.HandleReply(at(210*time.Millisecond), asked, limiter.GrantReply{Limit: asked.Ask.Limit, Granted: true}).Granted)
-	require.Equal(t, "b", g.Request(at(210*time.Millisecond), limited, false).Granter)
+	require.Equal(t, "b", g.Request(at(210*time.Millisecond), limited, limiter.GrantNew).Granter)
 }
 
 // Guards against a table that grows with each upstream that ever named a limit.
--- a/limiter/named.go
+++ b/limiter/named.go
@@ -112,7 +112,7 @@
 		u = &limitedUpstream{}
 		g.upstreams[limit.Upstream] = u
 	}
-	u.Limit, u.changed, u.seen, u.refusedUntil = limit, now, now, time.Time{}
+	u.Limit, u.changed, u.seen, u.refusedUntil = limit, now, now, nil
 	u.publish = u.publish || publish
 	g.updateGranter(now, u)
 	g.notify()
--- a/relayer/limits.go
+++ b/relayer/limits.go
@@ -21,8 +21,8 @@
 // Upstreams are given by their incarnation.
 type Limits interface {
 	// Acquire reports whether a request may be sent to an upstream. If it may not, wait is
-	// the time after which the next one may.
-	Acquire(ctx context.Context, upstream string) (granted bool, wait time.Duration)
+	// the time after which the next one may. The rest of an answer goes before new requests.
+	Acquire(ctx context.Context, upstream string, isResumed bool) (granted bool, wait time.Duration)
 	// Charge counts a request that is sent in any case.
 	Charge(ctx context.Context, upstream string)
 	// Named records that a reply named a limit in requests per second.
@@ -33,7 +33,8 @@
 
 // acquire reports whether a request may be sent to an upstream.
 func (x *exchange) acquire(ctx context.Context, upstream string) bool {
-	granted, wait := x.Limits.Acquire(ctx, upstream)
+	isResumed := x.eventsSent > 0 || x.callerRequest.LastEventID != ""
+	granted, wait := x.Limits.Acquire(ctx, upstream, isResumed)
 	if granted {
 		return true
 	}
--- a/relayer/state_cache.go
+++ b/relayer/state_cache.go
@@ -51,7 +51,7 @@
 			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stateTimeout)
 			defer cancel()
 			defer close(query.done)
-			if granted, _ := server.Limits.Acquire(ctx, engine.Incarnation()); !granted {
+			if granted, _ := server.Limits.Acquire(ctx, engine.Incarnation(), false); !granted {
 				query.err = errors.WithStack(errAtLimit)
 				return
 			}
