--- a/cowslipd/relay/limits.go
+++ b/cowslipd/relay/limits.go
@@ -57,13 +57,14 @@
 func (l *limits) Charge(ctx context.Context, upstream string) {
 	permission := l.Request(l.daemon.Clock(), upstream, limiter.GrantForced)
 	if permission.Granter != "" {
-		go l.ask(context.WithoutCancel(ctx), upstream, permission)
+		go l.ask(ctx, upstream, permission)
 	}
 }
 
-// ask asks the daemon that grants the requests to an upstream for one of them.
+// ask asks the daemon that grants the requests to an upstream for one of them. It does not
+// end with the caller's request, which would look as if that daemon did not reply.
 func (l *limits) ask(ctx context.Context, upstream string, permission limiter.Permission) limiter.Permission {
-	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grantTimeout)
 	defer cancel()
 	reply, err := l.sendAsk(ctx, permission)
 	now := l.daemon.Clock()
