gossiper: do not apply items after a gap

What callers saw: a daemon that was replaced could stay without another daemon's hello, so that its address answers and its membership never had that daemon.

Cause: a daemon that has not heard of the new incarnation of a peer at the same name sends it the items after the position that the old one had acknowledged. The receiver did not count them as acknowledged, but applied them. A version stands for all items of an owner up to it, so that the missing earlier ones looked held, and no comparison transferred them.

TestItemsAfterAGapAreNotApplied failed before: the item with version 2 was applied without the one with version 1.

Fix: items of a message that continues after a position that this daemon has not reached are dropped. The hashes then differ, and a comparison transfers all of them.

The relay is not touched, since its daemons have a new name at each start.

--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -94,7 +94,11 @@
 	if message.ToIncarnation == g.Self.Incarnation {
 		p.acked = max(p.acked, message.Ack)
 	}
-	fresh := g.store.Apply(message.Items, message.From.Name, now)
+	items := message.Items
+	if hasGap(p, message) {
+		items = nil
+	}
+	fresh := g.store.Apply(items, message.From.Name, now)
 	if g.coversPosition(p, message) {
 		p.received = max(p.received, message.Seq)
 	}
@@ -113,6 +117,14 @@
 	return due
 }
 
+// hasGap reports whether a message continues after a position that this daemon has not
+// reached. A peer sends such a message if only an earlier incarnation of this daemon had
+// reached it. The versions of its items would mask the missing ones, which a comparison
+// would then not transfer.
+func hasGap(p *peer, message Exchange) bool {
+	return len(message.Slots) == 0 && message.Base > p.received
+}
+
 // coversPosition reports whether all items up to the message's position are
 // held. The position must not be acknowledged before that: the peer would
 // continue with a later item, and its version would mask the earlier items of
