gossiper: close connections that tests dial while they partition data centres

TestPartitionedDataCentresMerge failed now and then: the sides of a cut did not agree within 60 s. Cause: the test's network checked the partition before it dialed and closed only connections that were open when the partition began. One that was being dialed just then stayed and connected the sides, so that daemons refuted the reports that they were down, as they must.

Evidence: in the dump of a failed run all reports of each side about the other are refuted by versions that only an exchange during the partition can have carried.

The fixture now checks again after dialing. No bound changes; the test is as strict.

--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -60,6 +60,10 @@
 		c := &trackedConn{Conn: conn, network: n, ends: ends}
 		n.mu.Lock()
 		defer n.mu.Unlock()
+		if n.partitioned[ends] { // since the dial began
+			_ = conn.Close() // nothing was sent
+			return nil, errors.New("data centres are partitioned")
+		}
 		n.open[c] = true
 		return c, nil
 	}
