limiter: ask again after 2 s at most, and shorten the comments of new tests

A refusal may name a wait of minutes, when a daemon grants the smallest rate for a small part of the fleet. The asking daemon kept that wait after the others were back. It asks again after 2 s now. A field that nothing read is gone.

--- a/cowslipd/relay/limit_test.go
+++ b/cowslipd/relay/limit_test.go
@@ -79,8 +79,7 @@
 	return d
 }
 
-// Guards against daemons that each keep the limit of an upstream for themselves, or not
-// at all, and against refusals while other upstreams are free.
+// Guards against a limit that each daemon keeps for itself, and needless refusals.
 func TestUpstreamLimitBindsAllDaemons(t *testing.T) {
 	for _, daemons := range poisonFleets {
 		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
@@ -118,8 +117,7 @@
 	traffic.add(at, got.err == nil && got.body == streamBody(got.id, 1, limitedTokens))
 }
 
-// Guards against requests that wait for upstreams at their limits until they time out,
-// and against refusals that count as failures of the upstreams.
+// Guards against requests that wait for upstreams at their limits until they time out.
 func TestRequestsBeyondAllLimitsAreRefusedAtOnce(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 4)
--- a/cowslipd/relay/poison_test.go
+++ b/cowslipd/relay/poison_test.go
@@ -165,8 +165,7 @@
 	})
 }
 
-// Guards against a request that its caller repeats without a change, and that crashes
-// engine after engine.
+// Guards against a repeated request that crashes engine after engine.
 func TestRequestThatCrashesEnginesIsQuarantined(t *testing.T) {
 	t.Parallel()
 	checkPoison(t, deployForPoison(t, 4), allowedRequestCrashes, func(int) []string { return []string{sharedPart, poisonousPart} })
@@ -201,8 +200,7 @@
 	return d.send(d.daemons[daemon], call{path: lettersPath + "1", tokens: soundTokens, header: promptHeader(poisonousPart, strconv.FormatInt(d.ids.Load(), 16))})
 }
 
-// Guards against a quarantine that is lost when all daemons are replaced, and against one
-// that operators cannot end.
+// Guards against a quarantine that is lost with the daemons, or can't be lifted.
 func TestQuarantineOutlivesDaemonsUntilItIsLifted(t *testing.T) {
 	t.Parallel()
 	d := deployForPoison(t, 2)
@@ -238,8 +236,7 @@
 	require.Equal(t, http.StatusOK, d.sendPoison(0).status)
 }
 
-// Guards against the quarantine of the part that all requests share, because engines
-// crash while requests with it are in flight.
+// Guards against the quarantine of a shared part because of other crashes.
 func TestSharedPartIsNotQuarantinedByOtherCrashes(t *testing.T) {
 	t.Parallel()
 	d := deployForPoison(t, 4)
--- a/cowslipd/relay/streams_test.go
+++ b/cowslipd/relay/streams_test.go
@@ -77,8 +77,7 @@
 	require.Positive(t, resumed)
 }
 
-// Guards against a stream without length or chunks that breaks off within an event, or
-// before the first one, and is passed on as complete.
+// Guards against streams without length or chunks that break off and look complete.
 func TestUnframedStreamThatBreaksOffIsResumed(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 1)
--- a/gossiper/exchange_test.go
+++ b/gossiper/exchange_test.go
@@ -96,8 +96,7 @@
 	requireMember(t, g)
 }
 
-// Guards against applying items that follow on a position which only an earlier
-// incarnation of this daemon had reached. Their versions hide the missing items.
+// Guards against items whose versions hide earlier ones that were never received.
 func TestItemsAfterAGapAreNotApplied(t *testing.T) {
 	g, c := connect(t)
 	first, second := remoteItems(t)
--- a/limiter/grants.go
+++ b/limiter/grants.go
@@ -15,6 +15,9 @@
 const (
 	// grantBurst is the time over which unused grants accumulate.
 	grantBurst = 500 * time.Millisecond
+	// maxWait is the longest time until a daemon asks again after a refusal, since the rate
+	// of grants rises when more daemons are visible.
+	maxWait = 2 * time.Second
 	// resumeTime is how long new requests wait for a resumed one that was refused to ask
 	// again.
 	resumeTime = 200 * time.Millisecond
@@ -87,7 +90,6 @@
 	seen         time.Time               // when this daemon last heard of the limit
 	refusedUntil map[GrantKind]time.Time // before this time, no request of a kind is granted
 	resumesUntil time.Time               // before this time, no new request is granted, since resumed ones wait
-	resumeUntil  time.Time               // before this time, only resumed streams are granted requests
 	reported     Limit                   // as of the last TakeChanges
 	publish      bool                    // this daemon must publish the limit
 }
@@ -232,8 +234,9 @@
 	if u.refusedUntil == nil {
 		u.refusedUntil = map[GrantKind]time.Time{}
 	}
-	u.refusedUntil[kind] = now.Add(time.Duration(reply.Wait))
-	return Permission{Wait: time.Duration(reply.Wait)}
+	wait := min(time.Duration(reply.Wait), maxWait)
+	u.refusedUntil[kind] = now.Add(wait)
+	return Permission{Wait: wait}
 }
 
 // granter returns the daemon that grants the requests to an upstream.
--- a/limiter/grants_fleet_test.go
+++ b/limiter/grants_fleet_test.go
@@ -218,8 +218,7 @@
 	checkGrantFleets(t, func(*grantFleet, time.Duration) {})
 }
 
-// Guards against two daemons that both grant the whole limit, because daemons start again
-// and others learn of it at different times.
+// Guards against two daemons that both grant the whole limit while others restart.
 func TestFleetKeepsLimitWhileDaemonsRestart(t *testing.T) {
 	checkGrantFleets(t, func(f *grantFleet, elapsed time.Duration) {
 		if elapsed%(2*time.Second) == 0 && elapsed > 0 {
@@ -228,8 +227,7 @@
 	})
 }
 
-// Guards against parts of a fleet that can't reach each other and each grant the whole
-// limit, and against daemons that wait for one that does not answer.
+// Guards against parts of a cut fleet that each grant the whole limit.
 func TestFleetKeepsLimitWhileCutApart(t *testing.T) {
 	checkGrantFleets(t, func(f *grantFleet, elapsed time.Duration) {
 		switch {
--- a/limiter/grants_test.go
+++ b/limiter/grants_test.go
@@ -20,8 +20,7 @@
 
 func at(elapsed time.Duration) time.Time { return epoch.Add(elapsed) }
 
-// Guards against requests without a limit that are held back, and against a limit that is
-// exceeded or not used.
+// Guards against a limit that is exceeded, unused, or applied to other upstreams.
 func TestGrantsFollowTheNamedRate(t *testing.T) {
 	g := newGrants()
 	require.True(t, g.Request(epoch, "another", limiter.GrantNew).Granted)
@@ -57,8 +56,7 @@
 	require.True(t, g.Request(at(3*time.Second), limited, limiter.GrantNew).Granted, "the resumed stream has ended meanwhile")
 }
 
-// Guards against a limit that ends because of a reply to a request from before, and against
-// one that does not end.
+// Guards against late replies that end a limit or bring it back.
 func TestOnlyLaterRepliesChangeALimit(t *testing.T) {
 	g := newGrants()
 	g.NotNamed(at(time.Second), at(-time.Second), limited)
@@ -80,8 +78,7 @@
 	require.True(t, g.Request(at(6*time.Second), limited, limiter.GrantNew).Granted)
 }
 
-// Guards against daemons that end up with different limits, depending on the order in which
-// they hear of them.
+// Guards against daemons that end up with different limits.
 func TestLimitsMergeInAnyOrder(t *testing.T) {
 	limits := []limiter.Limit{
 		{Upstream: limited, Version: 1, Rate: 8}, {Upstream: limited, Version: 1, Rate: 7},
@@ -109,8 +106,7 @@
 	return granted
 }
 
-// Guards against a daemon that grants the whole limit while it can't reach the others, and
-// against one that never does so after the others are gone.
+// Guards against a cut-off daemon that grants the whole limit, or less for ever.
 func TestCutOffDaemonGrantsItsPart(t *testing.T) {
 	g := newGrants()
 	g.SetDaemons(epoch, []string{"a"}, 4)
@@ -125,8 +121,7 @@
 	require.InDelta(t, 40/16, grantedIn(started, 0), 1, "a daemon that has met no other one yet")
 }
 
-// Guards against a daemon that starts and learns a limit from its upstream only, because
-// the daemon that published the limit is gone.
+// Guards against limits that are lost with the daemon that published them.
 func TestGrantingDaemonPublishesLimits(t *testing.T) {
 	g := &limiter.Grants{Self: "a"}
 	g.SetDaemons(epoch, []string{"a", "b", "c", "d"}, 4)
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -302,8 +302,7 @@
 	require.LessOrEqual(t, later, allowedSends, "seed %d", seed)
 }
 
-// Guards against one part of prompts that crashes upstream after upstream because no
-// daemon sees enough of the crashes.
+// Guards against a part that crashes upstreams, of which no daemon sees enough.
 func TestFleetQuarantinesPartThatCrashesUpstreams(t *testing.T) {
 	for _, daemons := range fleetSizes {
 		most := 0
@@ -316,8 +315,7 @@
 	}
 }
 
-// Guards against daemons that forget a quarantined part in a restart, or that never learn
-// of it because they were cut off.
+// Guards against daemons that forget a quarantined part or never learn of it.
 func TestFleetQuarantineOutlivesRestartsAndCuts(t *testing.T) {
 	for _, daemons := range fleetSizes {
 		for seed := range fleetSeeds(daemons) {
@@ -336,8 +334,7 @@
 	}
 }
 
-// Guards against an outage after all daemons started again while such requests come, when
-// no daemon knows yet which parts are sound.
+// Guards against an outage while no daemon knows yet which parts are sound.
 func TestFleetWithoutHistoryServesSoundRequests(t *testing.T) {
 	for _, daemons := range fleetSizes {
 		effective := 0
@@ -362,8 +359,7 @@
 	}
 }
 
-// Guards against the quarantine of parts that many requests share because upstreams crash
-// for other reasons.
+// Guards against the quarantine of shared parts because of other crashes.
 func TestFleetDoesNotQuarantineSharedParts(t *testing.T) {
 	for _, daemons := range fleetSizes {
 		crashes := 0
