relayer: log the trials of quarantined fingerprints

A quarantined part of prompts is tried again by one daemon, but no log line named the request that was sent. A send after the quarantine could not be told from one by a daemon that had not learned of it. Event 921 has the request, the upstream and the fingerprints, and quarantiner.trials counts the trials. Admit returns the fingerprints that a request tries.

--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -40,16 +40,17 @@
 }
 
 // Admit returns a failure if a request must not run because one of its fingerprints is
-// quarantined. It permits a trial of them if one is due. The next crash or answer tells
-// how the trial ended.
-func (q *Quarantiner) Admit(now time.Time, fingerprints []RequestFingerprint) *cowslipproxy.Failure {
+// quarantined. If a trial of them is due, it permits the request and returns them as tried.
+// The next crash or answer tells how the trial ended.
+func (q *Quarantiner) Admit(now time.Time, fingerprints []RequestFingerprint) (tried []RequestFingerprint, failure *cowslipproxy.Failure) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	held := q.quarantined(now, fingerprints)
 	if !q.isTrialDue(now, held) {
-		return q.refusal(now, held)
+		return nil, q.refusal(now, held)
 	}
 	for _, e := range held {
+		tried = append(tried, e.RequestFingerprint)
 		e.trialDue = now.Add(trialDelay)
 		if e.Tried == 0 {
 			record := e.Record
@@ -58,7 +59,7 @@
 			q.markLocal(e)
 		}
 	}
-	return nil
+	return tried, nil
 }
 
 // Reject returns a failure if a request must not be sent again because one of its
--- a/quarantiner/evidence_test.go
+++ b/quarantiner/evidence_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/quarantiner"
 )
 
@@ -19,6 +20,12 @@
 	return &quarantiner.Quarantiner{Self: name, Threshold: fleetThreshold, Concurrent: true}
 }
 
+// refusal returns the failure of a request that may not run.
+func refusal(q *quarantiner.Quarantiner, now time.Time, fingerprints []quarantiner.RequestFingerprint) *cowslipproxy.Failure {
+	_, failure := q.Admit(now, fingerprints)
+	return failure
+}
+
 // crashUpstreams records crashes of distinct upstreams.
 func crashUpstreams(q *quarantiner.Quarantiner, now time.Time, first, count int, fingerprints ...quarantiner.RequestFingerprint) {
 	for i := range count {
@@ -36,12 +43,12 @@
 	}
 	a.Merge(epoch, b.Records(epoch))
 	require.Equal(t, quarantiner.StateSuspect, a.State(epoch, badPart))
-	require.Nil(t, a.Admit(epoch, bothParts))
+	require.Nil(t, refusal(a, epoch, bothParts))
 	crashUpstreams(b, epoch, 2, 1, badPart)
 	a.Merge(epoch, b.Records(epoch))
 	now := epoch.Add(time.Second)
-	require.Contains(t, a.Admit(now, bothParts).Message, "upstream-2")
-	require.Nil(t, a.Admit(now, bothParts[:1]))
+	require.Contains(t, refusal(a, now, bothParts).Message, "upstream-2")
+	require.Nil(t, refusal(a, now, bothParts[:1]))
 }
 
 // Guards against the quarantine of a part on which another daemon's requests are answered.
@@ -86,14 +93,14 @@
 		for _, q := range all {
 			q.SetPeers(names)
 			q.Merge(epoch, all[0].Records(epoch))
-			require.NotNil(t, q.Admit(epoch.Add(2*time.Second), bothParts[:1]))
+			require.NotNil(t, refusal(q, epoch.Add(2*time.Second), bothParts[:1]))
 		}
 		now := epoch.Add(4 * time.Second)
 		var trying *quarantiner.Quarantiner
 		trials := 0
 		for range 2 {
 			for _, q := range all {
-				if q.Admit(now, bothParts[:1]) == nil {
+				if refusal(q, now, bothParts[:1]) == nil {
 					trying = q
 					trials++
 				}
@@ -102,7 +109,7 @@
 		require.Equal(t, 1, trials)
 		trying.Survived(now, bothParts[:1])
 		all[0].Merge(now, trying.Records(now))
-		require.Nil(t, all[0].Admit(now, bothParts[:1]))
+		require.Nil(t, refusal(all[0], now, bothParts[:1]))
 		require.Equal(t, quarantiner.StateQuarantined, all[0].State(now, badPart))
 	}
 }
@@ -114,7 +121,7 @@
 	now, crashes := epoch, fleetThreshold
 	for range 20 {
 		now = now.Add(4 * time.Second)
-		if q.Admit(now, bothParts) == nil {
+		if refusal(q, now, bothParts) == nil {
 			require.NotNil(t, q.Reject(now, bothParts))
 			crashUpstreams(q, now, crashes, 1, bothParts...)
 			crashes++
@@ -125,12 +132,12 @@
 	otherPart := quarantiner.PartFingerprint("scribe", "other")
 	crashUpstreams(q, now, crashes, fleetThreshold, otherPart)
 	now = now.Add(4 * time.Second)
-	require.Nil(t, q.Admit(now, []quarantiner.RequestFingerprint{soundPart, otherPart}), "one failed trial ends those of other requests")
+	require.Nil(t, refusal(q, now, []quarantiner.RequestFingerprint{soundPart, otherPart}), "one failed trial ends those of other requests")
 	q.Survived(now, []quarantiner.RequestFingerprint{soundPart, otherPart})
-	require.Nil(t, q.Admit(now, bothParts[:1]))
-	require.NotNil(t, q.Admit(now, bothParts))
+	require.Nil(t, refusal(q, now, bothParts[:1]))
+	require.NotNil(t, refusal(q, now, bothParts))
 	require.True(t, q.Lift(now, badPart))
-	require.Nil(t, q.Admit(now, bothParts))
+	require.Nil(t, refusal(q, now, bothParts))
 }
 
 // Guards against a trial that is not repeated although the upstreams did not run it.
@@ -138,6 +145,6 @@
 	q := newConcurrent("a")
 	crashUpstreams(q, epoch, 0, fleetThreshold, badPart)
 	for i := range 5 {
-		require.Nil(t, q.Admit(epoch.Add(time.Duration(i+1)*4*time.Second), bothParts))
+		require.Nil(t, refusal(q, epoch.Add(time.Duration(i+1)*4*time.Second), bothParts))
 	}
 }
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -147,7 +147,7 @@
 	if !poisonous {
 		f.sound++
 	}
-	if failure := f.daemons[request.daemon].Admit(f.now, fingerprints); failure != nil {
+	if _, failure := f.daemons[request.daemon].Admit(f.now, fingerprints); failure != nil {
 		if !poisonous {
 			f.refused++
 		}
--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -39,6 +39,25 @@
 // publicCustomer is the customer of requests on routes that need no key.
 const publicCustomer = "public"
 
+// recordTrial records that the request is sent to find out whether its quarantined
+// fingerprints are sound.
+func (x *exchange) recordTrial(upstream string) {
+	if len(x.tried) == 0 {
+		return
+	}
+	reporter.Count(x.Metrics, reporter.MetricTrials)
+	reporter.EventQuarantineTrial.Log(context.Background(), x.Logger, slog.String("request", x.callerRequest.ID), slog.String("upstream", upstream),
+		slog.Any("fingerprints", keysOf(x.tried)))
+	x.tried = nil
+}
+
+func keysOf(fingerprints []quarantiner.RequestFingerprint) (keys []string) {
+	for _, fp := range fingerprints {
+		keys = append(keys, fp.Key())
+	}
+	return keys
+}
+
 // isQuarantined reports whether the request must not be sent again.
 func (x *exchange) isQuarantined() bool {
 	return x.Quarantine.Reject(x.Clock(), x.fingerprints) != nil
@@ -48,12 +67,8 @@
 func (x *exchange) recordCrash(upstream, incarnation string, received int) {
 	x.Quarantine.Crash(x.Clock(), incarnation, x.fingerprints)
 	reporter.Count(x.Metrics, reporter.MetricCrashes)
-	var keys []string
-	for _, fp := range x.fingerprints {
-		keys = append(keys, fp.Key())
-	}
 	reporter.EventInFlightAtCrash.Log(context.Background(), x.Logger, slog.String("request", x.callerRequest.ID), slog.String("upstream", upstream),
-		slog.String("incarnation", incarnation), slog.Int("received", received), slog.Any("parts", x.callerRequest.SharedParts()), slog.Any("fingerprints", keys))
+		slog.String("incarnation", incarnation), slog.Int("received", received), slog.Any("parts", x.callerRequest.SharedParts()), slog.Any("fingerprints", keysOf(x.fingerprints)))
 }
 
 // recordCrash records the end of an attempt as a crash of its first engine, which writes
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -52,6 +52,7 @@
 	if request, err = x.Dialect.Request(httptrace.WithClientTrace(ctx, trace), x.callerRequest, to); err != nil {
 		return upstreamReply{}, errors.Wrap(cowslipproxy.ErrNotStarted, err.Error())
 	}
+	x.recordTrial(upstream)
 	sent := x.Clock()
 	response, err := x.Transport.RoundTrip(request)
 	if err != nil && !connected.Load() {
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -89,6 +89,7 @@
 	deadline      time.Time
 	version       uint64                           // version of the configuration
 	fingerprints  []quarantiner.RequestFingerprint // of the request and the shared parts of its prompt
+	tried         []quarantiner.RequestFingerprint // quarantined ones that the request is a trial of, until it is sent
 	attempts      int                              // number of attempts that upstreams may have executed
 	status        int                              // HTTP status sent to the caller; 0 before the header is sent
 	path          []cowslipproxy.Hop               // path of the last attempt
@@ -189,7 +190,8 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.fingerprints = fingerprintsOf(x.callerRequest, x.service.Name, x.customer.Name)
-	if failure := x.Quarantine.Admit(x.Clock(), x.fingerprints); failure != nil {
+	var failure *cowslipproxy.Failure
+	if x.tried, failure = x.Quarantine.Admit(x.Clock(), x.fingerprints); failure != nil {
 		reporter.Count(x.Metrics, reporter.MetricQuarantineRefusals)
 		return failure
 	}
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -36,6 +36,7 @@
 	MetricSuspects           = "quarantiner.suspects"    // fingerprints of current suspects
 	MetricQuarantined        = "quarantiner.quarantined" // fingerprints currently quarantined
 	MetricQuarantineRefusals = "quarantiner.refusals"    // requests that the relay refused because of a quarantined fingerprint
+	MetricTrials             = "quarantiner.trials"      // requests that the relay sent to find out whether quarantined fingerprints are sound
 
 	MetricClaims         = "claimer.dispatched" // non-idempotent requests that were dispatched
 	MetricClaimsRefused  = "claimer.refused"    // non-idempotent requests that were refused
