quarantiner: bound the trials of a fingerprint that have no result

A trial of a quarantined part whose request the upstream refused, or whose caller left, was repeated every 3 s for as long as the record was held. Each of them reaches an upstream, and the platform allows three requests after the fifth crash, for all daemons together.

Cause: only trials that crashed an upstream were counted. The record now has the number of requests that were sent as trials, by all daemons. After two of them one follows each minute. A request that is admitted as a trial and never sent does not count.

TestInconclusiveTrialIsRepeated asked for five trials in 20 s, which is more than the platform allows. TestTrialsWithoutResultAreRepeatedAndBounded replaces it: trials are repeated over four minutes, and at most three are sent in the first two.

--- a/cowslipd/relay/quarantine.go
+++ b/cowslipd/relay/quarantine.go
@@ -96,7 +96,7 @@
 	}
 	reporter.EventQuarantineChanged.Log(ctx, d.Logger, slog.String("fingerprint", change.Key()), slog.String("customer", change.Customer), slog.Bool("part", change.Part),
 		slog.String("before", string(change.Before)), slog.String("after", string(change.After)), slog.Uint64("version", change.Version), slog.Any("crashes", crashes),
-		slog.Int("tried", change.Tried), slog.Bool("local", change.Local))
+		slog.Int("tried", change.Tried), slog.Int("trials", change.Trials), slog.Bool("local", change.Local))
 	if !change.Local {
 		return
 	}
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -11,9 +11,14 @@
 )
 
 const (
-	// trialDelay is the time after the last crash, and after an inconclusive trial, until
+	// trialDelay is the time after the last crash, and after a trial without a result, until
 	// a request is run to find out whether a quarantined fingerprint is sound.
 	trialDelay = 3 * time.Second
+	// lateTrialDelay is the time after a trial without a result from the maxQuickTrials-th
+	// one on. Few requests may reach upstreams once it is known that they crash them, and a
+	// second daemon may run a trial at the same time.
+	lateTrialDelay = time.Minute
+	maxQuickTrials = 2
 	// maxFailedTrials bounds the upstreams that the trials of a fingerprint crash.
 	maxFailedTrials = 2
 	// objectionTime is how long a daemon waits for objections after it first knew of a crash,
@@ -41,7 +46,8 @@
 
 // Admit returns a failure if a request must not run because one of its fingerprints is
 // quarantined. If a trial of them is due, it permits the request and returns them as tried.
-// The next crash or answer tells how the trial ended.
+// RecordTrial must be called when the request is sent. The next crash or answer is the result
+// of the trial.
 func (q *Quarantiner) Admit(now time.Time, fingerprints []RequestFingerprint) (tried []RequestFingerprint, failure *cowslipproxy.Failure) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -51,15 +57,37 @@
 	}
 	for _, e := range held {
 		tried = append(tried, e.RequestFingerprint)
-		e.trialDue = now.Add(trialDelay)
-		if e.Tried == 0 {
-			record := e.Record
+		e.postponeTrial(now)
+	}
+	return tried, nil
+}
+
+// RecordTrial records that a request is sent as a trial of its quarantined fingerprints.
+func (q *Quarantiner) RecordTrial(now time.Time, tried []RequestFingerprint) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for _, fp := range tried {
+		e := q.entry(now, fp)
+		if e == nil || q.state(e) != StateQuarantined {
+			continue // cleared since the request was admitted
+		}
+		record := e.Record
+		record.Trials++
+		if record.Tried == 0 {
 			record.Tried = len(e.Crashes)
-			q.update(e, record)
-			q.markLocal(e)
 		}
+		q.update(e, record)
+		q.markLocal(e)
+		e.postponeTrial(now)
 	}
-	return tried, nil
+}
+
+func (e *entry) postponeTrial(now time.Time) {
+	delay := trialDelay
+	if e.Trials >= maxQuickTrials {
+		delay = lateTrialDelay
+	}
+	e.trialDue = now.Add(delay)
 }
 
 // Reject returns a failure if a request must not be sent again because one of its
@@ -136,9 +164,9 @@
 	}
 }
 
-// recordEvidence records that a crash was added to the record.
+// recordEvidence records that a crash or a trial was added to the record.
 func (e *entry) recordEvidence(now time.Time) {
-	e.trialDue = now.Add(trialDelay)
+	e.postponeTrial(now)
 	if e.since.IsZero() {
 		e.since = now
 	}
--- a/quarantiner/evidence_test.go
+++ b/quarantiner/evidence_test.go
@@ -20,9 +20,10 @@
 	return &quarantiner.Quarantiner{Self: name, Threshold: fleetThreshold, Concurrent: true}
 }
 
-// refusal returns the failure of a request that may not run.
+// refusal returns the failure of a request that may not run. One that may run is sent.
 func refusal(q *quarantiner.Quarantiner, now time.Time, fingerprints []quarantiner.RequestFingerprint) *cowslipproxy.Failure {
-	_, failure := q.Admit(now, fingerprints)
+	tried, failure := q.Admit(now, fingerprints)
+	q.RecordTrial(now, tried)
 	return failure
 }
 
@@ -140,11 +141,34 @@
 	require.Nil(t, refusal(q, now, bothParts))
 }
 
-// Guards against a trial that is not repeated although the upstreams did not run it.
-func TestInconclusiveTrialIsRepeated(t *testing.T) {
+// Guards against trials that are not repeated, or without end, while they have no result.
+func TestTrialsWithoutResultAreRepeatedAndBounded(t *testing.T) {
 	q := newConcurrent("a")
 	crashUpstreams(q, epoch, 0, fleetThreshold, badPart)
-	for i := range 5 {
-		require.Nil(t, refusal(q, epoch.Add(time.Duration(i+1)*4*time.Second), bothParts))
+	var trials []time.Duration
+	for elapsed := time.Second; elapsed < 4*time.Minute; elapsed += time.Second {
+		if refusal(q, epoch.Add(elapsed), bothParts) == nil {
+			trials = append(trials, elapsed)
+		}
+		if elapsed == 10*time.Second {
+			restarted := newConcurrent("b")
+			restarted.Merge(epoch.Add(elapsed), q.Records(epoch.Add(elapsed)))
+			q = restarted
+		}
+	}
+	require.LessOrEqual(t, trials[0], stabilityWindow)
+	require.Greater(t, len(trials), allowedSends, "trials end without a result")
+	require.Greater(t, trials[allowedSends], 2*time.Minute, "%v", trials)
+}
+
+// Guards against a trial that counts although the request was never sent.
+func TestTrialCountsWhenRequestIsSent(t *testing.T) {
+	q := newConcurrent("a")
+	crashUpstreams(q, epoch, 0, fleetThreshold, badPart)
+	for i := range 2 * allowedSends {
+		tried, failure := q.Admit(epoch.Add(time.Duration(i+1)*4*time.Second), bothParts)
+		require.Nil(t, failure)
+		require.Equal(t, []quarantiner.RequestFingerprint{badPart}, tried)
 	}
+	require.Zero(t, q.Records(epoch)[0].Trials)
 }
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/quarantiner"
 )
 
@@ -47,6 +48,7 @@
 	upstream     int
 	sent         time.Time
 	sends        int
+	tried        []quarantiner.RequestFingerprint // quarantined ones
 	poisonous    bool
 	survived     bool
 }
@@ -76,7 +78,8 @@
 	sound       int         // sound requests that arrived
 	changed     []bool      // daemons with changes to publish
 	poisonFrom  time.Duration
-	rackCrashes int // crashes that no request caused
+	rejectFrom  time.Duration // from then on upstreams reject poisonous requests without running them; 0 if never
+	rackCrashes int           // crashes that no request caused
 }
 
 func newFleet(daemons int, seed uint64) *fleet {
@@ -147,7 +150,8 @@
 	if !poisonous {
 		f.sound++
 	}
-	if _, failure := f.daemons[request.daemon].Admit(f.now, fingerprints); failure != nil {
+	var failure *cowslipproxy.Failure
+	if request.tried, failure = f.daemons[request.daemon].Admit(f.now, fingerprints); failure != nil {
 		if !poisonous {
 			f.refused++
 		}
@@ -169,9 +173,14 @@
 	}
 	request.upstream, request.sent, request.survived = up[f.random.IntN(len(up))], f.now, false
 	request.sends++
+	f.daemons[request.daemon].RecordTrial(f.now, request.tried)
+	request.tried = nil
 	if request.poisonous && request.daemon != f.cut && !f.now.Before(f.impaired[request.daemon]) {
 		f.sends = append(f.sends, f.now)
 	}
+	if request.poisonous && f.rejectFrom > 0 && f.now.Sub(epoch) >= f.rejectFrom {
+		return
+	}
 	f.requests = append(f.requests, request)
 }
 
@@ -373,3 +382,30 @@
 		t.Logf("%d daemons: %d crashes in %d runs", daemons, crashes, fleetSeeds(daemons))
 	}
 }
+
+// Guards against trials without a result, which may reach upstreams again and again.
+func TestFleetBoundsTrialsThatUpstreamsReject(t *testing.T) {
+	for _, daemons := range fleetSizes {
+		for seed := range fleetSeeds(daemons) {
+			f := newFleet(daemons, seed)
+			f.rejectFrom = 2 * fleetWarmUp
+			quarantinedAt := time.Time{}
+			f.run(true, func(elapsed time.Duration) {
+				if elapsed >= f.rejectFrom && elapsed%time.Second == 0 {
+					f.restart(f.random.IntN(daemons))
+				}
+				if f.daemons[0].State(f.now, badPart) == quarantiner.StateQuarantined && quarantinedAt.IsZero() {
+					quarantinedAt = f.now
+				}
+			})
+			trials := 0
+			for _, at := range f.sends {
+				if at.After(quarantinedAt.Add(time.Second)) {
+					trials++
+				}
+			}
+			require.False(t, quarantinedAt.IsZero(), "seed %d", seed)
+			require.LessOrEqual(t, trials, allowedSends, "%d daemons, seed %d", daemons, seed)
+		}
+	}
+}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -167,7 +167,7 @@
 	}
 	e.recordEvidence(now)
 	q.markLocal(e)
-	q.update(e, merge(e.Record, Record{RequestFingerprint: fp, Version: e.Version, Crashes: []Crash{crash}, Time: e.Time, Term: e.Term, Owner: e.Owner, Tried: e.Tried}))
+	q.update(e, merge(e.Record, Record{RequestFingerprint: fp, Version: e.Version, Crashes: []Crash{crash}, Time: e.Time, Term: e.Term, Owner: e.Owner, Tried: e.Tried, Trials: e.Trials}))
 }
 
 // CrashAlone records that an upstream crashed with a suspect in flight and no other
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -66,6 +66,7 @@
 	Term    uint64    `json:"term,omitempty"`    // incremented when another daemon takes over the suspect
 	Owner   string    `json:"owner,omitempty"`   // daemon that took over the suspect
 	Tried   int       `json:"tried,omitempty"`   // number of crashes when the first trial began; 0 if there was no trial
+	Trials  int       `json:"trials,omitempty"`  // number of requests that were sent as trials
 }
 
 // Check returns an error for the first invalid field.
@@ -84,6 +85,9 @@
 	if r.Tried < 0 || r.Tried > maxCrashes {
 		return errors.Errorf("tried: %d is not between 0 and %d", r.Tried, maxCrashes)
 	}
+	if r.Trials < 0 || (r.Trials == 0) != (r.Tried == 0) {
+		return errors.Errorf("trials: %d doesn't match tried %d; both are 0, or neither is", r.Trials, r.Tried)
+	}
 	if (r.Term == 0) != (r.Owner == "") {
 		return errors.Errorf("owner: %q doesn't match term %d; an owner is set if and only if the term is at least 1", r.Owner, r.Term)
 	}
@@ -112,6 +116,7 @@
 	if a.Tried == 0 || b.Tried > 0 && b.Tried < a.Tried {
 		a.Tried = b.Tried
 	}
+	a.Trials = max(a.Trials, b.Trials)
 	return a
 }
 
@@ -147,7 +152,7 @@
 
 // Equal reports whether two records are the same.
 func (r Record) Equal(other Record) bool {
-	if r.Version != other.Version || r.Term != other.Term || r.Owner != other.Owner || r.Tried != other.Tried || !r.Time.Equal(other.Time) {
+	if r.Version != other.Version || r.Term != other.Term || r.Owner != other.Owner || r.Tried != other.Tried || r.Trials != other.Trials || !r.Time.Equal(other.Time) {
 		return false
 	}
 	return slices.EqualFunc(r.Crashes, other.Crashes, func(a, b Crash) bool {
--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -45,6 +45,7 @@
 	if len(x.tried) == 0 {
 		return
 	}
+	x.Quarantine.RecordTrial(x.Clock(), x.tried)
 	reporter.Count(x.Metrics, reporter.MetricTrials)
 	reporter.EventQuarantineTrial.Log(context.Background(), x.Logger, slog.String("request", x.callerRequest.ID), slog.String("upstream", upstream),
 		slog.Any("fingerprints", keysOf(x.tried)))
