relay: delete records from the store when their quarantine ends

The store kept the record of each fingerprint that had ever been quarantined: keyed records are retained permanently, and expired or lifted ones were never removed. Parts are chosen by callers, so the topic grew without bound, and each daemon reads all of it when it starts.

A daemon that starts deletes up to four expired records that it reads, whose publishers have restarted since.

--- a/cowslipd/relay/deployment_test.go
+++ b/cowslipd/relay/deployment_test.go
@@ -63,6 +63,8 @@
 	peers   cowslipproxy.PeerNetwork // network of the daemons that are started next; nil for TCP
 	rate    int                      // bytes per second that each daemon can send to other daemons; 0 for no limit
 	ids     atomic.Int64             // id of the latest request
+
+	clockOffset atomic.Int64 // nanoseconds by which the daemons' clocks are ahead
 }
 
 type daemon struct {
@@ -151,7 +153,7 @@
 	daemonProcess := &relay.Daemon{
 		Settings: settings,
 		Platform: platform.Open(settings.Store, relay.Transport(true), relay.Transport(false)),
-		Clock:    time.Now,
+		Clock:    func() time.Time { return time.Now().Add(time.Duration(d.clockOffset.Load())) },
 		Logger:   logger(),
 		Metrics:  metrics.NewRegistry(),
 	}
--- a/cowslipd/relay/poison_test.go
+++ b/cowslipd/relay/poison_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy/quarantiner"
 )
 
 // Bounds that the platform's rules state for requests with a part that crashes engines.
@@ -23,6 +26,9 @@
 	quarantineThreshold   = 3
 )
 
+// quarantineTopic is the topic of the store in which daemons keep quarantined fingerprints.
+const quarantineTopic = "keyed.quarantine"
+
 const (
 	poisonousPart    = "bad0bad0"
 	sharedPart       = "5c1e07a2"
@@ -205,7 +211,7 @@
 	t.Parallel()
 	d := deployForPoison(t, 2)
 	d.crashEngines()
-	require.Eventually(t, func() bool { return d.store.Calls("/api/log-append") > 0 && d.store.Holds("keyed.quarantine") }, waitLimit, 100*time.Millisecond)
+	d.awaitStored(true)
 	for _, node := range d.daemons {
 		node.stop()
 	}
@@ -234,6 +240,28 @@
 	require.NoError(t, response.Body.Close())
 	require.Equal(t, http.StatusNoContent, response.StatusCode)
 	require.Equal(t, http.StatusOK, d.sendPoison(0).status)
+	d.awaitStored(false)
+}
+
+// awaitStored waits until the store holds quarantined fingerprints, or none.
+func (d *deployment) awaitStored(stored bool) {
+	require.Eventually(d.t, func() bool { return d.store.Holds(quarantineTopic) == stored }, waitLimit, 100*time.Millisecond)
+}
+
+// Guards against fingerprints that stay in the store after their quarantine has ended.
+func TestExpiredQuarantineIsDeletedFromStore(t *testing.T) {
+	t.Parallel()
+	d := deployForPoison(t, 2)
+	d.crashEngines()
+	d.awaitStored(true)
+	d.clockOffset.Store(int64(quarantiner.DefaultTTL))
+	d.awaitStored(false)
+	expired := quarantiner.Record{RequestFingerprint: quarantiner.PartFingerprint("scribe", "old"), Version: 1, Time: time.Now().Add(-quarantiner.DefaultTTL)}
+	data, err := json.Marshal(expired)
+	require.NoError(t, err)
+	d.store.Put(quarantineTopic, expired.Key(), data)
+	d.startDaemon(d.settings())
+	d.awaitStored(false)
 }
 
 // Guards against the quarantine of a shared part because of other crashes.
--- a/cowslipd/relay/quarantine.go
+++ b/cowslipd/relay/quarantine.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -28,29 +29,34 @@
 	// quarantineInterval is the longest time between two updates of the quarantine.
 	quarantineInterval = time.Second
 	quarantineTimeout  = time.Second // of a call to the store
+	// maxExpiredDeletes bounds the expired records that a daemon deletes from the store when
+	// it starts. Many daemons may start at once.
+	maxExpiredDeletes = 4
 )
 
 // quarantine holds the fingerprints of requests that crash upstreams, as all daemons
-// know them. Changes are published by gossip, and those of quarantined fingerprints are
-// also written to the store, from which daemons read them when they start.
+// know them. Changes are published by gossip. The store holds the quarantined ones, which
+// daemons read when they start.
 type quarantine struct {
 	*quarantiner.Quarantiner
 	changed   chan struct{}
 	published map[quarantiner.RequestFingerprint]bool // items that this daemon has published
-	unstored  map[string]quarantiner.Record           // records to write to the store
+	unstored  map[string][]byte                       // values to write to the store, by key; an empty one deletes the record
 	storing   bool                                    // a write is in progress
 	stored    chan storeResult
+	expired   chan string // keys of records in the store that had expired when this daemon started
 }
 
-// storeResult is the result of writing a record to the store.
+// storeResult is the result of writing a value to the store.
 type storeResult struct {
-	record quarantiner.Record
-	err    error
+	key   string
+	value []byte
+	err   error
 }
 
 func (q *quarantine) build(self cowslipproxy.Owner) {
-	q.changed, q.stored = make(chan struct{}, 1), make(chan storeResult, 1)
-	q.published, q.unstored = map[quarantiner.RequestFingerprint]bool{}, map[string]quarantiner.Record{}
+	q.changed, q.stored, q.expired = make(chan struct{}, 1), make(chan storeResult, 1), make(chan string, maxExpiredDeletes)
+	q.published, q.unstored = map[quarantiner.RequestFingerprint]bool{}, map[string][]byte{}
 	q.Quarantiner = &quarantiner.Quarantiner{Self: self.Key(), Threshold: quarantineThreshold, Concurrent: true, OnChange: func() {
 		select {
 		case q.changed <- struct{}{}:
@@ -72,6 +78,8 @@
 		case <-timer.C:
 		case result := <-d.quarantine.stored:
 			d.handleStored(ctx, result)
+		case key := <-d.quarantine.expired:
+			d.quarantine.unstored[key] = nil
 		}
 		wait := quarantineInterval
 		now := d.Clock()
@@ -109,63 +117,77 @@
 		return
 	}
 	q.published[change.RequestFingerprint] = true
-	if change.Before == quarantiner.StateQuarantined || change.After == quarantiner.StateQuarantined {
-		q.unstored[change.Key()] = change.Record
+	if err := q.setUnstored(change); err != nil {
+		reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.String("fingerprint", change.Key()), slog.Any("error", err))
 	}
 }
 
-// withdrawExpired withdraws the published records that have expired.
+// setUnstored sets what is to be written to the store after a change. The store holds
+// quarantined fingerprints only.
+func (q *quarantine) setUnstored(change quarantiner.Change) error {
+	switch {
+	case change.After == quarantiner.StateQuarantined:
+		value, err := json.Marshal(change.Record)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		q.unstored[change.Key()] = value
+	case change.Before == quarantiner.StateQuarantined:
+		q.unstored[change.Key()] = nil
+	}
+	return nil
+}
+
+// withdrawExpired withdraws the published records that have expired, and deletes them from
+// the store.
 func (d *Daemon) withdrawExpired(ctx context.Context, now time.Time) {
 	for fp := range d.quarantine.published {
 		if d.quarantine.Holds(now, fp) {
 			continue
 		}
 		delete(d.quarantine.published, fp)
+		d.quarantine.unstored[fp.Key()] = nil
 		if err := d.gossiper.Withdraw(gossiper.KindPoison, fp.Key(), gossiper.ReachAll); err != nil {
 			reporter.EventExchangeFailed.Log(ctx, d.Logger, slog.Any("error", err))
 		}
 	}
 }
 
-// storeQuarantine writes one record to the store, unless a write is in progress. The
-// others follow when it has ended.
+// storeQuarantine writes one value to the store, unless a write is in progress. The others
+// follow when it has ended.
 func (d *Daemon) storeQuarantine(ctx context.Context) {
 	q := &d.quarantine
 	if q.storing {
 		return
 	}
-	for _, record := range q.unstored {
+	for key, value := range q.unstored {
 		q.storing = true
 		go func() {
-			err := d.putQuarantine(ctx, record)
+			err := d.putQuarantine(ctx, key, value)
 			if err != nil {
 				waiter.Wait(ctx, quarantineInterval) // before the next attempt
 			}
-			q.stored <- storeResult{record, err}
+			q.stored <- storeResult{key, value, err}
 		}()
 		return
 	}
 }
 
-func (d *Daemon) putQuarantine(ctx context.Context, record quarantiner.Record) error {
+func (d *Daemon) putQuarantine(ctx context.Context, key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
 	defer cancel()
-	data, err := json.Marshal(record)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	return d.Platform.Quarantine.Put(ctx, record.Key(), data)
+	return d.Platform.Quarantine.Put(ctx, key, value)
 }
 
 func (d *Daemon) handleStored(ctx context.Context, result storeResult) {
 	q := &d.quarantine
 	q.storing = false
 	if result.err != nil {
-		reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.String("fingerprint", result.record.Key()), slog.Any("error", result.err))
+		reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.String("fingerprint", result.key), slog.Any("error", result.err))
 		return
 	}
-	if latest, ok := q.unstored[result.record.Key()]; ok && latest.Equal(result.record) {
-		delete(q.unstored, result.record.Key())
+	if latest, ok := q.unstored[result.key]; ok && bytes.Equal(latest, result.value) {
+		delete(q.unstored, result.key)
 	}
 }
 
@@ -176,6 +198,7 @@
 		records, err := d.readQuarantine(ctx)
 		if err == nil {
 			d.quarantine.Merge(d.Clock(), records)
+			d.deleteExpired(records)
 			return
 		}
 		reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.Any("error", err))
@@ -185,6 +208,21 @@
 	}
 }
 
+// deleteExpired deletes expired records from the store. The daemons that wrote them have
+// restarted since, or they would have done so.
+func (d *Daemon) deleteExpired(records []quarantiner.Record) {
+	for _, record := range records {
+		if d.quarantine.Holds(d.Clock(), record.RequestFingerprint) {
+			continue
+		}
+		select {
+		case d.quarantine.expired <- record.Key():
+		default: // the next daemons that start delete the others
+			return
+		}
+	}
+}
+
 func (d *Daemon) readQuarantine(ctx context.Context) (records []quarantiner.Record, err error) {
 	var stored map[string][]byte
 	if stored, err = d.Platform.Quarantine.All(ctx); err != nil {
--- a/feeds.go
+++ b/feeds.go
@@ -14,7 +14,8 @@
 
 // Table is a set of keyed records in the platform's store that daemons write.
 type Table interface {
-	// Put writes the record of a key. After an error, it may have been written.
+	// Put writes the record of a key. An empty value deletes it. After an error, it may have
+	// been written.
 	Put(ctx context.Context, key string, value []byte) error
 	// All returns the records of all keys.
 	All(ctx context.Context) (map[string][]byte, error)
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -67,11 +67,11 @@
 	s.append(name, append(append([]byte{byte(len(key))}, key...), value...))
 }
 
-// Holds reports whether a topic has a record.
+// Holds reports whether a keyed topic has a record that is not deleted.
 func (s *Store) Holds(name string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.topic(name).records) > 0
+	return len(s.topic(name).newest()) > 0
 }
 
 // Publish writes a configuration to the operator's topic.
