driver: let steps on the only engine of a range take longer after timeouts

Callers got 'gave up after 32 replacements' although the engine worked.

Cause: a step that timed out was sent again to the same engine when no other one held its layers, with the same timeout. The engine still had the earlier step in its queue. When many requests were prefilled at once, after a crash or beside load, each retry made the queue longer, and the replies of the retries came too late as well, 32 times in a row.

The timeout now doubles with each step of the job that timed out on the same engine, up to 2 s. A failover to another engine isn't delayed, since only engines that time out again are waited for. A retry on the same engine is logged as event 707 and does not count as a replaced stage.

A metric counts steps that timed out and another one retries on the same engine, so that TestLayersRunOnceWhenContextsAreLost checks that no retry is without a timeout.

--- a/cowslipd/router/layers_test.go
+++ b/cowslipd/router/layers_test.go
@@ -121,7 +121,9 @@
 	close(stop)
 	<-ended
 	require.Positive(t, lost.Load())
-	require.Zero(t, metrics.GetOrRegisterCounter(reporter.MetricStagesReplaced, entry.metrics).Count(), "a working engine was replaced")
+	count := func(name string) int64 { return metrics.GetOrRegisterCounter(name, entry.metrics).Count() }
+	require.Zero(t, count(reporter.MetricStagesReplaced), "a working engine was replaced")
+	require.LessOrEqual(t, count(reporter.MetricStagesRetried), count(reporter.MetricStepTimeouts), "an engine that lost a context counts as failed")
 	d.checkInvariants(entry)
 }
 
--- a/driver/job.go
+++ b/driver/job.go
@@ -66,7 +66,7 @@
 func (d *Driver) Run(ctx context.Context, job Job, emit func(Token) error) (Usage, error) {
 	ctx, cancel := context.WithDeadline(ctx, job.Deadline)
 	defer cancel()
-	r := &run{driver: d, job: job, usedUpstreams: map[string]bool{}}
+	r := &run{driver: d, job: job, usedUpstreams: map[string]bool{}, timeouts: map[string]int{}}
 	defer r.release()
 	if err := r.begin(ctx); err != nil {
 		return r.usage, r.failure(ctx, err)
--- a/driver/replace.go
+++ b/driver/replace.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rcrowley/go-metrics"
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
@@ -18,6 +17,11 @@
 	minRetryDelay   = 20 * time.Millisecond // delay before the first retry; it doubles with each retry
 	maxRetryDelay   = 200 * time.Millisecond
 
+	// maxRetryTimeout bounds the timeout of a step on an engine on which steps of the job timed
+	// out before.
+	maxRetryTimeout     = 2 * time.Second
+	maxTimeoutDoublings = 4
+
 	// quarantineWait is the maximum wait for a quarantine to be lifted. This happens if
 	// records of other daemons show that another request caused the crashes.
 	quarantineWait = 500 * time.Millisecond
@@ -51,9 +55,13 @@
 	substitute := stages[min(failed.index, len(stages)-1)]
 	r.setStages(stages)
 	r.prepareResumption(ctx, failedStage, failed.index)
-	r.usage.Replaced++
-	metrics.GetOrRegisterCounter(reporter.MetricStagesReplaced, d.Metrics).Inc(1)
-	reporter.EventStageReplaced.Log(ctx, d.Logger,
+	event, counter := reporter.EventStageRetried, reporter.MetricStagesRetried
+	if substitute.Upstream != failedStage.Upstream {
+		r.usage.Replaced++
+		event, counter = reporter.EventStageReplaced, reporter.MetricStagesReplaced
+	}
+	reporter.Count(d.Metrics, counter)
+	event.Log(ctx, d.Logger,
 		slog.String("request", r.job.Request),
 		slog.String("engine", failedStage.Upstream),
 		slog.String("substitute", substitute.Upstream),
--- a/driver/run.go
+++ b/driver/run.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
 
 // stage is a stage of a running chain.
@@ -25,6 +26,7 @@
 	generated     []int
 	avoid         []string        // upstreams that failed this job
 	usedUpstreams map[string]bool // upstreams that may hold contexts of this job
+	timeouts      map[string]int  // consecutive steps of this job that timed out, by upstream
 	dispatched    bool            // an upstream may have started a step
 	recoveries    int             // attempts to replace a stage or to recompute its context
 	suspectTokens int             // tokens that the request must still generate as a suspect; 0 if it is no suspect
@@ -198,7 +200,7 @@
 		tokens = r.length()
 	}
 	start := d.Clock()
-	stepCtx, cancel := context.WithTimeout(ctx, d.Observer.Timeout(start, s.Stage, step, tokens))
+	stepCtx, cancel := context.WithTimeout(ctx, r.timeout(start, s, step, tokens))
 	defer cancel()
 	r.usedUpstreams[s.Upstream] = true
 	d.Observer.Began(start, s.Upstream, step, tokens)
@@ -206,6 +208,7 @@
 	if err == nil {
 		err = r.checkReply(ctx, step, reply)
 	}
+	r.recordTimeout(ctx, s.Upstream, err)
 	now := d.Clock()
 	end := cowslipproxy.StepEnd{Tokens: tokens, Duration: now.Sub(start), Reply: reply, Err: err}
 	if ctx.Err() == nil || err == nil {
@@ -219,6 +222,24 @@
 	return reply, err
 }
 
+// timeout returns the time after which a step counts as failed. It doubles with each step of
+// the job that timed out on the same engine: that engine may be the only one for its layers,
+// and has the earlier steps in its queue.
+func (r *run) timeout(now time.Time, s *stage, step cowslipproxy.Step, tokens int) time.Duration {
+	timeout := r.driver.Observer.Timeout(now, s.Stage, step, tokens)
+	return max(timeout, min(timeout<<min(r.timeouts[s.Upstream], maxTimeoutDoublings), maxRetryTimeout))
+}
+
+// recordTimeout counts a step that timed out. A reply ends the count of its engine.
+func (r *run) recordTimeout(ctx context.Context, upstream string, err error) {
+	if err == nil {
+		delete(r.timeouts, upstream)
+	} else if ctx.Err() == nil && errors.Is(err, context.DeadlineExceeded) {
+		r.timeouts[upstream]++
+		reporter.Count(r.driver.Metrics, reporter.MetricStepTimeouts)
+	}
+}
+
 // length returns the number of positions of a prefill: the prompt's tokens, estimated
 // until the first stage has reported them, and the generated tokens.
 func (r *run) length() int {
--- a/reporter/events_engines.go
+++ b/reporter/events_engines.go
@@ -11,4 +11,5 @@
 	EventRestored        = newEvent(704, slog.LevelInfo, "upstream restored", "An ejected upstream answered its probe and gets work again.")
 	EventCrash           = newEvent(705, slog.LevelWarn, "engine lost with requests in flight", "The requests are suspected of having crashed it, and share no upstream with other suspects until they have passed the token at which it crashed; see docs/poison.md.")
 	EventQuarantined     = newEvent(706, slog.LevelError, "request quarantined", "Two upstreams crashed with the request in flight. It is refused until the quarantine expires or an operator lifts it.")
+	EventStageRetried    = newEvent(707, slog.LevelInfo, "stage retried", "A stage failed while it ran a step, and no other engines hold its layers. The request continues on the same engine, with a longer timeout if the step timed out.")
 )
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -19,6 +19,8 @@
 
 	MetricTokens         = "driver.tokens"          // generated tokens
 	MetricStagesReplaced = "driver.stages.replaced" // stages replaced while they ran a request
+	MetricStagesRetried  = "driver.stages.retried"  // failed stages that were retried on the same engine, since no other one held their layers
+	MetricStepTimeouts   = "driver.steps.timeouts"  // steps without a reply in time
 	MetricRepliesDropped = "engine.replies.dropped" // replies that matched no outstanding step
 	MetricInvariants     = "invariants.violated"    // violations of an invariant; always 0 in a correct program
 
--- a/standin/emulator/pipeline_test.go
+++ b/standin/emulator/pipeline_test.go
@@ -6,11 +6,13 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sync/semaphore"
 	"google.golang.org/grpc"
@@ -37,10 +39,12 @@
 	lostRequests []string // requests in flight on an engine when its connection broke
 	down         map[string]bool
 	prefillTime  time.Duration // expected prefill time of each stage
+	timeout      time.Duration // of a step
+	prefillPace  time.Duration // compute time of one layer for one prompt token
 }
 
 func newPipeline(t *testing.T) *pipeline {
-	p := &pipeline{t: t, engines: map[string]*emulator.Engine{}, clients: map[string]*runner.Engine{}, down: map[string]bool{}}
+	p := &pipeline{t: t, engines: map[string]*emulator.Engine{}, clients: map[string]*runner.Engine{}, down: map[string]bool{}, timeout: 500 * time.Millisecond}
 	registry, logger := metrics.NewRegistry(), slog.New(slog.DiscardHandler)
 	p.driver = driver.Driver{
 		Chooser:  p,
@@ -61,7 +65,7 @@
 // addEngine starts an engine and connects the driver to it.
 func (p *pipeline) addEngine(name string, first, end int) *emulator.Engine {
 	engine := &emulator.Engine{Model: model, Range: cowslipproxy.LayerRange{First: first, End: end},
-		Pace: 50 * time.Microsecond, MaxBatch: 8, CacheCapacity: 10_000, PrefixCacheSize: 100, ReportInterval: 10 * time.Millisecond}
+		Pace: 50 * time.Microsecond, PrefillTime: p.prefillPace, MaxBatch: 8, CacheCapacity: 10_000, PrefixCacheSize: 100, ReportInterval: 10 * time.Millisecond}
 	engine.Init()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(p.t, err)
@@ -147,7 +151,7 @@
 
 // Timeout implements cowslipproxy.StepObserver.
 func (p *pipeline) Timeout(time.Time, cowslipproxy.Stage, cowslipproxy.Step, int) time.Duration {
-	return 500 * time.Millisecond
+	return p.timeout
 }
 
 // Began implements cowslipproxy.StepObserver.
@@ -319,3 +323,21 @@
 	p.engines["a"].SetFaults(emulator.Faults{Silent: true})
 	require.Eventually(t, func() bool { return p.isDown("a") }, 10*time.Second, 10*time.Millisecond)
 }
+
+// Guards against requests that fail because their retries overload the only engine of a range.
+func TestRetriesDoNotOverloadOnlyEngine(t *testing.T) {
+	p := newPipeline(t)
+	p.timeout, p.prefillPace = 200*time.Millisecond, 400*time.Microsecond
+	p.addEngine("a", 0, 6)
+	var group sync.WaitGroup
+	for i := range 12 {
+		group.Go(func() {
+			own := strconv.Itoa(i) + " " + prompt
+			texts, usage, err := p.complete("r"+strconv.Itoa(i), own, 5)
+			assert.NoError(t, err)
+			assert.Equal(t, emulator.Completion(model, "", own, 5), texts)
+			assert.Zero(t, usage.Replaced, "the only engine counts as replaced by itself")
+		})
+	}
+	group.Wait()
+}
