--- a/cowslipd/relay/share.go
+++ b/cowslipd/relay/share.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net/netip"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/decoder"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/sharer"
 )
 
@@ -76,14 +78,19 @@
 // another version of the instance list.
 func (d *Daemon) completeShare(ctx context.Context, member cowslipproxy.Member, share sharer.Share) (again bool) {
 	s := &d.sharing
+	start := d.Clock()
 	reply, err := d.exchangeShare(ctx, member.Peer, share)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	again = s.inFlight[member.Name]
 	delete(s.inFlight, member.Name)
 	if err != nil {
+		// The next share follows at the next change or interval. Gossip detects daemons that are
+		// down.
+		reporter.EventShareFailed.Log(ctx, d.Logger, slog.String("to", member.Name), slog.Duration("took", d.Clock().Sub(start)),
+			slog.Bool("complete", share.Complete), slog.Any("error", err))
 		delete(s.heldListVersion, member.Name)
-		return false // gossip detects daemons that are down
+		return false
 	}
 	s.loads.Put(d.Clock(), member.Name, reply.Loads)
 	s.heldListVersion[member.Name] = 0
--- a/reporter/events_relay.go
+++ b/reporter/events_relay.go
@@ -25,5 +25,6 @@
 	EventUpstreamLimitChanged = newEvent(919, slog.LevelInfo, "limit of an upstream changed", "An upstream named a limit of requests per second from all daemons together, another one, or none any more. The event has the version of the limit and whether this daemon published it.")
 	EventGrantFailed          = newEvent(920, slog.LevelWarn, "request for a grant failed", "The daemon that grants the requests to an upstream with a limit did not reply. The request goes to another upstream or is refused. The event has both.")
 	EventQuarantineTrial      = newEvent(921, slog.LevelInfo, "trial of quarantined fingerprints", "The request was sent although its fingerprints are quarantined, to find out whether they are sound. Events 916 and 917 with the fingerprints have the result.")
+	EventShareFailed          = newEvent(922, slog.LevelInfo, "share not accepted", "Another daemon did not accept the list and the loads from this one in time. It reads the store itself if it gets no current data. The event has the daemon, the duration and whether the share had the whole list.")
 	EventReloaded             = newEvent(910, slog.LevelInfo, "settings reloaded", "The settings file changed or the daemon received SIGHUP.")
 )
