driver: wait for engines that other suspects hold after a crash

An engine was left for its layers.

Cause: an engine crashes with twelve requests in flight, and each of them must run alone on the only engine left.

TestCrashedStageWaitsForHeldEngines failed before with the same outcome after 5 s, and passes. Suspects hold an engine for a few tokens each, so the wait ends.

--- a/driver/replace.go
+++ b/driver/replace.go
@@ -141,8 +141,9 @@
 // substitute returns the chain with the failed stage replaced, or a new chain if no
 // engines hold exactly its layers. If there is neither, it retries for up to
 // maxRecoveryWait, since ejections end and engines reconnect. It does not retry if no
-// upstream can have started a step, since the job can then be refused, unless other
-// suspects hold the engines.
+// upstream can have started a step, since the job can then be refused. While other suspects
+// hold the engines, it waits until the job's deadline: each of them generates only a few
+// tokens alone.
 func (r *run) substitute(ctx context.Context, index int) ([]stage, error) {
 	d := r.driver
 	start := d.Clock()
@@ -159,7 +160,7 @@
 			r.resume = resumption{} // no stage of the new chain has run a step
 			return withoutContext(chosen), nil
 		}
-		if !r.dispatched && !errors.Is(err, cowslipproxy.ErrHeld) || d.Clock().Sub(start) > maxRecoveryWait {
+		if !errors.Is(err, cowslipproxy.ErrHeld) && (!r.dispatched || d.Clock().Sub(start) > maxRecoveryWait) {
 			return nil, err
 		}
 		avoid = nil // an engine that failed this job before may be the only one left
--- a/standin/emulator/pipeline_test.go
+++ b/standin/emulator/pipeline_test.go
@@ -41,6 +41,8 @@
 	prefillTime  time.Duration // expected prefill time of each stage
 	timeout      time.Duration // of a step
 	prefillPace  time.Duration // compute time of one layer for one prompt token
+	held         time.Duration // time after a crash for which other suspects hold the engines
+	crashedAt    time.Time
 }
 
 func newPipeline(t *testing.T) *pipeline {
@@ -90,7 +92,7 @@
 		OnDisconnect: func(name string, requests []string, _ time.Time) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
-			p.down[name] = true
+			p.down[name], p.crashedAt = true, time.Now()
 			p.lostRequests = append(p.lostRequests, requests...)
 		},
 		OnConnectionFailure: func(string, time.Time) {},
@@ -111,6 +113,11 @@
 // Chain implements cowslipproxy.ChainChooser. It returns the first engines, in the
 // order of addEngine, that are connected and whose ranges are contiguous.
 func (p *pipeline) Chain(_ time.Time, need cowslipproxy.Requirements) ([]cowslipproxy.Stage, error) {
+	if p.isHeld() {
+		failure := cowslipproxy.Refuse(cowslipproxy.ReasonNoChain, "another suspect holds the engines")
+		failure.Cause = cowslipproxy.ErrHeld
+		return nil, failure
+	}
 	if chain, ok := p.findChain(need, need.Range.First); ok {
 		return chain, nil
 	}
@@ -134,6 +141,12 @@
 	return nil, false
 }
 
+func (p *pipeline) isHeld() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.crashedAt) < p.held
+}
+
 func (p *pipeline) isDown(name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -341,3 +354,16 @@
 	}
 	group.Wait()
 }
+
+// Guards against requests that fail because other suspects still hold the last engine of a range.
+func TestCrashedStageWaitsForHeldEngines(t *testing.T) {
+	p := newPipeline(t)
+	p.held = 6 * time.Second
+	p.addEngine("a", 0, 3)
+	p.addEngine("b", 3, 6).SetFaults(emulator.Faults{CrashAtStep: 4})
+	p.addEngine("b2", 3, 6)
+	texts, usage, err := p.complete("r1", prompt, 12)
+	require.NoError(t, err)
+	require.Equal(t, emulator.Completion(model, "", prompt, 12), texts)
+	require.Equal(t, 1, usage.Replaced)
+}
