limiter: measure for 2 s before refusing

Callers that a daemon could have served were refused as overloaded, 'the response is expected to take 6m1.674s including the wait', when a daemon had just started and its engines computed the prompts of the first requests.

Cause: the rate and the times per token were taken from the first period of 250 ms that had a token. While prompts are computed, such a period holds a few tokens and all the unit-seconds since the start. All waiting requests were compared with that estimate at once, and it decays over 2 s. The estimates are now unknown until periods of 2 s in all have been measured, and start with the sums over these. The limit of the units does not change meanwhile.

Evidence: TestFirstTokensDoNotDecideCapacity, which needs no load, refused after 750 ms before and passes.

--- a/limiter/meter.go
+++ b/limiter/meter.go
@@ -28,7 +28,20 @@
 	usedRatio       float64   // used tokens per estimated token, averaged
 	start           time.Time // of the current period
 	at              time.Time // of the last call of advance
-	alwaysFull      bool      // the units were busy throughout the period
+	first           warmUp
+	alwaysFull      bool // the units were busy throughout the period
+}
+
+// warmUp accumulates what is measured until it spans meterSpan. The rate and the times per
+// token are unknown before that: a single period may contain the computation of prompts and
+// few tokens.
+type warmUp struct {
+	served       time.Duration // time of the periods with tokens
+	full         time.Duration // time of the periods in which the units were busy
+	fullTokens   float64       // tokens in these periods
+	tokens       float64
+	outputTokens float64
+	unitSeconds  float64
 }
 
 // advance accounts for the time up to now. It returns the length of the period
@@ -61,8 +74,8 @@
 	weight := ewmaWeight(elapsed, meterSpan)
 	switch {
 	case m.rate == 0 && m.alwaysFull:
-		m.rate = rate
-	case m.alwaysFull || rate > m.rate && m.rate > 0:
+		m.rate = m.first.addFull(elapsed, m.tokens)
+	case m.rate > 0 && (m.alwaysFull || rate > m.rate):
 		m.rate += weight * (rate - m.rate)
 	}
 	if m.tokens == 0 {
@@ -72,7 +85,13 @@
 	if m.outputTokens > 0 {
 		outputTokenTime = m.unitSeconds / m.outputTokens
 	}
+	if m.tokenTime == 0 {
+		tokenTime, outputTokenTime = m.first.addTokens(elapsed, m.tokens, m.outputTokens, m.unitSeconds)
+	}
 	m.unitSeconds, m.outputTokens = 0, 0
+	if tokenTime == 0 {
+		return
+	}
 	if m.tokenTime == 0 {
 		m.tokenTime = tokenTime
 	}
@@ -95,6 +114,33 @@
 	}
 }
 
+// addFull adds a period in which the units were busy. It returns the rate, or zero while it
+// is unknown.
+func (w *warmUp) addFull(elapsed time.Duration, tokens float64) float64 {
+	w.full += elapsed
+	w.fullTokens += tokens
+	if w.full < meterSpan {
+		return 0
+	}
+	return w.fullTokens / w.full.Seconds()
+}
+
+// addTokens adds a period with tokens. It returns the times per token, or zero while they
+// are unknown.
+func (w *warmUp) addTokens(elapsed time.Duration, tokens, outputTokens, unitSeconds float64) (tokenTime, outputTokenTime float64) {
+	w.served += elapsed
+	w.tokens += tokens
+	w.outputTokens += outputTokens
+	w.unitSeconds += unitSeconds
+	if w.served < meterSpan {
+		return 0, 0
+	}
+	if w.outputTokens > 0 {
+		outputTokenTime = w.unitSeconds / w.outputTokens
+	}
+	return w.unitSeconds / w.tokens, outputTokenTime
+}
+
 // runTime returns the expected time in flight of a request.
 func (m *meter) runTime(t *Ticket) time.Duration {
 	return seconds(m.tokenTime * m.work(t) / t.units())
--- a/limiter/meter_test.go
+++ b/limiter/meter_test.go
@@ -40,3 +40,30 @@
 	}
 	require.Less(t, len(enter()), count)
 }
+
+// Guards against refusals because of the first tokens, which come late while prompts are computed.
+func TestFirstTokensDoNotDecideCapacity(t *testing.T) {
+	const count, step, prefill = 16, 50 * time.Millisecond, 600 * time.Millisecond
+	q := &limiter.Queue{Units: count, MinUnits: 1, MaxUnits: 100}
+	start := time.Unix(1000, 0)
+	var running []*limiter.Ticket
+	for range 150 {
+		ticket, runs, failure := q.Enter(start, limiter.Request{Customer: cowslipproxy.Customer{Class: cowslipproxy.ClassNormal}, Tokens: 50, Deadline: start.Add(time.Minute)})
+		require.Nil(t, failure)
+		if runs {
+			running = append(running, ticket)
+		}
+	}
+	for elapsed := step; elapsed < 3*time.Second; elapsed += step {
+		now := start.Add(elapsed)
+		if elapsed == prefill {
+			q.Token(now, 1)
+		} else if elapsed > prefill {
+			q.Token(now, count)
+		}
+		for _, decision := range q.Expire(now) {
+			require.Nil(t, decision.Failure, "after %v", elapsed)
+		}
+	}
+	require.Len(t, running, count)
+}
