router: scrape after the requests of readiness are counted in TestMetrics

The test failed beside other work: the count of ended requests did not rise by just 3.

Cause: a request is counted when its handler returns, after the caller has its reply. The first scrape of the test could miss the last request that asked whether the daemon is ready, and the count then rose by 4. A log of the failed runs shows it: 1 done before, 4 of other requests later. The first scrape is now repeated until no request is in flight; a request leaves this number after it was counted. The checks are the same.

--- a/cowslipd/router/metrics_test.go
+++ b/cowslipd/router/metrics_test.go
@@ -35,12 +35,16 @@
 	entry := d.startDaemon("entry-1")
 	d.publish()
 	d.awaitReady(entry)
+	// A request is counted when its handler returns, shortly after the response.
 	before := scrape(t, entry)
+	require.Eventually(t, func() bool {
+		before = scrape(t, entry)
+		return metricValue(before, reporter.MetricInflight, nil) == 0
+	}, waitLimit, 10*time.Millisecond)
 	_, _ = d.complete(entry, officerKey, "count me", 5)
 	_, _ = d.complete(entry, "nobody", "refuse me", 5)
 	_, err := d.call(entry, http.MethodPost, "/v1/services/ledger/fees", officerKey, nil, `{}`)
 	require.NoError(t, err)
-	// A request is counted when its handler returns, shortly after the response.
 	require.Eventually(t, func() bool {
 		return metricValue(scrape(t, entry), reporter.MetricDuration, nil)-metricValue(before, reporter.MetricDuration, nil) == 3
 	}, waitLimit, 10*time.Millisecond)
