--- a/cowslipd/relay/limit_test.go
+++ b/cowslipd/relay/limit_test.go
@@ -157,8 +157,8 @@
 	}
 }
 
-// requireRefusal checks that a request was refused at once, with the time to come back,
-// and that it did not run.
+// requireRefusal checks that a request was refused at once, with a Retry-After, and that it
+// did not run.
 func requireRefusal(t *testing.T, d *deployment, got result, took time.Duration) {
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.NotEmpty(t, got.header.Get("Retry-After"))
--- a/quarantiner/evidence_test.go
+++ b/quarantiner/evidence_test.go
@@ -34,8 +34,7 @@
 	}
 }
 
-// Guards against counting the crash of one upstream once for each request or daemon that
-// saw it.
+// Guards against counting the crash of one upstream once for each daemon that saw it.
 func TestCrashOfOneUpstreamCountsOnce(t *testing.T) {
 	a, b := newConcurrent("a"), newConcurrent("b")
 	for range fleetThreshold {
@@ -69,8 +68,7 @@
 	require.Equal(t, quarantiner.StateClear, a.State(now, soundPart), "another daemon's answer does not protect the part")
 }
 
-// Guards against an answer that protects a part forever, such as one that turns bad with a
-// new version of the upstreams.
+// Guards against a part that turns bad with a new version and stays protected by old answers.
 func TestAnswersProtectPartsForLimitedTime(t *testing.T) {
 	q := newConcurrent("a")
 	q.Survived(epoch, bothParts)
@@ -80,8 +78,7 @@
 	require.Equal(t, quarantiner.StateQuarantined, q.State(epoch, badPart))
 }
 
-// Guards against a sound part that stays quarantined until its record expires, and against
-// a trial by each daemon.
+// Guards against a sound part that stays quarantined, and against a trial by each daemon.
 func TestOneDaemonTriesQuarantinedPart(t *testing.T) {
 	for _, daemons := range fleetSizes {
 		var all []*quarantiner.Quarantiner
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -30,8 +30,8 @@
 // could crash two more upstreams.
 //
 // With Admit and Reject, suspects run beside other requests, and only fingerprints that
-// reach the threshold are refused. Survived tells them from those that all requests
-// share. Concurrent must be set for this policy.
+// reach the threshold are refused. Survived clears those that sound requests share.
+// Concurrent must be set for this policy.
 type Quarantiner struct {
 	Self       string        // incarnation of this daemon
 	TTL        time.Duration // time after its last crash until a fingerprint expires
--- a/relayer/limits.go
+++ b/relayer/limits.go
@@ -12,7 +12,7 @@
 )
 
 // limitSpread is the time over which the callers that are refused because of a limit
-// come back, so that they do not compete for the same request.
+// retry, so that they do not compete for the same request.
 const limitSpread = time.Second
 
 var errAtLimit = errors.New("the upstream is at the limit that it named")
