--- a/limiter/meter.go
+++ b/limiter/meter.go
@@ -28,7 +28,7 @@
 	usedRatio       float64   // used tokens per estimated token, averaged
 	start           time.Time // of the current period
 	at              time.Time // of the last call of advance
-	first           warmUp
+	warmUp          warmUp
 	alwaysFull      bool // the units were busy throughout the period
 }
 
@@ -74,7 +74,7 @@
 	weight := ewmaWeight(elapsed, meterSpan)
 	switch {
 	case m.rate == 0 && m.alwaysFull:
-		m.rate = m.first.addFull(elapsed, m.tokens)
+		m.rate = m.warmUp.addFull(elapsed, m.tokens)
 	case m.rate > 0 && (m.alwaysFull || rate > m.rate):
 		m.rate += weight * (rate - m.rate)
 	}
@@ -86,7 +86,7 @@
 		outputTokenTime = m.unitSeconds / m.outputTokens
 	}
 	if m.tokenTime == 0 {
-		tokenTime, outputTokenTime = m.first.addTokens(elapsed, m.tokens, m.outputTokens, m.unitSeconds)
+		tokenTime, outputTokenTime = m.warmUp.addTokens(elapsed, m.tokens, m.outputTokens, m.unitSeconds)
 	}
 	m.unitSeconds, m.outputTokens = 0, 0
 	if tokenTime == 0 {
