relay: test each kind of poisonous requests with several numbers of daemons

The tests of a bad first part and of a repeated request ran with 4 daemons only. They run with 4 and 15 with the race detector, and with 126 by hand.

--- a/cowslipd/relay/fleet_race_test.go
+++ b/cowslipd/relay/fleet_race_test.go
@@ -6,5 +6,5 @@
 // times the processors of a test machine. `make test` runs it without the detector.
 var fleetSizes = []int{10, 40}
 
-// poisonFleets omits the largest fleet for the same reason.
-var poisonFleets = []int{4, 15}
+// deploymentSizes omits the largest fleet for the same reason.
+var deploymentSizes = []int{4, 15}
--- a/cowslipd/relay/fleet_test.go
+++ b/cowslipd/relay/fleet_test.go
@@ -4,4 +4,4 @@
 
 var fleetSizes = []int{10, 40, 120}
 
-var poisonFleets = []int{4, 15, 126}
+var deploymentSizes = []int{4, 15, 126}
--- a/cowslipd/relay/limit_test.go
+++ b/cowslipd/relay/limit_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -81,34 +80,31 @@
 
 // Guards against a limit that each daemon keeps for itself, and needless refusals.
 func TestUpstreamLimitBindsAllDaemons(t *testing.T) {
-	for _, daemons := range poisonFleets {
-		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
-			t.Parallel()
-			d := deployForLimits(t, daemons)
-			limited := d.enginesAt(0)[:limitedEngines]
-			for _, server := range limited {
-				server.SetLimit(namedLimit)
-			}
-			namedAt := time.Now()
-			var traffic soundTraffic
-			repeat(limitedInterval, namedAt.Add(limitedTraffic), func(number int) { d.sendLimited(&traffic, number) })
-			served, sent := traffic.served(namedAt, time.Now())
-			t.Logf("%d daemons: %d of %d requests served", daemons, served, sent)
-			require.Equal(t, sent, served, "requests were refused while other engines were free")
-			for _, server := range limited {
-				requireLimitKept(t, server, namedAt)
-				require.Positive(t, arrivalsSince(server, time.Now().Add(-limitWindow)), "the end of the limit would not be noticed")
-				server.LiftLimit()
-			}
-			liftedAt := time.Now()
-			repeat(limitedInterval, liftedAt.Add(2*stabilityWindow), func(number int) { d.sendLimited(&traffic, number) })
-			arrivals := 0
-			for _, server := range limited {
-				arrivals += arrivalsSince(server, liftedAt.Add(stabilityWindow))
-			}
-			require.Greater(t, float64(arrivals), limitedEngines*liftedArrivals*stabilityWindow.Seconds(), "the end of the limits was not noticed")
-		})
-	}
+	forEachSize(t, func(t *testing.T, daemons int) {
+		d := deployForLimits(t, daemons)
+		limited := d.enginesAt(0)[:limitedEngines]
+		for _, server := range limited {
+			server.SetLimit(namedLimit)
+		}
+		namedAt := time.Now()
+		var traffic soundTraffic
+		repeat(limitedInterval, namedAt.Add(limitedTraffic), func(number int) { d.sendLimited(&traffic, number) })
+		served, sent := traffic.served(namedAt, time.Now())
+		t.Logf("%d daemons: %d of %d requests served", daemons, served, sent)
+		require.Equal(t, sent, served, "requests were refused while other engines were free")
+		for _, server := range limited {
+			requireLimitKept(t, server, namedAt)
+			require.Positive(t, arrivalsSince(server, time.Now().Add(-limitWindow)), "the end of the limit would not be noticed")
+			server.LiftLimit()
+		}
+		liftedAt := time.Now()
+		repeat(limitedInterval, liftedAt.Add(2*stabilityWindow), func(number int) { d.sendLimited(&traffic, number) })
+		arrivals := 0
+		for _, server := range limited {
+			arrivals += arrivalsSince(server, liftedAt.Add(stabilityWindow))
+		}
+		require.Greater(t, float64(arrivals), limitedEngines*liftedArrivals*stabilityWindow.Seconds(), "the end of the limits was not noticed")
+	})
 }
 
 func (d *deployment) sendLimited(traffic *soundTraffic, number int) {
--- a/cowslipd/relay/poison_test.go
+++ b/cowslipd/relay/poison_test.go
@@ -106,6 +106,16 @@
 	return count
 }
 
+// forEachSize runs a test in parallel for each size of a deployment.
+func forEachSize(t *testing.T, test func(t *testing.T, daemons int)) {
+	for _, daemons := range deploymentSizes {
+		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
+			t.Parallel()
+			test(t, daemons)
+		})
+	}
+}
+
 // deployForPoison deploys daemons with several engines for each range of layers.
 func deployForPoison(t *testing.T, daemons int) *deployment {
 	d := deploy(t, daemons)
@@ -153,28 +163,27 @@
 
 // Guards against one part of prompts that crashes engine after engine.
 func TestPartThatCrashesEnginesIsQuarantined(t *testing.T) {
-	for _, daemons := range poisonFleets {
-		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
-			t.Parallel()
-			checkPoison(t, deployForPoison(t, daemons), allowedPartCrashes, func(number int) []string {
-				return []string{sharedPart, poisonousPart, fmt.Sprintf("%08x", 0x9000+number)}
-			})
+	forEachSize(t, func(t *testing.T, daemons int) {
+		checkPoison(t, deployForPoison(t, daemons), allowedPartCrashes, func(number int) []string {
+			return []string{sharedPart, poisonousPart, fmt.Sprintf("%08x", 0x9000+number)}
 		})
-	}
+	})
 }
 
 // Guards against holding the first part of prompts, which sound requests share, or none.
 func TestFirstPartThatCrashesEnginesIsQuarantined(t *testing.T) {
-	t.Parallel()
-	checkPoison(t, deployForPoison(t, 4), allowedPartCrashes, func(number int) []string {
-		return []string{poisonousPart, fmt.Sprintf("%08x", 0xa0+number%3), fmt.Sprintf("%08x", 0x9000+number)}
+	forEachSize(t, func(t *testing.T, daemons int) {
+		checkPoison(t, deployForPoison(t, daemons), allowedPartCrashes, func(number int) []string {
+			return []string{poisonousPart, fmt.Sprintf("%08x", 0xa0+number%3), fmt.Sprintf("%08x", 0x9000+number)}
+		})
 	})
 }
 
 // Guards against a repeated request that crashes engine after engine.
 func TestRequestThatCrashesEnginesIsQuarantined(t *testing.T) {
-	t.Parallel()
-	checkPoison(t, deployForPoison(t, 4), allowedRequestCrashes, func(int) []string { return []string{sharedPart, poisonousPart} })
+	forEachSize(t, func(t *testing.T, daemons int) {
+		checkPoison(t, deployForPoison(t, daemons), allowedRequestCrashes, func(int) []string { return []string{sharedPart, poisonousPart} })
+	})
 }
 
 // quarantined returns the fingerprints of parts that a daemon holds as quarantined.
