relay: delete only those expired records that were stored

The daemon now remembers which of its records it has stored. A record that had expired when the daemon started is deleted unless the fingerprint is quarantined again meanwhile.

--- a/cowslipd/relay/poison_test.go
+++ b/cowslipd/relay/poison_test.go
@@ -263,8 +263,11 @@
 	d := deployForPoison(t, 2)
 	d.crashEngines()
 	d.awaitStored(true)
+	appended := d.store.Appended(quarantineTopic)
 	d.clockOffset.Store(int64(quarantiner.DefaultTTL))
 	d.awaitStored(false)
+	time.Sleep(stabilityWindow)
+	require.LessOrEqual(t, d.store.Appended(quarantineTopic)-appended, uint64(len(d.daemons)), "records that were never stored are deleted")
 	expired := quarantiner.Record{RequestFingerprint: quarantiner.PartFingerprint("scribe", "old"), Version: 1, Time: time.Now().Add(-quarantiner.DefaultTTL)}
 	data, err := json.Marshal(expired)
 	require.NoError(t, err)
--- a/cowslipd/relay/quarantine.go
+++ b/cowslipd/relay/quarantine.go
@@ -1,24 +1,19 @@
 package relay
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"log/slog"
 	"net/http"
 	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cowslipproxy/cowslipproxy"
-	"github.com/cowslipproxy/cowslipproxy/decoder"
 	"github.com/cowslipproxy/cowslipproxy/gossiper"
 	"github.com/cowslipproxy/cowslipproxy/quarantiner"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
-	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 const (
@@ -28,10 +23,6 @@
 	quarantineThreshold = 3
 	// quarantineInterval is the longest time between two updates of the quarantine.
 	quarantineInterval = time.Second
-	quarantineTimeout  = time.Second // of a call to the store
-	// maxExpiredDeletes bounds the expired records that a daemon deletes from the store when
-	// it starts. Many daemons may start at once.
-	maxExpiredDeletes = 4
 )
 
 // quarantine holds the fingerprints of requests that crash upstreams, as all daemons
@@ -40,22 +31,15 @@
 type quarantine struct {
 	*quarantiner.Quarantiner
 	changed   chan struct{}
-	published map[quarantiner.RequestFingerprint]bool // items that this daemon has published
+	published map[quarantiner.RequestFingerprint]bool // items that this daemon has published, and whether it has stored the record
 	unstored  map[string][]byte                       // values to write to the store, by key; an empty one deletes the record
 	storing   bool                                    // a write is in progress
 	stored    chan storeResult
-	expired   chan string // keys of records in the store that had expired when this daemon started
-}
-
-// storeResult is the result of writing a value to the store.
-type storeResult struct {
-	key   string
-	value []byte
-	err   error
+	expired   chan quarantiner.RequestFingerprint // of records in the store that had expired when this daemon started
 }
 
 func (q *quarantine) build(self cowslipproxy.Owner) {
-	q.changed, q.stored, q.expired = make(chan struct{}, 1), make(chan storeResult, 1), make(chan string, maxExpiredDeletes)
+	q.changed, q.stored, q.expired = make(chan struct{}, 1), make(chan storeResult, 1), make(chan quarantiner.RequestFingerprint, maxExpiredDeletes)
 	q.published, q.unstored = map[quarantiner.RequestFingerprint]bool{}, map[string][]byte{}
 	q.Quarantiner = &quarantiner.Quarantiner{Self: self.Key(), Threshold: quarantineThreshold, Concurrent: true, OnChange: func() {
 		select {
@@ -78,8 +62,10 @@
 		case <-timer.C:
 		case result := <-d.quarantine.stored:
 			d.handleStored(ctx, result)
-		case key := <-d.quarantine.expired:
-			d.quarantine.unstored[key] = nil
+		case fp := <-d.quarantine.expired:
+			if !d.quarantine.Holds(d.Clock(), fp) {
+				d.quarantine.unstored[fp.Key()] = nil
+			}
 		}
 		wait := quarantineInterval
 		now := d.Clock()
@@ -116,129 +102,29 @@
 		reporter.EventExchangeFailed.Log(ctx, d.Logger, slog.Any("error", err))
 		return
 	}
-	q.published[change.RequestFingerprint] = true
+	q.published[change.RequestFingerprint] = change.After == quarantiner.StateQuarantined
 	if err := q.setUnstored(change); err != nil {
 		reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.String("fingerprint", change.Key()), slog.Any("error", err))
 	}
 }
 
-// setUnstored sets what is to be written to the store after a change. The store holds
-// quarantined fingerprints only.
-func (q *quarantine) setUnstored(change quarantiner.Change) error {
-	switch {
-	case change.After == quarantiner.StateQuarantined:
-		value, err := json.Marshal(change.Record)
-		if err != nil {
-			return errors.WithStack(err)
-		}
-		q.unstored[change.Key()] = value
-	case change.Before == quarantiner.StateQuarantined:
-		q.unstored[change.Key()] = nil
-	}
-	return nil
-}
-
-// withdrawExpired withdraws the published records that have expired, and deletes them from
-// the store.
+// withdrawExpired withdraws the published records that have expired, and deletes the stored
+// ones from the store.
 func (d *Daemon) withdrawExpired(ctx context.Context, now time.Time) {
-	for fp := range d.quarantine.published {
+	for fp, isStored := range d.quarantine.published {
 		if d.quarantine.Holds(now, fp) {
 			continue
 		}
 		delete(d.quarantine.published, fp)
-		d.quarantine.unstored[fp.Key()] = nil
+		if isStored {
+			d.quarantine.unstored[fp.Key()] = nil
+		}
 		if err := d.gossiper.Withdraw(gossiper.KindPoison, fp.Key(), gossiper.ReachAll); err != nil {
 			reporter.EventExchangeFailed.Log(ctx, d.Logger, slog.Any("error", err))
 		}
 	}
 }
 
-// storeQuarantine writes one value to the store, unless a write is in progress. The others
-// follow when it has ended.
-func (d *Daemon) storeQuarantine(ctx context.Context) {
-	q := &d.quarantine
-	if q.storing {
-		return
-	}
-	for key, value := range q.unstored {
-		q.storing = true
-		go func() {
-			err := d.putQuarantine(ctx, key, value)
-			if err != nil {
-				waiter.Wait(ctx, quarantineInterval) // before the next attempt
-			}
-			q.stored <- storeResult{key, value, err}
-		}()
-		return
-	}
-}
-
-func (d *Daemon) putQuarantine(ctx context.Context, key string, value []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
-	defer cancel()
-	return d.Platform.Quarantine.Put(ctx, key, value)
-}
-
-func (d *Daemon) handleStored(ctx context.Context, result storeResult) {
-	q := &d.quarantine
-	q.storing = false
-	if result.err != nil {
-		reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.String("fingerprint", result.key), slog.Any("error", result.err))
-		return
-	}
-	if latest, ok := q.unstored[result.key]; ok && bytes.Equal(latest, result.value) {
-		delete(q.unstored, result.key)
-	}
-}
-
-// loadQuarantine reads the quarantined fingerprints from the store when the daemon
-// starts. Others that run since may have been killed together with this one.
-func (d *Daemon) loadQuarantine(ctx context.Context) {
-	for {
-		records, err := d.readQuarantine(ctx)
-		if err == nil {
-			d.quarantine.Merge(d.Clock(), records)
-			d.deleteExpired(records)
-			return
-		}
-		reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.Any("error", err))
-		if !waiter.Wait(ctx, quarantineInterval) {
-			return
-		}
-	}
-}
-
-// deleteExpired deletes expired records from the store. The daemons that wrote them have
-// restarted since, or they would have done so.
-func (d *Daemon) deleteExpired(records []quarantiner.Record) {
-	for _, record := range records {
-		if d.quarantine.Holds(d.Clock(), record.RequestFingerprint) {
-			continue
-		}
-		select {
-		case d.quarantine.expired <- record.Key():
-		default: // the next daemons that start delete the others
-			return
-		}
-	}
-}
-
-func (d *Daemon) readQuarantine(ctx context.Context) (records []quarantiner.Record, err error) {
-	var stored map[string][]byte
-	if stored, err = d.Platform.Quarantine.All(ctx); err != nil {
-		return nil, err
-	}
-	for key, data := range stored {
-		var record quarantiner.Record
-		if err := decoder.JSON(data, &record); err != nil {
-			reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.String("fingerprint", key), slog.Any("error", err))
-			continue
-		}
-		records = append(records, record)
-	}
-	return records, nil
-}
-
 // quarantineEntry is a fingerprint in the dump.
 type quarantineEntry struct {
 	quarantiner.Record
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -74,6 +74,13 @@
 	return len(s.topic(name).newest()) > 0
 }
 
+// Appended returns the number of records that were appended to a topic.
+func (s *Store) Appended(name string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.topic(name).end()
+}
+
 // Publish writes a configuration to the operator's topic.
 func (s *Store) Publish(config []byte) { s.Put("keyed.op", "config", config) }
 
