quarantiner: try fingerprints that were in flight at many crashes

A sound part was refused until its record expired, ten minutes later, if it had been in flight at 16 crashes of upstreams that no daemon could object to: when all daemons had just started and half of the upstreams of a large deployment crashed.

Cause: trials of a record with 16 crashes were ruled out, because the crash by a trial would not fit into it and the trials would never end. Since the number of trials is in the record, so that they are bounded without it: two, and then one each minute.

TestPartOfManyCrashesIsTried failed before and passes. TestTrialsAfterManyCrashesAreBounded has the crashing part: at most three trials in a minute.

--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -130,7 +130,7 @@
 // the same request may have crashed the upstream, but a second one does.
 func (q *Quarantiner) isTrialDue(now time.Time, held []*entry) bool {
 	isDue := func(e *entry) bool {
-		return !now.Before(e.trialDue) && len(e.Crashes) < maxCrashes && e.failedTrials() < maxFailedTrials
+		return !now.Before(e.trialDue) && e.failedTrials() < maxFailedTrials
 	}
 	isUntried := func(e *entry) bool { return e.failedTrials() == 0 }
 	return q.runsTrials() && slices.ContainsFunc(held, isUntried) && !slices.ContainsFunc(held, func(e *entry) bool { return !isDue(e) })
--- a/quarantiner/evidence_test.go
+++ b/quarantiner/evidence_test.go
@@ -169,3 +169,31 @@
 	}
 	require.Zero(t, q.Records(epoch)[0].Trials)
 }
+
+// Guards against a sound part that is never tried because many upstreams crashed at once.
+func TestPartOfManyCrashesIsTried(t *testing.T) {
+	q := newConcurrent("a")
+	crashUpstreams(q, epoch, 0, 40, soundPart)
+	now := epoch.Add(2 * time.Second)
+	require.NotNil(t, refusal(q, now, bothParts[:1]))
+	now = now.Add(2 * time.Second)
+	require.Nil(t, refusal(q, now, bothParts[:1]))
+	q.Survived(now, bothParts[:1])
+	require.Nil(t, refusal(q, now, bothParts[:1]))
+}
+
+// Guards against trials that crash upstream after upstream while their crashes are not recorded.
+func TestTrialsAfterManyCrashesAreBounded(t *testing.T) {
+	q := newConcurrent("a")
+	crashUpstreams(q, epoch, 0, 40, badPart)
+	trials := 0
+	for elapsed := time.Second; elapsed < time.Minute; elapsed += time.Second {
+		now := epoch.Add(elapsed)
+		if refusal(q, now, bothParts) == nil {
+			trials++
+			crashUpstreams(q, now, 40+trials, 1, badPart)
+		}
+	}
+	require.Positive(t, trials)
+	require.LessOrEqual(t, trials, allowedSends)
+}
