quarantiner: try a fingerprint alone after a failed trial with others

A sound part that all requests share was refused until its record expired, ten minutes later, if it was quarantined together with a bad one and the first trial was a request with both: when all daemons have just started, no daemon can object.

Cause: a trial needed a fingerprint that had been in no failed trial. After the trial of both, neither part could be tried again, although requests with the sound part alone would have cleared it. A fingerprint is now tried again if it is the only quarantined one of a request. It still takes part in at most two trials that crash an upstream.

TestSoundPartIsTriedAloneAfterFailedTrial failed before and passes.

--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -126,14 +126,16 @@
 
 // isTrialDue reports whether this daemon runs a request with quarantined fingerprints now,
 // to find out whether they are sound. One daemon runs all trials, one at a time for each
-// fingerprint. One failed trial does not end those of a fingerprint, since another one of
-// the same request may have crashed the upstream, but a second one does.
+// fingerprint. After a failed trial of several fingerprints, any of them may have crashed the
+// upstream. Each is then tried again alone, or beside one that was in no failed trial. A second
+// failed trial is the last one.
 func (q *Quarantiner) isTrialDue(now time.Time, held []*entry) bool {
 	isDue := func(e *entry) bool {
 		return !now.Before(e.trialDue) && e.failedTrials() < maxFailedTrials
 	}
 	isUntried := func(e *entry) bool { return e.failedTrials() == 0 }
-	return q.runsTrials() && slices.ContainsFunc(held, isUntried) && !slices.ContainsFunc(held, func(e *entry) bool { return !isDue(e) })
+	isInformative := len(held) == 1 || slices.ContainsFunc(held, isUntried)
+	return q.runsTrials() && isInformative && !slices.ContainsFunc(held, func(e *entry) bool { return !isDue(e) })
 }
 
 // runsTrials reports whether this daemon is the one, by rendezvous hashing over the live
