quarantiner: repeat trials soon whose request was never sent

After two trials, a request that was admitted as a trial but not sent, since no upstream could take it, delayed the next one by a minute. The delay now begins when a request is sent. The added lines of TestTrialCountsWhenRequestIsSent failed before and pass.

--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -57,7 +57,7 @@
 	}
 	for _, e := range held {
 		tried = append(tried, e.RequestFingerprint)
-		e.postponeTrial(now)
+		e.trialDue = now.Add(trialDelay) // of the next one, if this request is not sent
 	}
 	return tried, nil
 }
--- a/quarantiner/evidence_test.go
+++ b/quarantiner/evidence_test.go
@@ -171,6 +171,16 @@
 		require.Equal(t, []quarantiner.RequestFingerprint{badPart}, tried)
 	}
 	require.Zero(t, q.Records(epoch)[0].Trials)
+	now := epoch.Add(time.Minute)
+	for range 2 {
+		require.Nil(t, refusal(q, now, bothParts))
+		now = now.Add(2 * time.Minute)
+	}
+	for range 2 {
+		_, failure := q.Admit(now, bothParts)
+		require.Nil(t, failure, "a request that was not sent delays the next trial")
+		now = now.Add(4 * time.Second)
+	}
 }
 
 // Guards against a sound part that is never tried because many upstreams crashed at once.
