--- /dev/null
+++ b/quarantiner/simulation_test.go
@@ -0,0 +1,276 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/quarantiner"
+)
+
+// Parameters of a simulated fleet.
+const (
+	fleetStep       = 10 * time.Millisecond
+	fleetDuration   = 30 * time.Second
+	fleetWarmUp     = 3 * time.Second
+	fleetThreshold  = 3
+	fleetUpstreams  = 8
+	soundPerSecond  = 40
+	poisonPerSecond = 3
+	firstEventAfter = 200 * time.Millisecond
+	crashAfter      = 260 * time.Millisecond // the crash of an upstream by a poisonous request
+	survivedAfter   = firstEventAfter + time.Second
+	answeredAfter   = 3 * time.Second
+	restartAfter    = 2 * time.Second
+	middleParts     = 3 // parts that a third of the sound requests share
+)
+
+// Bounds that the platform states.
+const (
+	stabilityWindow = 3 * time.Second
+	allowedCrashes  = 5
+	allowedSends    = 3
+	minSample       = 20 // requests for which the share of served ones is compared
+)
+
+var badPart = quarantiner.PartFingerprint("scribe", "bad")
+
+// fleetRequest is a request that runs on an upstream.
+type fleetRequest struct {
+	fingerprints []quarantiner.RequestFingerprint
+	daemon       int
+	upstream     int
+	sent         time.Time
+	sends        int
+	tried        []quarantiner.RequestFingerprint // quarantined ones
+	poisonous    bool
+	survived     bool
+}
+
+// delivery is a record on its way to a daemon.
+type delivery struct {
+	at     time.Time
+	to     int
+	record quarantiner.Record
+}
+
+// fleet simulates daemons that exchange records with delays, and upstreams that crash.
+type fleet struct {
+	random      *rand.Rand
+	now         time.Time
+	daemons     []*quarantiner.Quarantiner
+	cut         int         // daemon that neither sends nor receives records; -1 for none
+	impaired    []time.Time // until when the platform's bounds do not apply to a daemon
+	requests    []*fleetRequest
+	downUntil   [fleetUpstreams]time.Time
+	runs        [fleetUpstreams]int // incarnation of each upstream
+	deliveries  []delivery
+	number      int
+	crashes     []time.Time // by poisonous requests
+	sends       []time.Time // of poisonous requests
+	refused     int         // sound requests that a daemon refused
+	sound       int         // sound requests that arrived
+	changed     []bool      // daemons with changes to publish
+	poisonFrom  time.Duration
+	rejectFrom  time.Duration // from then on upstreams reject poisonous requests without running them; 0 if never
+	rackCrashes int           // crashes that no request caused
+}
+
+func newFleet(daemons int, seed uint64) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, uint64(daemons))), now: epoch, cut: -1, poisonFrom: fleetWarmUp, changed: make([]bool, daemons), impaired: make([]time.Time, daemons)}
+	for i := range daemons {
+		f.daemons = append(f.daemons, f.newDaemon(i, 0))
+	}
+	f.setPeers()
+	return f
+}
+
+func (f *fleet) newDaemon(number, incarnation int) *quarantiner.Quarantiner {
+	return &quarantiner.Quarantiner{
+		Self: fmt.Sprintf("daemon-%d-%d", number, incarnation), Threshold: fleetThreshold, Concurrent: true,
+		OnChange: func() { f.changed[number] = true },
+	}
+}
+
+func (f *fleet) setPeers() {
+	var names []string
+	for _, daemon := range f.daemons {
+		names = append(names, daemon.Self)
+	}
+	for _, daemon := range f.daemons {
+		daemon.SetPeers(names)
+	}
+}
+
+// restart restarts a daemon, which reads the records of another one.
+func (f *fleet) restart(number int) {
+	f.daemons[number] = f.newDaemon(number, int(f.now.Sub(epoch)))
+	f.setPeers()
+	f.synchronize((number+1)%len(f.daemons), number)
+}
+
+// synchronize sends the records of one daemon to another one.
+func (f *fleet) synchronize(from, to int) {
+	f.impaired[to] = f.now.Add(stabilityWindow)
+	for _, record := range f.daemons[from].Records(f.now) {
+		f.deliveries = append(f.deliveries, delivery{f.now.Add(500 * time.Millisecond), to, record})
+	}
+}
+
+// setCut cuts off a daemon, and connects the one that was cut off before.
+func (f *fleet) setCut(number int) {
+	if f.cut >= 0 {
+		healed := f.cut
+		f.synchronize((healed+1)%len(f.daemons), healed)
+		f.cut = -1
+		for _, record := range f.daemons[healed].Records(f.now) {
+			f.publish(healed, record)
+		}
+	}
+	f.cut = number
+}
+
+func (f *fleet) arrive(poisonous bool) {
+	f.number++
+	parts := []string{"shared", fmt.Sprint("middle-", f.number%middleParts)}
+	if poisonous {
+		parts[1] = "bad"
+	}
+	fingerprints := []quarantiner.RequestFingerprint{quarantiner.FingerprintOf("clerks", fmt.Sprint(f.number))}
+	for _, part := range parts {
+		fingerprints = append(fingerprints, quarantiner.PartFingerprint("scribe", part))
+	}
+	request := &fleetRequest{fingerprints: fingerprints, daemon: f.random.IntN(len(f.daemons)), poisonous: poisonous}
+	if !poisonous {
+		f.sound++
+	}
+	var failure *cowslipproxy.Failure
+	if request.tried, failure = f.daemons[request.daemon].Admit(f.now, fingerprints); failure != nil {
+		if !poisonous {
+			f.refused++
+		}
+		return
+	}
+	f.send(request)
+}
+
+// send sends a request to an upstream that is up.
+func (f *fleet) send(request *fleetRequest) {
+	var up []int
+	for i, until := range f.downUntil {
+		if !f.now.Before(until) {
+			up = append(up, i)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	request.upstream, request.sent, request.survived = up[f.random.IntN(len(up))], f.now, false
+	request.sends++
+	f.daemons[request.daemon].RecordTrial(f.now, request.tried)
+	request.tried = nil
+	if request.poisonous && request.daemon != f.cut && !f.now.Before(f.impaired[request.daemon]) {
+		f.sends = append(f.sends, f.now)
+	}
+	if request.poisonous && f.rejectFrom > 0 && f.now.Sub(epoch) >= f.rejectFrom {
+		return
+	}
+	f.requests = append(f.requests, request)
+}
+
+// crash crashes an upstream. The requests on it are sent once more.
+func (f *fleet) crash(upstream int) {
+	incarnation := fmt.Sprintf("upstream-%d-%d", upstream, f.runs[upstream])
+	f.runs[upstream]++
+	f.downUntil[upstream] = f.now.Add(restartAfter)
+	var broken []*fleetRequest
+	f.requests = slices.DeleteFunc(f.requests, func(r *fleetRequest) bool {
+		if r.upstream == upstream {
+			broken = append(broken, r)
+		}
+		return r.upstream == upstream
+	})
+	for _, request := range broken {
+		daemon := f.daemons[request.daemon]
+		if !request.survived {
+			daemon.Crash(f.now, incarnation, request.fingerprints)
+		}
+		if request.sends < 2 && daemon.Reject(f.now, request.fingerprints) == nil {
+			f.send(request)
+		}
+	}
+}
+
+// step advances the time and handles what is due.
+func (f *fleet) step() {
+	f.now = f.now.Add(fleetStep)
+	for _, request := range slices.Clone(f.requests) {
+		age := f.now.Sub(request.sent)
+		switch {
+		case !slices.Contains(f.requests, request): // its upstream has crashed
+		case request.poisonous && age >= crashAfter:
+			f.crashes = append(f.crashes, f.now)
+			f.crash(request.upstream)
+		case age >= survivedAfter && !request.survived:
+			request.survived = true
+			f.daemons[request.daemon].Survived(f.now, request.fingerprints)
+		case age >= answeredAfter:
+			f.requests = slices.DeleteFunc(f.requests, func(r *fleetRequest) bool { return r == request })
+		}
+	}
+	f.deliveries = slices.DeleteFunc(f.deliveries, func(d delivery) bool {
+		if f.now.Before(d.at) {
+			return false
+		}
+		f.daemons[d.to].Merge(f.now, []quarantiner.Record{d.record})
+		return true
+	})
+	for i, daemon := range f.daemons {
+		if i == f.cut || !f.changed[i] {
+			continue
+		}
+		f.changed[i] = !daemon.Object(f.now).IsZero()
+		for _, change := range daemon.TakeChanges(f.now) {
+			if change.Local {
+				f.publish(i, change.Record)
+			}
+		}
+	}
+}
+
+func (f *fleet) publish(from int, record quarantiner.Record) {
+	for to := range f.daemons {
+		if to != from && to != f.cut {
+			delay := 20*time.Millisecond + time.Duration(f.random.IntN(300))*time.Millisecond
+			f.deliveries = append(f.deliveries, delivery{f.now.Add(delay), to, record})
+		}
+	}
+}
+
+// run lets requests arrive for fleetDuration and calls each at every step.
+func (f *fleet) run(poison bool, each func(elapsed time.Duration)) {
+	arrives := func(perSecond int) bool { return f.random.Float64() < float64(perSecond)*fleetStep.Seconds() }
+	for elapsed := time.Duration(0); elapsed < fleetDuration; elapsed += fleetStep {
+		if arrives(soundPerSecond) {
+			f.arrive(false)
+		}
+		if poison && elapsed >= f.poisonFrom && arrives(poisonPerSecond) {
+			f.arrive(true)
+		}
+		each(elapsed)
+		f.step()
+	}
+}
+
+// crashRacks crashes several upstreams at once, about once a second.
+func (f *fleet) crashRacks(elapsed time.Duration) {
+	if elapsed < fleetWarmUp || f.random.IntN(100) > 0 {
+		return
+	}
+	for range 1 + f.random.IntN(fleetUpstreams/2) {
+		f.crash(f.random.IntN(fleetUpstreams))
+		f.rackCrashes++
+	}
+}
