relay: measure sound requests after an earlier crash if the last one comes late

Not traced: the test did not log the outcome, and 57 further runs beside load did not show it.

One of the three runs to trace it failed in TestPartThatCrashesEnginesIsQuarantined/126: 0 of 0 sound requests from 6 s after the decisive crash. Trace: fewer than five engines crashed, and the last crash was that of a trial, which the one daemon of 126 that runs trials can begin late. Less than 6 s of traffic followed, so that nothing was compared.

--- a/cowslipd/relay/limit_test.go
+++ b/cowslipd/relay/limit_test.go
@@ -110,7 +110,11 @@
 func (d *deployment) sendLimited(traffic *soundTraffic, number int) {
 	at := time.Now()
 	got := d.send(d.daemons[number%len(d.daemons)], call{path: lettersPath + "1", tokens: limitedTokens})
-	traffic.add(at, got.err == nil && got.body == streamBody(got.id, 1, limitedTokens))
+	served := got.err == nil && got.body == streamBody(got.id, 1, limitedTokens)
+	if !served {
+		d.t.Logf("request %s was not served after %v: status %d, error %v, body %q", got.id, time.Since(at), got.status, got.err, got.body)
+	}
+	traffic.add(at, served)
 }
 
 // Guards against requests that wait for upstreams at their limits until they time out.
--- a/cowslipd/relay/poison_test.go
+++ b/cowslipd/relay/poison_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipproxy/cowslipproxy/quarantiner"
+	"github.com/cowslipproxy/cowslipproxy/standin/worker"
 )
 
 // Bounds that the platform's rules state for requests with a part that crashes engines.
@@ -23,6 +24,7 @@
 	allowedRequestCrashes = 3 // crashes after which a request that is repeated alike must be known
 	allowedSends          = 3 // later requests that may reach engines
 	minSoundShare         = 0.5
+	minSample             = 20 // requests for which the share of served ones is compared
 	quarantineThreshold   = 3
 )
 
@@ -127,6 +129,17 @@
 	return d
 }
 
+// decisiveCrash returns the time of the crash by which poisonous requests must be known, or of
+// an earlier one if too few sound requests follow. The last of fewer crashes may be that of a
+// trial, which comes late.
+func decisiveCrash(crashes []worker.Crash, allowed int, end time.Time) time.Time {
+	number := min(len(crashes), allowed) - 1
+	for number > 0 && end.Sub(crashes[number].At) < 2*stabilityWindow+2*minSample*soundInterval {
+		number--
+	}
+	return crashes[number].At
+}
+
 // checkPoison sends sound requests, and poisonous ones beside them after a while. It
 // checks that few poisonous requests reach engines once the part has crashed some, and
 // that sound requests are served meanwhile.
@@ -152,12 +165,12 @@
 		sends = d.poisonRuns(decisive.Add(stabilityWindow))
 	}
 	servedBefore, sentBefore := traffic.served(begin, poisonedFrom)
-	served, sent := traffic.served(decisive.Add(2*stabilityWindow), end)
+	served, sent := traffic.served(decisiveCrash(crashes, allowedCrashes, end).Add(2*stabilityWindow), end)
 	t.Logf("%d daemons: %d crashes, %d runs later than %v after the decisive one; sound requests served: %d of %d before, %d of %d from %v after",
 		len(d.daemons), len(crashes), sends, stabilityWindow, servedBefore, sentBefore, served, sent, 2*stabilityWindow)
 	require.LessOrEqual(t, sends, allowedSends)
-	require.GreaterOrEqual(t, sentBefore, 20)
-	require.GreaterOrEqual(t, sent, 20)
+	require.GreaterOrEqual(t, sentBefore, minSample)
+	require.GreaterOrEqual(t, sent, minSample)
 	require.GreaterOrEqual(t, float64(served)/float64(sent), minSoundShare*float64(servedBefore)/float64(sentBefore))
 }
 
