--- a/relayer/server.go
+++ b/relayer/server.go
@@ -92,6 +92,7 @@
 	tried         []quarantiner.RequestFingerprint // quarantined ones that the request is a trial of, until it is sent
 	attempts      int                              // number of attempts that upstreams may have executed
 	status        int                              // HTTP status sent to the caller; 0 before the header is sent
+	framed        bool                             // the upstream's reply that began the answer has a length or chunks
 	path          []cowslipproxy.Hop               // path of the last attempt
 	limit         float64                          // limit that the last upstream named, in requests per second; 0 if it named none
 	atLimit       int                              // number of attempts not made because the upstream was at its limit
@@ -250,7 +251,7 @@
 	reporter.EventRequestEnded.Log(ctx, x.Logger,
 		slog.String("request", x.callerRequest.ID), slog.String("route", x.route.Name), slog.Uint64("version", x.version),
 		slog.Int("tries", x.attempts), slog.Int("status", x.status), slog.Duration("took", took),
-		slog.String("path", formatPath(x.path)), slog.Float64("limit", x.limit), slog.Int("limited", x.atLimit), slog.Int("events", x.eventsSent), slog.Duration("first", x.timeToFirst), slog.Duration("pause", x.longestPause),
+		slog.String("path", formatPath(x.path)), slog.Float64("limit", x.limit), slog.Int("limited", x.atLimit), slog.Bool("framed", x.framed), slog.Int("events", x.eventsSent), slog.Duration("first", x.timeToFirst), slog.Duration("pause", x.longestPause),
 		slog.String("outcome", string(outcome)), slog.String("reason", string(reason)), slog.String("message", message))
 }
 
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -307,7 +307,7 @@
 	if s.status == 0 {
 		s.copyHeader(reply.Header)
 		s.w.Header().Del("Content-Length")
-		s.status = reply.StatusCode
+		s.status, s.framed = reply.StatusCode, reply.isFramed()
 		s.w.WriteHeader(s.status)
 	}
 	if len(next.data) == 0 {
--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -152,7 +152,7 @@
 	}
 	x.copyHeader(last.reply.Header)
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(last.body)))
-	x.status = last.reply.StatusCode
+	x.status, x.framed = last.reply.StatusCode, last.reply.isFramed()
 	x.w.WriteHeader(x.status)
 	if _, err := x.w.Write(last.body); err != nil {
 		return cowslipproxy.Unknown(cowslipproxy.ReasonCancelled, "the caller disconnected: %v", err)
