--- a/cowslipd/relay/deployment_test.go
+++ b/cowslipd/relay/deployment_test.go
@@ -222,6 +222,7 @@
 	status int
 	header http.Header
 	body   string
+	framed bool  // the response has a length or chunks, so that its regular end means that it is complete
 	err    error // the caller got no response or an incomplete one
 }
 
@@ -266,7 +267,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return result{id, response.StatusCode, response.Header, string(body), err}
+	return result{id, response.StatusCode, response.Header, string(body), response.ContentLength >= 0 || len(response.TransferEncoding) > 0, err}
 }
 
 // enginesAt returns the engines whose layer range begins at the given layer.
--- a/standin/worker/server.go
+++ b/standin/worker/server.go
@@ -46,8 +46,9 @@
 	layers         layerRange
 	fault          Fault
 	paths          map[string][]stage // by request id, for streams whose first stage is this engine
-	limit          string             // value of the header that names the server's limit; empty if it has none
-	arrivals       []time.Time        // of requests of any kind
+	script         Script
+	limit          string      // value of the header that names the server's limit; empty if it has none
+	arrivals       []time.Time // of requests of any kind
 	stopped        bool
 }
 
@@ -80,6 +81,41 @@
 	s.fault = fault
 }
 
+// Script returns the bytes that a server sends instead of its reply to a request, before it
+// closes the connection. An empty string stands for the regular reply.
+type Script func(id, lastEventID string) string
+
+// SetScript sets the replies to later requests. The requests count as run.
+func (s *Server) SetScript(script Script) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.script = script
+}
+
+// runScript reports whether the script replaced the reply to a request.
+func (s *Server) runScript(w http.ResponseWriter, r *http.Request, body []byte) bool {
+	s.mu.Lock()
+	script := s.script
+	s.mu.Unlock()
+	if script == nil {
+		return false
+	}
+	text := script(r.Header.Get("X-Request-Id"), r.Header.Get("Last-Event-Id"))
+	if text == "" {
+		return false
+	}
+	index := s.fleet.recordRun(s, r, body)
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return true
+	}
+	defer conn.Close()
+	_, _ = buffer.WriteString(text) // fails only if the caller disconnected
+	_ = buffer.Flush()
+	s.fleet.completeRun(index)
+	return true
+}
+
 // Drain sets the server's state to draining. The server continues to handle requests.
 func (s *Server) Drain() {
 	s.mu.Lock()
@@ -304,6 +340,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if s.runScript(w, r, body) {
+		return
+	}
 	if s.AcceleratorKind != "" {
 		s.serveStream(w, r, body, fault)
 		return
