relayer: do not state the end of an answer that its upstream did not state

Cause: an answer with neither length nor chunks ends with its connection, when it is complete and when a crash ends it. The daemon gave it chunks with a last one, or a Content-Length, and so stated an end that nobody knew.

The answer now keeps the form in which it came. A stream that ends between two events is resumed once its route and the retry budget allow that: a resumption that ends without an event confirms the end, one with events continues the answer. If it can't be resumed, it ends in its own form, or is broken off if the caller's answer has chunks. An answer that is known to be broken is reset, because a regular end would complete it.

Ruled out: waiting for evidence of a crash. Breaking off each such answer would lose complete ones.

--- a/cowslipd/relay/framing_test.go
+++ b/cowslipd/relay/framing_test.go
@@ -126,10 +126,10 @@
 		"starts over":        func(id string, _ int) string { return chunkedStream(id, streamBody(id, 1, scriptedEvents)) },
 		"skips events":       func(id string, last int) string { return chunkedStream(id, streamBody(id, last+3, scriptedEvents)) },
 		"skips events later": func(id string, last int) string {
-			return chunkedStream(id, streamBody(id, last+1, last+2)+streamBody(id, last+4, scriptedEvents))
+			return chunkedStream(id, streamBody(id, last+1, min(last+2, scriptedEvents))+streamBody(id, last+4, scriptedEvents))
 		},
 		"repeats an event later": func(id string, last int) string {
-			return chunkedStream(id, streamBody(id, last+1, last+2)+streamBody(id, last+2, scriptedEvents))
+			return chunkedStream(id, streamBody(id, last+1, min(last+2, scriptedEvents))+streamBody(id, last+2, scriptedEvents))
 		},
 		"breaks between events": func(id string, last int) string { return unframedStream(id, last+1, min(last+1, scriptedEvents-1)) },
 		"breaks within its event": func(id string, last int) string {
--- a/headers.go
+++ b/headers.go
@@ -23,3 +23,21 @@
 		header.Del(name)
 	}
 }
+
+const identity = "identity" // net/http's name for a body that ends with its connection
+
+// IsFramed reports whether the body of a response has a length or chunks. Otherwise it ends
+// with its connection, also when the upstream crashes.
+func IsFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+// KeepUnframed makes net/http send a body without a length or chunks, so that the end of an
+// answer is not stated as known if its upstream did not state it.
+func KeepUnframed(header http.Header) {
+	header.Del("Content-Length")
+	header.Set("Transfer-Encoding", identity)
+}
+
+// IsUnframed reports whether KeepUnframed was applied to the header of an answer.
+func IsUnframed(header http.Header) bool { return header.Get("Transfer-Encoding") == identity }
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -35,9 +35,8 @@
 	cowslipproxy.ReplyHeader
 }
 
-// isFramed reports whether the body has a length or chunks. Otherwise it ends with its
-// connection, also when the upstream crashes.
-func (r upstreamReply) isFramed() bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+// isFramed reports whether the body has a length or chunks.
+func (r upstreamReply) isFramed() bool { return cowslipproxy.IsFramed(r.Response) }
 
 // send forwards the request on a connection of its own, so that its reply cannot
 // contain bytes of another request's reply. The error wraps
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -51,6 +51,7 @@
 	// attempt was aborted. The attempt's mutex guards it until the attempt ends.
 	retryGranted       bool
 	lastEventID        string           // id of the last event sent to the caller
+	isEndUnverified    bool             // the last events came without a length or chunks and ended between two events
 	entryEngineCount   int              // number of entry engines (first engines of a path) that may have started the request
 	entryEngines       []string         // ids of these engines
 	failedEntryEngines []string         // ids of entry engines whose attempt failed
@@ -79,7 +80,7 @@
 		if notExecuted, err = s.attempt(ctx, finder, path); err == nil {
 			return nil
 		}
-		if notExecuted && s.eventsSent > 0 {
+		if notExecuted && s.awaitsRest() {
 			s.refusedResumes++
 		}
 		if ctx.Err() != nil || s.isQuarantined() || !s.retryGranted && !s.awaitRetry(ctx, notExecuted) {
@@ -92,12 +93,15 @@
 	return s.finalFailure(ctx, err)
 }
 
+// awaitsRest reports whether the caller has got events and certainly not all of them.
+func (s *streamExchange) awaitsRest() bool { return s.eventsSent > 0 && !s.isEndUnverified }
+
 // awaitRetry reports whether the request may be sent again. Once the caller has got
 // events, it waits until the retry budget allows that, because the answer would be lost
 // otherwise. The caller disconnects when it has waited too long.
 func (s *streamExchange) awaitRetry(ctx context.Context, notExecuted bool) bool {
 	for !s.canRetry(notExecuted) {
-		if s.eventsSent == 0 || !s.hasSendsLeft() || !waiter.Wait(ctx, resumePollInterval) {
+		if !s.awaitsRest() || !s.hasSendsLeft() || !waiter.Wait(ctx, resumePollInterval) {
 			return false
 		}
 	}
@@ -123,7 +127,7 @@
 		if err == nil {
 			return path, nil
 		}
-		if s.eventsSent == 0 && (errors.Is(err, errAtLimit) || s.Clock().After(limit)) {
+		if !s.awaitsRest() && (errors.Is(err, errAtLimit) || s.Clock().After(limit)) {
 			return nil, err
 		}
 		if !waiter.Wait(ctx, pathPollInterval) {
@@ -181,6 +185,9 @@
 // finalFailure returns the failure that the caller gets when no further attempt
 // is made.
 func (s *streamExchange) finalFailure(ctx context.Context, err error) *cowslipproxy.Failure {
+	if s.isEndUnverified && !s.framed {
+		return nil // the answer ends as it came, and the caller judges its end
+	}
 	if s.status != 0 {
 		return cowslipproxy.Unknown(cowslipproxy.ReasonAnswerLost, "the stream broke off: %v", err)
 	}
@@ -273,21 +280,40 @@
 	events := eventReader{source: bufio.NewReaderSize(reply.Body, streamBufferSize), memory: memory}
 	for {
 		next, err := events.next()
-		isEnd := errors.Is(err, io.EOF) && (a.received > 0 || reply.isFramed())
-		if err != nil && !isEnd {
+		if events.isWithinEvent() {
+			a.isEndUnverified = false // at least this event follows
+		}
+		if errors.Is(err, io.EOF) {
+			return a.endStream(reply)
+		}
+		if err != nil {
 			return readError(a.ctx, err)
 		}
 		a.recordEvent()
 		if err := a.writeEvent(reply, next); err != nil {
 			return err
 		}
-		if err != nil {
-			a.recordCompletion(reply)
-			return nil
-		}
 	}
 }
 
+// endStream processes a regular end of the upstream's stream.
+func (a *streamAttempt) endStream(reply upstreamReply) error {
+	switch {
+	case a.received == 0 && !reply.isFramed():
+		return readError(a.ctx, io.EOF)
+	case a.received > 0 && !reply.isFramed():
+		a.isEndUnverified = true
+		return errors.WithStack(errUnverifiedEnd)
+	}
+	a.isEndUnverified = false
+	a.recordEvent()
+	if err := a.writeEvent(reply, event{}); err != nil {
+		return err
+	}
+	a.recordCompletion(reply)
+	return nil
+}
+
 // recordDelivery records the time at which an event was sent to the caller.
 func (s *streamExchange) recordDelivery(now time.Time) {
 	if s.eventsSent == 0 {
@@ -308,6 +334,9 @@
 		s.copyHeader(reply.Header)
 		s.w.Header().Del("Content-Length")
 		s.status, s.framed = reply.StatusCode, reply.isFramed()
+		if !s.framed {
+			cowslipproxy.KeepUnframed(s.w.Header())
+		}
 		s.w.WriteHeader(s.status)
 	}
 	if len(next.data) == 0 {
--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -151,7 +151,11 @@
 		return x.unknownOutcome(ctx, last.err)
 	}
 	x.copyHeader(last.reply.Header)
-	x.w.Header().Set("Content-Length", strconv.Itoa(len(last.body)))
+	if last.reply.isFramed() {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(last.body)))
+	} else {
+		cowslipproxy.KeepUnframed(x.w.Header())
+	}
 	x.status, x.framed = last.reply.StatusCode, last.reply.isFramed()
 	x.w.WriteHeader(x.status)
 	if _, err := x.w.Write(last.body); err != nil {
