caller: keep the form of unframed answers of plain services

The product's own interface gave an answer that ends with its connection chunks with a regular end, and recorded answers a length, so that an answer which a crash had ended looked complete. TestUnframedAnswerKeepsItsForm fails without the change.

--- a/caller/service.go
+++ b/caller/service.go
@@ -94,6 +94,9 @@
 		}
 	}
 	header.Set(HeaderOutcome, string(cowslipproxy.OutcomeDone))
+	if !cowslipproxy.IsFramed(response) {
+		cowslipproxy.KeepUnframed(header)
+	}
 	e.w.WriteHeader(response.StatusCode)
 	controller := http.NewResponseController(e.w)
 	buffer := make([]byte, 32<<10)
--- a/caller/service_test.go
+++ b/caller/service_test.go
@@ -71,3 +71,35 @@
 	require.True(t, guard.completed)
 	require.Equal(t, "complete response", recorder.Body.String())
 }
+
+// unframedService answers with neither a length nor chunks.
+type unframedService struct{ stub }
+
+func (unframedService) Call(context.Context, cowslipproxy.Service, cowslipproxy.ServiceCall, time.Time) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: io.NopCloser(strings.NewReader("half of the ans"))}, nil
+}
+
+// Guards against an answer that a crash may have ended and that gets chunks with a regular end.
+func TestUnframedAnswerKeepsItsForm(t *testing.T) {
+	sum := sha256.Sum256([]byte("key"))
+	active := cowslipproxy.ActiveConfiguration{Configuration: cowslipproxy.Configuration{
+		Customers: []cowslipproxy.Customer{{Name: "officers", Keys: []string{hex.EncodeToString(sum[:])}}},
+		Services:  []cowslipproxy.Service{{Name: "ledger", Effect: cowslipproxy.EffectRepeat}},
+	}}.Indexed()
+	server := httptest.NewServer((&caller.Server{
+		ActiveConfiguration: func() (cowslipproxy.ActiveConfiguration, bool) { return active, true },
+		Admitter:            stub{}, Services: unframedService{}, Guard: &fakeGuard{},
+		BodyLimit: 1 << 10, DefaultTimeout: time.Minute, Metrics: metrics.NewRegistry(), Clock: time.Now,
+	}).Handler())
+	defer server.Close()
+	request, err := http.NewRequest(http.MethodPost, server.URL+"/v1/services/ledger/fees", strings.NewReader("{}"))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer key")
+	response, err := server.Client().Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.Equal(t, "half of the ans", string(body))
+	require.False(t, cowslipproxy.IsFramed(response))
+}
--- a/cowslipd/router/guard.go
+++ b/cowslipd/router/guard.go
@@ -129,7 +129,9 @@
 	w.Header().Set(caller.HeaderOutcome, string(answer.Outcome))
 	w.Header().Set(headerReplayed, "true")
 	w.Header().Del("Trailer")
-	w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	if !cowslipproxy.IsUnframed(w.Header()) {
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	}
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body) // the caller may have disconnected
 }
