relayer: check that a resumption continues the answer

Cause: whatever the next engine answered with status 200 was joined. A resumption now must be a stream whose events have the ids that follow the last one sent, and one without events ends the answer only if the events before it ended regularly. Else the attempt failed, its bytes are dropped, and another one may follow. The first attempt is passed on unchecked, since it is the upstream's answer as it is. The version of the weights may differ, as the platform allows.

--- a/relayer/events.go
+++ b/relayer/events.go
@@ -15,8 +15,9 @@
 
 // event is a server-sent event, including the empty line that ends it.
 type event struct {
-	data []byte
-	id   string
+	data      []byte
+	id        string
+	isComment bool // has only comment lines, and no data
 }
 
 // eventReader splits a stream into complete events, so that no partial event is
@@ -31,7 +32,7 @@
 // io.EOF. A stream that ends within an event was broken off, also if its reply has neither
 // a length nor chunks.
 func (r *eventReader) next() (event, error) {
-	current := event{}
+	current := event{isComment: true}
 	r.data = r.data[:0]
 	for {
 		line, err := r.source.ReadSlice('\n')
@@ -54,6 +55,9 @@
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			current.id = string(bytes.TrimSpace(value))
 		}
+		if len(text) > 0 && text[0] != ':' {
+			current.isComment = false
+		}
 		if len(text) == 0 {
 			current.data = r.data
 			return current, nil
--- a/relayer/resumption.go
+++ b/relayer/resumption.go
@@ -1,8 +1,45 @@
 package relayer
 
-import "github.com/pkg/errors"
+import (
+	"mime"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
 
 // errUnverifiedEnd reports a stream without a length or chunks that ended between two
 // events. A crash of the engine ends it in the same way as the end of the answer, so that
 // only a resumption shows whether more events follow.
 var errUnverifiedEnd = errors.New("the end of the stream may be that of its connection")
+
+const mediaTypeEvents = "text/event-stream"
+
+// checkMediaType returns an error if a reply that should resume the answer is not a stream.
+func (a *streamAttempt) checkMediaType(reply upstreamReply) error {
+	contentType := reply.Header.Get("Content-Type")
+	if a.status == 0 || contentType == "" {
+		return nil
+	}
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	if err != nil || mediaType != mediaTypeEvents && contentType != a.w.Header().Get("Content-Type") {
+		return errors.Wrapf(errInvalidReply, "the resumption has the content type %q", contentType)
+	}
+	return nil
+}
+
+// checkOrder returns an error if an event of a resumption does not continue the answer. The
+// first attempt is the upstream's answer as it is, so that its ids are not checked.
+func (a *streamAttempt) checkOrder(next event, isResumption bool) error {
+	if !isResumption || next.isComment || next.id == "" && a.received > 0 {
+		return nil
+	}
+	last, err := strconv.ParseUint(a.lastEventID, 10, 64)
+	if err != nil {
+		return errors.Wrapf(errInvalidReply, "the answer has no number to continue from, its last event is %q", a.lastEventID)
+	}
+	number, err := strconv.ParseUint(next.id, 10, 64)
+	if err != nil || number != last+1 {
+		return errors.Wrapf(errInvalidReply, "event %q does not follow event %d", next.id, last)
+	}
+	return nil
+}
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -275,6 +275,10 @@
 // relayEvents forwards events to the caller as they arrive.
 func (a *streamAttempt) relayEvents(reply upstreamReply) error {
 	defer reply.Body.Close()
+	if err := a.checkMediaType(reply); err != nil {
+		return err
+	}
+	isResumption := a.status != 0
 	memory := a.Memory.Open(func() { a.cancel(allocator.ErrExhausted) })
 	defer memory.Release()
 	events := eventReader{source: bufio.NewReaderSize(reply.Body, streamBufferSize), memory: memory}
@@ -284,11 +288,14 @@
 			a.isEndUnverified = false // at least this event follows
 		}
 		if errors.Is(err, io.EOF) {
-			return a.endStream(reply)
+			return a.endStream(reply, isResumption)
 		}
 		if err != nil {
 			return readError(a.ctx, err)
 		}
+		if err := a.checkOrder(next, isResumption); err != nil {
+			return err
+		}
 		a.recordEvent()
 		if err := a.writeEvent(reply, next); err != nil {
 			return err
@@ -297,10 +304,12 @@
 }
 
 // endStream processes a regular end of the upstream's stream.
-func (a *streamAttempt) endStream(reply upstreamReply) error {
+func (a *streamAttempt) endStream(reply upstreamReply, isResumption bool) error {
 	switch {
 	case a.received == 0 && !reply.isFramed():
 		return readError(a.ctx, io.EOF)
+	case a.received == 0 && isResumption && !a.isEndUnverified:
+		return errors.Wrap(errInvalidReply, "the resumption has no event")
 	case a.received > 0 && !reply.isFramed():
 		a.isEndUnverified = true
 		return errors.WithStack(errUnverifiedEnd)
