relay: test a store that comes back older

The stand-in's store can lose its newest records; it names its era in each answer and refuses offsets that it does not have.

--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -35,6 +35,7 @@
 	topics     map[string]*topic
 	fault      Fault
 	calls      map[string]int // by URL path
+	era        int            // number of times that the store was restored from a copy
 	nextAppend chan struct{}  // closed at the next append
 }
 
@@ -98,6 +99,18 @@
 	}
 }
 
+// Restore replaces the contents by those of an older copy: each of the given topics loses
+// its newest records, and their offsets are given out again.
+func (s *Store) Restore(lost map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for name, count := range lost {
+		t := s.topic(name)
+		t.records = slices.Clone(t.records[:max(len(t.records)-count, 0)])
+	}
+}
+
 func (s *Store) topic(name string) *topic {
 	if s.topics == nil {
 		s.topics = map[string]*topic{}
@@ -139,6 +152,7 @@
 		}
 		s.calls[r.URL.Path]++
 		fault := s.fault
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
 		s.mu.Unlock()
 		switch fault {
 		case FaultBusy:
@@ -194,8 +208,9 @@
 		first, end := t.first, t.end()
 		records := t.records[min(max(from, first)-first, uint64(len(t.records))):]
 		appended := s.appended()
+		w.Header().Set("Store-Era", strconv.Itoa(s.era)) // the store may have been restored during the wait
 		s.mu.Unlock()
-		if from < first {
+		if from < first || from > end {
 			writeJSON(w, http.StatusGone, map[string]uint64{"first": first})
 			return
 		}
