platform: order positions in a store that comes back older

Cause: a position was the store's offset, which goes back and is given out again when the store is restored from a copy. Followers dropped the reader's list since its position was lower than theirs, and took its age as that of their own. A reader whose offset was given out again got no 410 and missed what was written below.

A position now holds the store's era, which it names in each answer, above the offset. All comparisons hold as they are, between daemons too. A reader that meets another era reads everything, and the list keeps the entries that the copy lacks until their servers had time to register, as after an outage. After a failed read the next one does not wait, since only its answer shows the era. The newest configuration stays in force: what was confirmed is written again. Event 923 has both positions.

Ruled out: comparing by the age of the last read instead of the position. Shares may arrive out of order, and a list that was read earlier would replace a newer one.

--- a/cowslipd/relay/restored_test.go
+++ b/cowslipd/relay/restored_test.go
@@ -55,21 +55,26 @@
 				server.Leave()
 			}
 			time.Sleep(restoredBound)
-			var served atomic.Int64
-			var group sync.WaitGroup
-			for _, node := range d.daemons {
-				group.Go(func() {
-					for range 4 {
-						if d.send(node, call{path: feesPath + "1"}).status == http.StatusOK {
-							served.Add(1)
-						}
-					}
-				})
+			require.Equal(t, 4*daemons, d.countServed(4))
+		})
+	}
+}
+
+// countServed sends requests to all daemons and returns how many were served.
+func (d *deployment) countServed(perDaemon int) int {
+	var served atomic.Int64
+	var group sync.WaitGroup
+	for _, node := range d.daemons {
+		group.Go(func() {
+			for range perDaemon {
+				if d.send(node, call{path: feesPath + "1"}).status == http.StatusOK {
+					served.Add(1)
+				}
 			}
-			group.Wait()
-			require.EqualValues(t, 4*daemons, served.Load())
 		})
 	}
+	group.Wait()
+	return int(served.Load())
 }
 
 // Guards against a change that a reader misses because it was written below its offset in a restored store.
--- a/feeds.go
+++ b/feeds.go
@@ -9,6 +9,9 @@
 type Feed[T any] interface {
 	// Read returns the changes from a position on. It waits up to the given time
 	// for the first change. From position 0 it returns all records.
+	//
+	// Positions only grow: the first one after the store was restored from an older copy
+	// follows all positions from before, although the store gives out its offsets again.
 	Read(ctx context.Context, from uint64, wait time.Duration) (Changes[T], error)
 }
 
@@ -24,6 +27,7 @@
 // Changes is the result of Feed.Read.
 type Changes[T any] struct {
 	Complete bool // the items are the complete set; a key that is missing was deleted
+	Restored bool // the store was restored from an older copy since the position that was read from
 	Items    []Record[T]
 	Next     uint64 // position to read from next
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// recoveryGrace is how long entries that the list drops after an outage are kept,
-	// so that their servers can register again. The platform's protocol gives them
+	// recoveryGrace is how long entries that the list drops after an outage or a restore
+	// from an older copy are kept, so that their servers can register again. The platform's protocol gives them
 	// about two seconds.
 	recoveryGrace = 2200 * time.Millisecond
 	// tombstoneTTL is how long a dropped entry is remembered, so that an outdated
@@ -51,12 +51,12 @@
 }
 
 // Apply applies changes read from the list and reports whether any instance
-// changed. Entries that were dropped during an outage of the list stay in use
+// changed. Entries that an outage of the list or an older copy dropped stay in use
 // until their servers have had time to register again.
 func (r *Registrar) Apply(now time.Time, changes cowslipproxy.Changes[cowslipproxy.Instance]) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.readFailed {
+	if r.readFailed || changes.Restored {
 		r.readFailed = false
 		r.dropsDeferredUntil = now.Add(recoveryGrace)
 	}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -44,6 +44,20 @@
 	require.Equal(t, "a", r.Instances()[0].ID)
 }
 
+// Guards against the removal of servers that an older copy of the list lacks, before they can register again.
+func TestRestoredListDefersRemoval(t *testing.T) {
+	var r registrar.Registrar
+	r.Apply(start, put(instance("a", 1, cowslipproxy.VMLive), instance("b", 1, cowslipproxy.VMLive)))
+	r.Apply(start, drop("b"))
+	older := put(instance("b", 1, cowslipproxy.VMLive)) // a registered since, b has left
+	older.Complete, older.Restored = true, true
+	require.False(t, r.Apply(start.Add(time.Second), older))
+	require.Len(t, r.Instances(), 1)
+	require.Equal(t, "a", r.Instances()[0].ID)
+	require.True(t, r.Apply(start.Add(4*time.Second), put()))
+	require.Empty(t, r.Instances())
+}
+
 // Guards against a leaving server that becomes live again through an outdated
 // list, read by this daemon or received from another one.
 func TestLeavingServerStaysLeaving(t *testing.T) {
--- a/reporter/events_relay.go
+++ b/reporter/events_relay.go
@@ -26,5 +26,6 @@
 	EventGrantFailed          = newEvent(920, slog.LevelWarn, "request for a grant failed", "The daemon that grants the requests to an upstream with a limit did not reply. The request goes to another upstream or is refused. The event has both.")
 	EventQuarantineTrial      = newEvent(921, slog.LevelInfo, "trial of quarantined fingerprints", "The request was sent although its fingerprints are quarantined, to find out whether they are sound. Events 916 and 917 with the fingerprints have the result.")
 	EventShareFailed          = newEvent(922, slog.LevelInfo, "share not accepted", "Another daemon did not accept the list and the loads from this one in time. It reads the store itself if it gets no current data. The event has the daemon, the duration and whether the share had the whole list.")
+	EventStoreRestored        = newEvent(923, slog.LevelWarn, "platform store restored from an older copy", "Records that the store had acknowledged are gone and their offsets are given out again. The daemon reads everything again and keeps the newest configuration that it has. The event has the positions before and after.")
 	EventReloaded             = newEvent(910, slog.LevelInfo, "settings reloaded", "The settings file changed or the daemon received SIGHUP.")
 )
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -75,8 +75,10 @@
 	}
 }
 
+// wait returns how long the next read waits for a change. After an outage it does not wait,
+// because the store may have been restored, which only its reply shows.
 func (w *Watcher[T]) wait() time.Duration {
-	if w.Wait == nil {
+	if w.Wait == nil || !w.lostSince.IsZero() {
 		return 0
 	}
 	return w.Wait()
@@ -98,6 +100,9 @@
 		reporter.EventFeedRestored.Log(ctx, w.Logger, slog.String("feed", w.Name), slog.Duration("lost", now.Sub(w.lostSince)))
 		w.lostSince = time.Time{}
 	}
+	if changes.Restored {
+		reporter.EventStoreRestored.Log(ctx, w.Logger, slog.String("feed", w.Name), slog.Uint64("from", w.position), slog.Uint64("position", changes.Next))
+	}
 	w.position = changes.Next
 	w.Apply(now, changes)
 }
