leaser: renew the lease in a log that comes back older

After the store was restored from a copy, no layers were placed until its offsets had passed their former values: the holder and all others ignored records below the offset that they had read.

The daemon that holds the lease at the gap claims it at once: the others wait until its claim has expired, and records from before the gap are invalid for all. TestHolderRenewsLeaseInRestoredLog fails without the change.

--- a/leaser/leaser.go
+++ b/leaser/leaser.go
@@ -25,6 +25,7 @@
 
 	mutex         sync.Mutex
 	next          uint64 // next offset to read
+	gap           uint64 // offset after the last gap if this daemon held the lease there, else 0
 	batchApplied  bool
 	lastEnd       uint64               // offset after the last record of the lease
 	lastClaim     *claim               // last valid claim; nil after a release or a gap in the log
@@ -61,10 +62,16 @@
 	l.next = max(l.next, batch.Next)
 }
 
-// skipTo moves to the first offset that the log retains. Any of the truncated
-// records may have been a valid claim.
+// skipTo moves to the first offset that the log retains, or has again after it was restored
+// from an older copy. Any of the lost records may have been a valid claim, unless this
+// daemon holds the lease: the others wait until its claim has expired.
 func (l *Leaser) skipTo(now time.Time, first uint64) {
-	l.next, l.lastEnd, l.lastClaim = first, first, nil
+	held := l.holds(now)
+	l.next, l.lastEnd, l.lastClaim, l.gap = first, first, nil, 0
+	if held {
+		l.gap, l.claimableFrom = first, now
+		return
+	}
 	l.deferClaims(now, l.ttl())
 }
 
@@ -76,6 +83,9 @@
 	if own {
 		delete(l.pending, record.ID)
 	}
+	if !valid && record.Base < l.gap {
+		return // it was written before the gap, at which this daemon held the lease
+	}
 	if !valid {
 		// The first record after a gap may be valid for readers that read the truncated records.
 		l.deferClaims(now, time.Duration(record.TTL))
--- a/leaser/leaser_test.go
+++ b/leaser/leaser_test.go
@@ -30,18 +30,27 @@
 
 // stream is a log stream with limited retention.
 type stream struct {
+	base    uint64 // offset of the first record; it grows when the log is restored from a copy
 	first   uint64
 	records []leaser.Record
 }
 
+const eraSize = 1 << 40 // difference of the offsets before and after the log was restored
+
+// restore loses the newest records and gives the others new offsets.
+func (s *stream) restore(lost int) {
+	s.records = append([]leaser.Record(nil), s.records[:max(len(s.records)-lost, int(s.first-s.base))]...)
+	s.base, s.first = s.base+eraSize, s.first+eraSize
+}
+
 func (s *stream) append(r leaser.Record) { s.records = append(s.records, r) }
 
 // batch returns a limited number of records from an offset on.
 func (s *stream) batch(t require.TestingT, from uint64, limit int) cowslipproxy.Batch {
 	from = max(from, s.first)
-	b := cowslipproxy.Batch{First: s.first, Next: min(from+uint64(limit), uint64(len(s.records)))}
+	b := cowslipproxy.Batch{First: s.first, Next: min(from+uint64(limit), s.base+uint64(len(s.records)))}
 	for offset := from; offset < b.Next; offset++ {
-		data, err := json.Marshal(s.records[offset])
+		data, err := json.Marshal(s.records[offset-s.base])
 		require.NoError(t, err)
 		b.Entries = append(b.Entries, cowslipproxy.Entry{Offset: offset, Data: data})
 	}
@@ -121,7 +130,14 @@
 // truncate deletes old records, including those of the current lease.
 func (m *model) truncate(*rapid.T) {
 	if n := uint64(len(m.log.records)); n > 1 {
-		m.log.first = max(m.log.first, n-1)
+		m.log.first = max(m.log.first, m.log.base+n-1)
+	}
+}
+
+// restore replaces the log by an older copy, possibly without the current lease.
+func (m *model) restore(t *rapid.T) {
+	if rapid.IntRange(0, 3).Draw(t, "rarely") == 0 {
+		m.log.restore(rapid.IntRange(0, 3).Draw(t, "lost"))
 	}
 }
 
@@ -145,7 +161,7 @@
 
 // Guards against two holders at the same time and against a decreasing fencing
 // token, under any interleaving of pauses, delayed reads, repeated and delayed
-// appends, restarts and truncation.
+// appends, restarts, truncation and restores from an older copy.
 func TestAtMostOneHolder(t *testing.T) {
 	held := 0
 	rapid.Check(t, func(t *rapid.T) {
@@ -156,7 +172,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"claim": m.claim, "claim more": m.claim, "release": m.release, "deliver": m.deliver, "deliver more": m.deliver,
 			"read": m.read, "read more": m.read, "read most": m.read, "wait": m.wait,
-			"restart": m.restart, "truncate": m.truncate, "": m.check,
+			"restart": m.restart, "truncate": m.truncate, "restore": m.restore, "": m.check,
 		})
 		if m.held {
 			held++
@@ -217,6 +233,36 @@
 	require.True(t, ok)
 }
 
+// Guards against a lease that nobody can renew or claim because a restored log gives out lower offsets.
+func TestHolderRenewsLeaseInRestoredLog(t *testing.T) {
+	log := &stream{}
+	a := &leaser.Leaser{Name: "placement", Self: "a", TTL: ttl}
+	b := &leaser.Leaser{Name: "placement", Self: "b", TTL: ttl}
+	for i := range 4 {
+		a.ApplyBatch(epoch, log.batch(t, a.Offset(), 9))
+		record, ok := a.Claim(epoch, fmt.Sprint("id-", i))
+		require.True(t, ok)
+		log.append(record)
+	}
+	a.ApplyBatch(epoch, log.batch(t, a.Offset(), 9))
+	b.ApplyBatch(epoch, log.batch(t, 0, 9))
+	log.restore(3)
+	restored := epoch.Add(time.Second)
+	a.ApplyBatch(restored, log.batch(t, a.Offset(), 9))
+	b.ApplyBatch(restored, log.batch(t, b.Offset(), 9))
+	_, ok := b.Claim(restored, "early")
+	require.False(t, ok, "the lost records may be those of a claim")
+	record, ok := a.Claim(restored, "again")
+	require.True(t, ok)
+	log.append(record)
+	a.ApplyBatch(restored, log.batch(t, a.Offset(), 9))
+	_, ok = a.Holds(restored)
+	require.True(t, ok)
+	b.ApplyBatch(restored, log.batch(t, b.Offset(), 9))
+	_, ok = b.Claim(restored.Add(ttl), "late")
+	require.True(t, ok)
+}
+
 // Guards against readers that disagree on whether a record is valid because one
 // of them started after truncated records.
 func TestReadersAgree(t *testing.T) {
