relay: repair the records of the quarantine in a store that comes back older

Quarantined fingerprints that the copy lacks were gone for all daemons that start later, and those that had been lifted or had expired were back and bound them. Whoever wrote a record wrote it once, so that nothing noticed the loss.

A daemon that reads the store learns of the restore with the list. It then reads the copy once, after a random delay, writes what is missing and deletes what is not quarantined any more; the versions of the records tell both apart.

TestQuarantineIsRepairedInRestoredStore (2 and 4 daemons) fails when the restore is not reported, and passes.

--- a/cowslipd/relay/apply.go
+++ b/cowslipd/relay/apply.go
@@ -64,6 +64,9 @@
 			reporter.EventListEntryInvalid.Log(context.Background(), d.Logger, slog.String("key", item.Key), slog.Any("error", item.Err))
 		}
 	}
+	if changes.Restored {
+		d.quarantine.recordRestored()
+	}
 	changed := d.registrar.Apply(now, changes)
 	d.sharing.recordRead(&d.sharing.list, now, changes.Next)
 	d.sharing.setList(d.owner.Name, 0, changes.Next)
--- a/cowslipd/relay/poison_test.go
+++ b/cowslipd/relay/poison_test.go
@@ -289,6 +289,27 @@
 	d.awaitStored(false)
 }
 
+// Guards against a quarantine that a restored store has lost, and against one that its copy brings back.
+func TestQuarantineIsRepairedInRestoredStore(t *testing.T) {
+	t.Parallel()
+	for _, daemons := range []int{2, 4} {
+		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
+			t.Parallel()
+			d := deployForPoison(t, daemons)
+			d.crashEngines()
+			d.awaitStored(true)
+			d.restore(map[string]int{quarantineTopic: int(d.store.Appended(quarantineTopic))})
+			require.False(t, d.store.Holds(quarantineTopic))
+			d.awaitStored(true)
+			d.clockOffset.Store(int64(quarantiner.DefaultTTL))
+			d.awaitStored(false)
+			d.restore(map[string]int{quarantineTopic: 1}) // the deletion
+			require.True(t, d.store.Holds(quarantineTopic))
+			d.awaitStored(false)
+		})
+	}
+}
+
 // Guards against the quarantine of a shared part because of other crashes.
 func TestSharedPartIsNotQuarantinedByOtherCrashes(t *testing.T) {
 	t.Parallel()
--- a/cowslipd/relay/quarantine.go
+++ b/cowslipd/relay/quarantine.go
@@ -36,10 +36,13 @@
 	storing   bool                                    // a write is in progress
 	stored    chan storeResult
 	expired   chan quarantiner.RequestFingerprint // of records in the store that had expired when this daemon started
+	restored  chan struct{}                       // the store was restored from an older copy
+	copies    chan []quarantiner.Record           // what such a copy holds
 }
 
 func (q *quarantine) build(self cowslipproxy.Owner) {
 	q.changed, q.stored, q.expired = make(chan struct{}, 1), make(chan storeResult, 1), make(chan quarantiner.RequestFingerprint, maxExpiredDeletes)
+	q.restored, q.copies = make(chan struct{}, 1), make(chan []quarantiner.Record, 1)
 	q.published, q.unstored = map[quarantiner.RequestFingerprint]bool{}, map[string][]byte{}
 	q.Quarantiner = &quarantiner.Quarantiner{Self: self.Key(), Threshold: quarantineThreshold, Concurrent: true, OnChange: func() {
 		select {
@@ -66,6 +69,10 @@
 			if !d.quarantine.Holds(d.Clock(), fp) {
 				d.quarantine.unstored[fp.Key()] = nil
 			}
+		case <-d.quarantine.restored:
+			go d.readCopy(ctx)
+		case records := <-d.quarantine.copies:
+			d.repairCopy(ctx, d.Clock(), records)
 		}
 		wait := quarantineInterval
 		now := d.Clock()
--- a/cowslipd/relay/quarantine_store.go
+++ b/cowslipd/relay/quarantine_store.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,9 @@
 	// maxExpiredDeletes bounds the expired records that a daemon deletes from the store when
 	// it starts. Many daemons may start at once.
 	maxExpiredDeletes = 4
+	// maxRepairDelay is the longest delay before a daemon repairs the records of a restored
+	// store. A daemon that starts meanwhile learns them from the others by gossip.
+	maxRepairDelay = 2 * time.Second
 )
 
 // storeResult is the result of writing a value to the store.
@@ -86,17 +90,72 @@
 // loadQuarantine reads the quarantined fingerprints from the store when the daemon
 // starts. Others that run since may have been killed together with this one.
 func (d *Daemon) loadQuarantine(ctx context.Context) {
+	if records, ok := d.awaitQuarantine(ctx); ok {
+		d.quarantine.Merge(d.Clock(), records)
+		d.deleteExpired(records)
+	}
+}
+
+// awaitQuarantine reads the records of the store. It tries again until ctx ends.
+func (d *Daemon) awaitQuarantine(ctx context.Context) ([]quarantiner.Record, bool) {
 	for {
 		records, err := d.readQuarantine(ctx)
 		if err == nil {
-			d.quarantine.Merge(d.Clock(), records)
-			d.deleteExpired(records)
-			return
+			return records, true
 		}
 		reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.Any("error", err))
 		if !waiter.Wait(ctx, quarantineInterval) {
-			return
+			return nil, false
+		}
+	}
+}
+
+// recordRestored records that the store was restored from an older copy.
+func (q *quarantine) recordRestored() {
+	select {
+	case q.restored <- struct{}{}:
+	default: // the copy is yet to be read
+	}
+}
+
+// readCopy reads what a restored store holds. The delay lets one of the daemons that read
+// the store repair it before the others look.
+func (d *Daemon) readCopy(ctx context.Context) {
+	if !waiter.Wait(ctx, rand.N(maxRepairDelay)) {
+		return
+	}
+	if records, ok := d.awaitQuarantine(ctx); ok {
+		select {
+		case d.quarantine.copies <- records:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// repairCopy writes the quarantined fingerprints to a restored store that it lacks, and
+// deletes those that are not quarantined any more. Daemons that start later would not know
+// the former, and refuse the latter.
+func (d *Daemon) repairCopy(ctx context.Context, now time.Time, records []quarantiner.Record) {
+	q := &d.quarantine
+	q.Merge(now, records) // of a lifted fingerprint, this daemon has the higher version
+	stored := map[quarantiner.RequestFingerprint]uint64{}
+	for _, record := range records {
+		stored[record.RequestFingerprint] = record.Version
+		if q.State(now, record.RequestFingerprint) != quarantiner.StateQuarantined {
+			q.unstored[record.Key()] = nil
+		}
+	}
+	for _, record := range q.Records(now) {
+		version, ok := stored[record.RequestFingerprint]
+		if q.State(now, record.RequestFingerprint) != quarantiner.StateQuarantined || ok && version >= record.Version {
+			continue
+		}
+		value, err := json.Marshal(record)
+		if err != nil {
+			reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.String("fingerprint", record.Key()), slog.Any("error", err))
+			continue
 		}
+		q.unstored[record.Key()] = value
 	}
 }
 
