cowslipproxy: reject entries of the list with numbers out of range

One entry of another writer stopped all daemons from following the list of their reader: a start time such as 9e15 ms was decoded, and then no share could be encoded, since JSON ends with the year 9999 (event 922 at each share). Daemons read the store for themselves from then on, or kept what they had. A number of heartbeats near its maximum or a start in the future, under the key of a live server, replaced all later entries of that server.

The fields of an instance are checked where it is decoded, from the store and from other daemons, and entries that started more than an hour from now are ignored.

The stand-in's store ends a reply to a read after 1 MB, as the platform's does; without that, the test's entries made a read fail that the platform never sends.

Not covered: an entry that is valid in itself under the key of a live server holds until the server's next one, or for good if it names a later start.

--- a/instances.go
+++ b/instances.go
@@ -24,13 +24,39 @@
 	Range      LayerRange     `json:"range"` // layers that it serves; empty when it holds none
 }
 
+// Bounds on the fields of an instance. Entries that exceed them come from another writer.
+const (
+	maxSlots      = 1 << 20
+	maxLayers     = 1 << 16
+	maxHeartbeats = 1 << 53 // largest integer that all JSON decoders keep
+	maxWarmUp     = 24 * time.Hour
+)
+
+// maxStartedAt is the latest time that can be encoded for other daemons.
+var maxStartedAt = time.Date(9999, 12, 31, 0, 0, 0, 0, time.UTC)
+
 // Check reports the first invalid field.
 func (i Instance) Check() error {
 	if i.ID == "" || i.Service == "" {
 		return errors.Errorf("id %q or service %q is empty", i.ID, i.Service)
 	}
-	if !i.Address.IsValid() || i.Address.Port() == 0 {
-		return errors.New("address: missing; an IP address and port are required")
+	if !i.Address.IsValid() || i.Address.Port() == 0 || i.Address.Addr().Zone() != "" {
+		return errors.Errorf("address: %v; an IP address without a zone and a port are required", i.Address)
+	}
+	if i.Slots < 0 || i.Slots > maxSlots {
+		return errors.Errorf("slots: %d is not between 0 and %d", i.Slots, maxSlots)
+	}
+	if i.WarmUp < 0 || i.WarmUp > maxWarmUp {
+		return errors.Errorf("warm-up time: %v is not between 0 and %v", i.WarmUp, maxWarmUp)
+	}
+	if i.StartedAt.After(maxStartedAt) || i.StartedAt.Before(time.Unix(0, 0)) {
+		return errors.Errorf("start: %d ms is not between 1970 and 9999", i.StartedAt.UnixMilli())
+	}
+	if i.Heartbeats > maxHeartbeats {
+		return errors.Errorf("heartbeats: %d exceed %d", i.Heartbeats, uint64(maxHeartbeats))
+	}
+	if i.Range.First < 0 || i.Range.End < i.Range.First || i.Range.End > maxLayers {
+		return errors.Errorf("layers: %v is not a range within [0,%d)", i.Range, maxLayers)
 	}
 	if i.State != VMLive && i.State != VMLeaving {
 		return errors.Errorf("state: %q is not live or leaving", i.State)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -19,6 +19,10 @@
 	// tombstoneTTL is how long a dropped entry is remembered, so that an outdated
 	// list does not restore it.
 	tombstoneTTL = 30 * time.Second
+	// maxClockDifference exceeds the differences and jumps of the clocks of servers and
+	// daemons. An entry that started later is not a server's: it would replace each entry of
+	// the server with that id until then.
+	maxClockDifference = time.Hour
 )
 
 // Registrar is the set of instances that the list contains. It is safe for
@@ -67,7 +71,7 @@
 		if item.Deleted || item.Err != nil {
 			r.drop(now, item.Key)
 		} else {
-			r.put(item.Value)
+			r.put(now, item.Value)
 		}
 	}
 	if changes.Complete {
@@ -86,7 +90,7 @@
 	seen := map[string]bool{}
 	for _, instance := range instances {
 		seen[instance.ID] = true
-		r.put(instance)
+		r.put(now, instance)
 	}
 	r.dropsDeferredUntil = time.Time{}
 	r.dropUnseen(now, seen)
@@ -118,7 +122,10 @@
 
 // put adds or updates an entry, unless it is older than what is known of its
 // server.
-func (r *Registrar) put(instance cowslipproxy.Instance) {
+func (r *Registrar) put(now time.Time, instance cowslipproxy.Instance) {
+	if instance.StartedAt.Sub(now) > maxClockDifference {
+		return
+	}
 	if r.known == nil {
 		r.known, r.tombstones = map[string]entry{}, map[string]tombstone{}
 	}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -75,6 +75,17 @@
 	require.Len(t, r.Instances(), 1, "a new run with the same ID is a different server")
 }
 
+// Guards against an entry of another writer that replaces all later ones of a server.
+func TestEntryFromFutureIsIgnored(t *testing.T) {
+	var r registrar.Registrar
+	r.Apply(start, put(instance("a", 5, cowslipproxy.VMLive)))
+	odd := instance("a", 6, cowslipproxy.VMLeaving)
+	odd.StartedAt = start.AddDate(1000, 0, 0)
+	require.False(t, r.Apply(start, put(odd)))
+	r.Replace(start, []cowslipproxy.Instance{odd})
+	require.Equal(t, cowslipproxy.VMLive, r.Instances()[0].State)
+}
+
 // Guards against heartbeats that count as changes: each daemon would recompute
 // its paths at each of them.
 func TestHeartbeatsAreNotChanges(t *testing.T) {
--- a/standin/keeper/keeper.go
+++ b/standin/keeper/keeper.go
@@ -226,6 +226,9 @@
 		}
 		data := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, end), first)
 		for _, record := range records {
+			if len(data) > maxReadSize {
+				break
+			}
 			data = append(binary.BigEndian.AppendUint32(data, uint32(len(record))), record...)
 		}
 		_, _ = w.Write(data) // fails only if the caller disconnected
@@ -233,6 +236,9 @@
 	}
 }
 
+// maxReadSize is the size in bytes after which a reply of /api/log-read ends.
+const maxReadSize = 1 << 20
+
 type keyedRecord struct {
 	key    string
 	value  []byte
