relay: leave an upstream alone for the time that it names with 503

The time is kept by incarnation of the upstream, where limits are checked, so that it holds for new requests, retries and resumptions, of plain services and of engines. Others are tried at once; if none accepts requests, the caller is refused at once and told when the first one does, within the time that callers honour. It is not passed to other daemons, since an upstream names it to each of them.

--- a/cowslipd/relay/limits.go
+++ b/cowslipd/relay/limits.go
@@ -25,6 +25,7 @@
 // implements relayer.Limits.
 type limits struct {
 	*limiter.Grants
+	holds     limiter.Holds
 	daemon    *Daemon
 	changed   chan struct{}
 	published map[string]bool // items that this daemon has published, by upstream
@@ -42,6 +43,9 @@
 
 // Acquire implements relayer.Limits.
 func (l *limits) Acquire(ctx context.Context, upstream string, isResumed bool) (granted bool, wait time.Duration) {
+	if wait := l.holds.Left(l.daemon.Clock(), upstream); wait > 0 {
+		return false, wait
+	}
 	kind := limiter.GrantNew
 	if isResumed {
 		kind = limiter.GrantResume
@@ -53,6 +57,12 @@
 	return permission.Granted, permission.Wait
 }
 
+// Hold implements relayer.Limits.
+func (l *limits) Hold(now time.Time, upstream string, wait time.Duration) {
+	reporter.EventUpstreamHeld.Log(context.Background(), l.daemon.Logger, slog.String("upstream", upstream), slog.Duration("wait", wait))
+	l.holds.Hold(now, upstream, wait)
+}
+
 // Charge implements relayer.Limits.
 func (l *limits) Charge(ctx context.Context, upstream string) {
 	permission := l.Request(l.daemon.Clock(), upstream, limiter.GrantForced)
--- a/relayer/limits.go
+++ b/relayer/limits.go
@@ -15,10 +15,11 @@
 // retry, so that they do not compete for the same request.
 const limitSpread = time.Second
 
-var errAtLimit = errors.New("the upstream is at the limit that it named")
+var errAtLimit = errors.New("the upstream is at the limit that it named, or wants no request for now")
 
-// Limits keeps the limits that upstreams name for the requests of all daemons together.
-// Upstreams are given by their incarnation.
+// Limits keeps what upstreams state in their replies on the requests that they accept: limits
+// for all daemons together and times without requests. Upstreams are
+// given by their incarnation.
 type Limits interface {
 	// Acquire reports whether a request may be sent to an upstream. If it may not, wait is
 	// the time after which the next one may. The rest of an answer goes before new requests.
@@ -29,6 +30,8 @@
 	Named(now, sent time.Time, upstream string, rate float64)
 	// NotNamed records that an upstream ran a request and named no limit in its reply.
 	NotNamed(now, sent time.Time, upstream string)
+	// Hold records that an upstream wants no request from this daemon for some time.
+	Hold(now time.Time, upstream string, wait time.Duration)
 }
 
 // acquire reports whether a request may be sent to an upstream.
@@ -39,11 +42,16 @@
 		return true
 	}
 	reporter.Count(x.Metrics, reporter.MetricAtLimit)
+	x.recordWait(wait)
+	return false
+}
+
+// recordWait records the time until an upstream accepts a request.
+func (x *exchange) recordWait(wait time.Duration) {
 	if x.atLimit == 0 || wait < x.limitWait {
 		x.limitWait = wait
 	}
 	x.atLimit++
-	return false
 }
 
 // recordLimit records the limit that an upstream names, or that it names none.
@@ -57,10 +65,18 @@
 	}
 }
 
-// refuseAtLimit refuses a request for which no upstream is below its limit.
+// recordAvailability records that an upstream wants no request for some time.
+func (x *exchange) recordAvailability(upstream string, reply upstreamReply) {
+	if reply.RetryAfter > 0 {
+		x.Limits.Hold(x.Clock(), upstream, reply.RetryAfter)
+	}
+}
+
+// refuseAtLimit refuses a request for which no upstream is below its limit and accepts
+// requests.
 func (x *exchange) refuseAtLimit() *cowslipproxy.Failure {
 	longest := min(maxRetryAfter, time.Duration(retryAfterRatio*float64(x.timeLeft())))
 	after := min(x.limitWait+rand.N(limitSpread), longest)
-	return cowslipproxy.Refuse(cowslipproxy.ReasonOverloaded, "%d upstreams that could run the request are at the limits that they named; the next request is possible in %v",
+	return cowslipproxy.Refuse(cowslipproxy.ReasonOverloaded, "%d upstreams that could run the request are at the limits that they named or want no request for now; the next request is possible in %v",
 		x.atLimit, x.limitWait.Round(time.Millisecond)).After(max(after, time.Millisecond))
 }
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -66,6 +66,7 @@
 		return upstreamReply{}, err
 	}
 	x.recordLimit(sent, upstream, reply)
+	x.recordAvailability(upstream, reply)
 	return reply, nil
 }
 
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -96,7 +96,7 @@
 	framed        bool                             // the upstream's reply that began the answer has a length or chunks
 	path          []cowslipproxy.Hop               // path of the last attempt
 	limit         float64                          // limit that the last upstream named, in requests per second; 0 if it named none
-	atLimit       int                              // number of attempts not made because the upstream was at its limit
+	atLimit       int                              // number of attempts that upstreams did not accept because of their limits or for some time
 	limitWait     time.Duration                    // shortest time until one of these upstreams accepts a request
 	eventsSent    int                              // number of events sent to the caller
 	timeToFirst   time.Duration                    // from the request's arrival to the first event
--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -144,6 +144,10 @@
 
 // finish sends the result of the last attempt to the caller.
 func (x *exchange) finish(ctx context.Context, last result) *cowslipproxy.Failure {
+	if last.notExecuted() && last.reply.RetryAfter > 0 {
+		x.recordWait(last.reply.RetryAfter)
+		return x.refuseAtLimit()
+	}
 	if last.notExecuted() {
 		return cowslipproxy.Refuse(cowslipproxy.ReasonOverloaded, "no server accepted the request").After(min(overloadRetryAfter, max(x.timeLeft()/4, time.Millisecond)))
 	}
--- a/standin/worker/server.go
+++ b/standin/worker/server.go
@@ -45,10 +45,10 @@
 	acceptedOrders int
 	layers         layerRange
 	fault          Fault
-	paths          map[string][]stage // by request id, for streams whose first stage is this engine
-	script         Script
-	limit          string      // value of the header that names the server's limit; empty if it has none
-	arrivals       []time.Time // of requests of any kind
+	paths          map[string][]stage           // by request id, for streams whose first stage is this engine
+	script         func(r *http.Request) string // returns the reply to send instead; may be nil
+	limit          string                       // value of the header that names the server's limit; empty if it has none
+	arrivals       []time.Time                  // of requests of any kind
 	stopped        bool
 }
 
@@ -87,6 +87,14 @@
 
 // SetScript sets the replies to later requests. The requests count as run.
 func (s *Server) SetScript(script Script) {
+	s.SetRequestScript(func(r *http.Request) string {
+		return script(r.Header.Get("X-Request-Id"), r.Header.Get("Last-Event-Id"))
+	})
+}
+
+// SetRequestScript is like SetScript, for replies that depend on the whole request. A nil
+// script ends that.
+func (s *Server) SetRequestScript(script func(r *http.Request) string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.script = script
@@ -100,7 +108,7 @@
 	if script == nil {
 		return false
 	}
-	text := script(r.Header.Get("X-Request-Id"), r.Header.Get("Last-Event-Id"))
+	text := script(r)
 	if text == "" {
 		return false
 	}
