relay: send no new requests to an upstream that says it is leaving

The statement sets the entry of that run to leaving, as the list would. A reply with 421 does not count, since another server may have answered at a reused address. If all servers of a service say so, requests are refused at once.

--- a/cowslipd/relay/availability_test.go
+++ b/cowslipd/relay/availability_test.go
@@ -118,3 +118,47 @@
 	time.Sleep(retryAfterSlack)
 	require.Equal(t, 16, d.countServed(4))
 }
+
+// Guards against requests to a server that says in its replies that it is leaving, while the list has it as ready.
+func TestServerThatSaysItIsLeavingGetsNoNewRequests(t *testing.T) {
+	t.Parallel()
+	for _, daemons := range []int{4, 15} {
+		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, daemons)
+			plain, engine := d.fleet.Servers("ledger")[0], d.enginesAt(0)[0]
+			plain.SayLeaving()
+			engine.SayLeaving()
+			var mu sync.Mutex
+			told := map[string]time.Time{} // by server and daemon
+			send := func(number int, path string, tokens int) {
+				got := d.send(d.daemons[number], call{path: path, tokens: tokens})
+				require.Equal(t, http.StatusOK, got.status)
+				for _, run := range d.fleet.RunsOf(got.id) {
+					if run.Server != plain.ID && run.Server != engine.ID {
+						continue
+					}
+					key := run.Server + strconv.Itoa(number)
+					mu.Lock()
+					if told[key].IsZero() {
+						told[key] = time.Now()
+					}
+					first := told[key]
+					mu.Unlock()
+					require.Less(t, run.At.Sub(first), drainBound)
+				}
+			}
+			var group sync.WaitGroup
+			for number := range d.daemons {
+				group.Go(func() {
+					for end := time.Now().Add(3 * drainBound); time.Now().Before(end); time.Sleep(25 * time.Millisecond) {
+						send(number, feesPath+"1", 0)
+						send(number, lettersPath+"1", 2)
+					}
+				})
+			}
+			group.Wait()
+			require.NotEmpty(t, told)
+		})
+	}
+}
--- a/cowslipd/relay/limits.go
+++ b/cowslipd/relay/limits.go
@@ -63,6 +63,15 @@
 	l.holds.Hold(now, upstream, wait)
 }
 
+// Leaving implements relayer.Limits.
+func (l *limits) Leaving(upstream string) {
+	if !l.daemon.registrar.MarkLeaving(upstream) {
+		return
+	}
+	reporter.EventUpstreamLeaving.Log(context.Background(), l.daemon.Logger, slog.String("upstream", upstream))
+	l.daemon.updateInstances(true)
+}
+
 // Charge implements relayer.Limits.
 func (l *limits) Charge(ctx context.Context, upstream string) {
 	permission := l.Request(l.daemon.Clock(), upstream, limiter.GrantForced)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -98,6 +98,23 @@
 	return r.version != before
 }
 
+// MarkLeaving records that an upstream, given by its incarnation, stated itself that it is
+// leaving. It reports whether that was not known.
+func (r *Registrar) MarkLeaving(incarnation string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, known := range r.known {
+		if known.Incarnation() != incarnation || known.State == cowslipproxy.VMLeaving {
+			continue
+		}
+		known.State = cowslipproxy.VMLeaving
+		r.known[id] = known
+		r.version++
+		return true
+	}
+	return false
+}
+
 // dropUnseen drops the entries that a complete list does not contain.
 func (r *Registrar) dropUnseen(now time.Time, seen map[string]bool) {
 	for id := range r.known {
--- a/relayer/limits.go
+++ b/relayer/limits.go
@@ -18,7 +18,7 @@
 var errAtLimit = errors.New("the upstream is at the limit that it named, or wants no request for now")
 
 // Limits keeps what upstreams state in their replies on the requests that they accept: limits
-// for all daemons together and times without requests. Upstreams are
+// for all daemons together, times without requests, and that they are leaving. Upstreams are
 // given by their incarnation.
 type Limits interface {
 	// Acquire reports whether a request may be sent to an upstream. If it may not, wait is
@@ -32,6 +32,8 @@
 	NotNamed(now, sent time.Time, upstream string)
 	// Hold records that an upstream wants no request from this daemon for some time.
 	Hold(now time.Time, upstream string, wait time.Duration)
+	// Leaving records that an upstream is leaving.
+	Leaving(upstream string)
 }
 
 // acquire reports whether a request may be sent to an upstream.
@@ -65,8 +67,11 @@
 	}
 }
 
-// recordAvailability records that an upstream wants no request for some time.
+// recordAvailability records that an upstream is leaving or wants no request for some time.
 func (x *exchange) recordAvailability(upstream string, reply upstreamReply) {
+	if reply.Leaving {
+		x.Limits.Leaving(upstream)
+	}
 	if reply.RetryAfter > 0 {
 		x.Limits.Hold(x.Clock(), upstream, reply.RetryAfter)
 	}
--- a/relays.go
+++ b/relays.go
@@ -63,6 +63,7 @@
 	HasLoad      bool
 	Limit        float64 // requests per second that the upstream accepts from all daemons together
 	HasLimit     bool
+	Leaving      bool          // the upstream will stop soon and wants no new requests
 	RetryAfter   time.Duration // time for which the upstream wants no request from this daemon; 0 if it names none
 }
 
--- a/reporter/events_relay.go
+++ b/reporter/events_relay.go
@@ -28,5 +28,6 @@
 	EventShareFailed          = newEvent(922, slog.LevelInfo, "share not accepted", "Another daemon did not accept the list and the loads from this one in time. It reads the store itself if it gets no current data. The event has the daemon, the duration and whether the share had the whole list.")
 	EventStoreRestored        = newEvent(923, slog.LevelWarn, "platform store restored from an older copy", "Records that the store had acknowledged are gone and their offsets are given out again. The daemon reads everything again, keeps the newest configuration that it has, and writes the records of the quarantine again that the copy lacks. The event has the positions before and after.")
 	EventUpstreamHeld         = newEvent(924, slog.LevelInfo, "upstream wants no request for some time", "An upstream refused a request and named a time. This daemon sends it no request until then.")
+	EventUpstreamLeaving      = newEvent(925, slog.LevelInfo, "upstream states that it is leaving", "An upstream stated in a reply that it is leaving, before the list did. It gets no new requests from this daemon.")
 	EventReloaded             = newEvent(910, slog.LevelInfo, "settings reloaded", "The settings file changed or the daemon received SIGHUP.")
 )
--- a/standin/worker/server.go
+++ b/standin/worker/server.go
@@ -47,6 +47,7 @@
 	fault          Fault
 	paths          map[string][]stage           // by request id, for streams whose first stage is this engine
 	script         func(r *http.Request) string // returns the reply to send instead; may be nil
+	leaving        bool                         // says in its replies that it is leaving
 	limit          string                       // value of the header that names the server's limit; empty if it has none
 	arrivals       []time.Time                  // of requests of any kind
 	stopped        bool
@@ -124,6 +125,20 @@
 	return true
 }
 
+// SayLeaving makes the server state in all its replies that it is leaving. Its entry in the
+// list does not change.
+func (s *Server) SayLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+func (s *Server) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // Drain sets the server's state to draining. The server continues to handle requests.
 func (s *Server) Drain() {
 	s.mu.Lock()
@@ -203,6 +218,9 @@
 	if limit := s.recordArrival(); limit != "" {
 		w.Header().Set("Server-Limit", limit)
 	}
+	if s.isLeaving() {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	if wanted := r.Header.Get("X-Expect-Instance"); wanted != "" && wanted != s.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
