relay: test refusals of other requests on a connection; split the test of leaving servers

The report of operators on a refusal that is written once more does not apply here: each request to an upstream has a connection of its own, and a reply with another id is no reply. TestRefusalOfAnotherRequestIsNoPromise shows both with 503, 429, 421 and 408 before the reply, and with a refusal and other bytes after it.

--- a/cowslipd/relay/availability_test.go
+++ b/cowslipd/relay/availability_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -119,6 +120,27 @@
 	require.Equal(t, 16, d.countServed(4))
 }
 
+// departures records by server and daemon when the daemon first passed on an answer of a
+// server that says it is leaving.
+type departures struct {
+	mu    sync.Mutex
+	first map[string]time.Time
+}
+
+// record records an answer, and returns the time since the first one.
+func (d *departures) record(server string, daemon int, now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.first == nil {
+		d.first = map[string]time.Time{}
+	}
+	key := fmt.Sprint(server, " ", daemon)
+	if d.first[key].IsZero() {
+		d.first[key] = now
+	}
+	return now.Sub(d.first[key])
+}
+
 // Guards against requests to a server that says in its replies that it is leaving, while the list has it as ready.
 func TestServerThatSaysItIsLeavingGetsNoNewRequests(t *testing.T) {
 	t.Parallel()
@@ -126,39 +148,34 @@
 		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
 			t.Parallel()
 			d := deploy(t, daemons)
-			plain, engine := d.fleet.Servers("ledger")[0], d.enginesAt(0)[0]
-			plain.SayLeaving()
-			engine.SayLeaving()
-			var mu sync.Mutex
-			told := map[string]time.Time{} // by server and daemon
-			send := func(number int, path string, tokens int) {
-				got := d.send(d.daemons[number], call{path: path, tokens: tokens})
-				require.Equal(t, http.StatusOK, got.status)
-				for _, run := range d.fleet.RunsOf(got.id) {
-					if run.Server != plain.ID && run.Server != engine.ID {
-						continue
-					}
-					key := run.Server + strconv.Itoa(number)
-					mu.Lock()
-					if told[key].IsZero() {
-						told[key] = time.Now()
-					}
-					first := told[key]
-					mu.Unlock()
-					require.Less(t, run.At.Sub(first), drainBound)
-				}
+			leaving := []*worker.Server{d.fleet.Servers("ledger")[0], d.enginesAt(0)[0]}
+			for _, server := range leaving {
+				server.SayLeaving()
 			}
+			var told departures
 			var group sync.WaitGroup
 			for number := range d.daemons {
 				group.Go(func() {
 					for end := time.Now().Add(3 * drainBound); time.Now().Before(end); time.Sleep(25 * time.Millisecond) {
-						send(number, feesPath+"1", 0)
-						send(number, lettersPath+"1", 2)
+						d.checkLeaving(number, call{path: feesPath + "1"}, leaving, &told)
+						d.checkLeaving(number, call{path: lettersPath + "1", tokens: 2}, leaving, &told)
 					}
 				})
 			}
 			group.Wait()
-			require.NotEmpty(t, told)
+			require.NotEmpty(t, told.first)
 		})
 	}
 }
+
+// checkLeaving sends a request through a daemon and checks that it does not reach a leaving
+// server later than drainBound after the daemon passed on an answer of that server.
+func (d *deployment) checkLeaving(daemon int, c call, leaving []*worker.Server, told *departures) {
+	got := d.send(d.daemons[daemon], c)
+	require.Equal(d.t, http.StatusOK, got.status)
+	for _, run := range d.fleet.RunsOf(got.id) {
+		if slices.ContainsFunc(leaving, func(s *worker.Server) bool { return s.ID == run.Server }) {
+			require.Less(d.t, told.record(run.Server, daemon, run.At), drainBound)
+		}
+	}
+}
--- a/cowslipd/relay/framing_test.go
+++ b/cowslipd/relay/framing_test.go
@@ -171,3 +171,26 @@
 	require.Equal(t, "half of the ans", got.body)
 	require.False(t, got.framed)
 }
+
+// Guards against a refusal of another request that is passed on as a promise that this one did not run.
+func TestRefusalOfAnotherRequestIsNoPromise(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	server := d.keepOne("ledger")
+	for _, refused := range []string{"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request", "408 Request Timeout"} {
+		server.SetScript(func(id, _ string) string {
+			return rejection("another", refused, "X-Not-Executed: 1\r\n") + replyHead(id, "text/plain", "Content-Length: 4\r\n") + "done"
+		})
+		got := d.send(d.daemons[0], call{path: feesPath + "1"})
+		require.Equal(t, http.StatusBadGateway, got.status, refused)
+		require.Len(t, d.fleet.RunsOf(got.id), 1, refused)
+	}
+	for _, late := range []string{rejection("another", "503 Service Unavailable", "X-Not-Executed: 1\r\n"), "failure\r\n\r\n"} {
+		server.SetScript(func(id, _ string) string { return replyHead(id, "text/plain", "Content-Length: 4\r\n") + "done" + late })
+		for range 3 {
+			got := d.send(d.daemons[0], call{path: feesPath + "1"})
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, "done", got.body)
+		}
+	}
+}
