relayer: bound the attempts that verify the end of an unframed stream

A complete answer without length or chunks was reset if the attempt that should verify its end got events of something else, and ended 4 s late if that attempt was silent. A partial or foreign event counted as evidence that the answer goes on, and the attempt waited like one that the caller depends on.

Only an event that continues the answer is evidence now. The attempt ends after a second without one, and two are made at most.

--- a/cowslipd/relay/deployment_test.go
+++ b/cowslipd/relay/deployment_test.go
@@ -222,8 +222,9 @@
 	status int
 	header http.Header
 	body   string
-	framed bool  // the response has a length or chunks, so that its regular end means that it is complete
-	err    error // the caller got no response or an incomplete one
+	took   time.Duration // set by some tests
+	framed bool          // the response has a length or chunks, so that its regular end means that it is complete
+	err    error         // the caller got no response or an incomplete one
 }
 
 func (d *deployment) send(to *daemon, c call) result {
@@ -267,7 +268,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return result{id, response.StatusCode, response.Header, string(body), response.ContentLength >= 0 || len(response.TransferEncoding) > 0, err}
+	return result{id: id, status: response.StatusCode, header: response.Header, body: string(body), framed: cowslipproxy.IsFramed(response), err: err}
 }
 
 // enginesAt returns the engines whose layer range begins at the given layer.
--- a/cowslipd/relay/framing_test.go
+++ b/cowslipd/relay/framing_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -64,7 +65,9 @@
 	var group sync.WaitGroup
 	for i := range results {
 		group.Go(func() {
+			begin := time.Now()
 			results[i] = d.send(d.daemons[i%len(d.daemons)], call{path: lettersPath + "1", tokens: scriptedEvents})
+			results[i].took = time.Since(begin)
 		})
 	}
 	group.Wait()
@@ -87,15 +90,31 @@
 	}
 }
 
-// Guards against a daemon that states the end of an answer which it can't know.
+// Guards against a daemon that states the end of an answer which it can't know, or ends it late.
 func TestEndOfUnframedStreamIsNotStatedAsKnown(t *testing.T) {
 	t.Parallel()
-	refuse := func(id string, _ int) string {
-		return rejection(id, "503 Service Unavailable", "X-Not-Executed: 1\r\n")
-	}
-	for _, got := range sendScripted(t, 1, func(id string) string { return unframedStream(id, 1, 3) }, refuse) {
-		require.Equal(t, streamBody(got.id, 1, 3), got.body)
-		require.False(t, got.framed)
+	for name, next := range map[string]func(id string, last int) string{
+		"status 503, not run": func(id string, _ int) string { return rejection(id, "503 Busy", "X-Not-Executed: 1\r\n") },
+		"status 500":          func(id string, _ int) string { return rejection(id, "500 Internal Server Error", "") },
+		"plain text": func(id string, _ int) string {
+			return replyHead(id, "text/plain", "Content-Length: 9\r\n") + "failure\n\n"
+		},
+		"events without ids": func(id string, _ int) string { return chunkedStream(id, "data: failure\n\n") },
+		"no reply":           func(string, int) string { return "failure\r\n\r\n" },
+		"silence": func(string, int) string {
+			time.Sleep(4 * time.Second)
+			return "late"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, got := range sendScripted(t, 1, func(id string) string { return unframedStream(id, 1, 3) }, next) {
+				require.NoError(t, got.err)
+				require.Equal(t, streamBody(got.id, 1, 3), got.body)
+				require.False(t, got.framed)
+				require.Less(t, got.took, 3*time.Second)
+			}
+		})
 	}
 }
 
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -29,7 +29,7 @@
 }
 
 // next returns the next complete event. At the regular end of the stream it returns
-// io.EOF. A stream that ends within an event was broken off, also if its reply has neither
+// io.EOF. With any error, the event has the id that was read of it. A stream that ends within an event was broken off, also if its reply has neither
 // a length nor chunks.
 func (r *eventReader) next() (event, error) {
 	current := event{isComment: true}
@@ -46,10 +46,10 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) && len(r.data) > 0 {
-			return event{}, io.ErrUnexpectedEOF
+			return current, io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return event{}, errors.WithStack(err) // io.EOF after the last event
+			return current, errors.WithStack(err) // io.EOF after the last event
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -54,6 +54,8 @@
 	stalled      bool      // another engine of the path failed
 	timer        *time.Timer
 	ended        bool
+
+	confirmTimer *time.Timer // ends an attempt that should verify the end of the answer and gets no event
 }
 
 func (s *streamExchange) startAttempt(ctx context.Context, finder *pathfinder.Finder, path *pathfinder.Path) *streamAttempt {
@@ -61,6 +63,10 @@
 	a.lastProgress = a.started
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	finder.Begin(path)
+	a.confirmTimer = time.AfterFunc(confirmTimeout, func() { a.cancel(errUnverifiedEnd) })
+	if !s.isEndUnverified {
+		a.confirmTimer.Stop()
+	}
 	a.timer = time.AfterFunc(a.stallCheckDelay(0), a.checkStall)
 	return a
 }
@@ -68,6 +74,7 @@
 // end stops the timer, cancels the request and releases the path.
 func (a *streamAttempt) end() {
 	a.timer.Stop()
+	a.confirmTimer.Stop()
 	a.cancel(nil)
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -35,6 +35,11 @@
 	// resumePollInterval is the time between two checks whether the retry budget allows
 	// to resume a stream, and the longest delay after a refused resumption.
 	resumePollInterval = 200 * time.Millisecond
+	// confirmTimeout bounds the wait for the first event of an attempt that verifies the end of
+	// an answer. The caller may have the whole answer and waits only for its end.
+	confirmTimeout = time.Second
+	// maxConfirmations bounds these attempts.
+	maxConfirmations = 2
 	// streamBufferSize is the read buffer of a stream in bytes; it holds a few events.
 	streamBufferSize = 2 << 10
 )
@@ -52,6 +57,7 @@
 	retryGranted       bool
 	lastEventID        string           // id of the last event sent to the caller
 	isEndUnverified    bool             // the last events came without a length or chunks and ended between two events
+	confirmations      int              // number of attempts made to verify the end
 	entryEngineCount   int              // number of entry engines (first engines of a path) that may have started the request
 	entryEngines       []string         // ids of these engines
 	failedEntryEngines []string         // ids of entry engines whose attempt failed
@@ -76,6 +82,9 @@
 		if path, err = s.awaitPath(ctx, finder); err != nil {
 			break
 		}
+		if s.isEndUnverified {
+			s.confirmations++
+		}
 		var notExecuted bool
 		if notExecuted, err = s.attempt(ctx, finder, path); err == nil {
 			return nil
@@ -83,7 +92,7 @@
 		if notExecuted && s.awaitsRest() {
 			s.refusedResumes++
 		}
-		if ctx.Err() != nil || s.isQuarantined() || !s.retryGranted && !s.awaitRetry(ctx, notExecuted) {
+		if ctx.Err() != nil || s.isQuarantined() || s.isEndUnverified && s.confirmations == maxConfirmations || !s.retryGranted && !s.awaitRetry(ctx, notExecuted) {
 			break
 		}
 		if notExecuted && !waiter.Wait(ctx, s.backoff()) {
@@ -284,18 +293,19 @@
 	events := eventReader{source: bufio.NewReaderSize(reply.Body, streamBufferSize), memory: memory}
 	for {
 		next, err := events.next()
-		if events.isWithinEvent() {
-			a.isEndUnverified = false // at least this event follows
-		}
 		if errors.Is(err, io.EOF) {
 			return a.endStream(reply, isResumption)
 		}
+		if events.isWithinEvent() {
+			if err := a.checkOrder(next, isResumption); err != nil {
+				return err
+			}
+			a.isEndUnverified = false // at least this event follows
+			a.confirmTimer.Stop()
+		}
 		if err != nil {
 			return readError(a.ctx, err)
 		}
-		if err := a.checkOrder(next, isResumption); err != nil {
-			return err
-		}
 		a.recordEvent()
 		if err := a.writeEvent(reply, next); err != nil {
 			return err
