relayer: run the timer that verifies an end only in attempts that need it

Each event of each stream stopped a timer that only the few attempts have which verify the end of an unframed stream.

--- a/relayer/resumption.go
+++ b/relayer/resumption.go
@@ -43,3 +43,12 @@
 	}
 	return nil
 }
+
+// recordContinuation records that at least one more event follows those that the caller has.
+func (a *streamAttempt) recordContinuation() {
+	if !a.isEndUnverified {
+		return
+	}
+	a.isEndUnverified = false
+	a.confirmTimer.Stop()
+}
--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -55,7 +55,7 @@
 	timer        *time.Timer
 	ended        bool
 
-	confirmTimer *time.Timer // ends an attempt that should verify the end of the answer and gets no event
+	confirmTimer *time.Timer // ends an attempt that should verify the end of the answer and gets no event; else nil
 }
 
 func (s *streamExchange) startAttempt(ctx context.Context, finder *pathfinder.Finder, path *pathfinder.Path) *streamAttempt {
@@ -63,9 +63,8 @@
 	a.lastProgress = a.started
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	finder.Begin(path)
-	a.confirmTimer = time.AfterFunc(confirmTimeout, func() { a.cancel(errUnverifiedEnd) })
-	if !s.isEndUnverified {
-		a.confirmTimer.Stop()
+	if s.isEndUnverified {
+		a.confirmTimer = time.AfterFunc(confirmTimeout, func() { a.cancel(errUnverifiedEnd) })
 	}
 	a.timer = time.AfterFunc(a.stallCheckDelay(0), a.checkStall)
 	return a
@@ -74,7 +73,9 @@
 // end stops the timer, cancels the request and releases the path.
 func (a *streamAttempt) end() {
 	a.timer.Stop()
-	a.confirmTimer.Stop()
+	if a.confirmTimer != nil {
+		a.confirmTimer.Stop()
+	}
 	a.cancel(nil)
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -300,8 +300,7 @@
 			if err := a.checkOrder(next, isResumption); err != nil {
 				return err
 			}
-			a.isEndUnverified = false // at least this event follows
-			a.confirmTimer.Stop()
+			a.recordContinuation()
 		}
 		if err != nil {
 			return readError(a.ctx, err)
