--- a/cowslipd/relay/entries_test.go
+++ b/cowslipd/relay/entries_test.go
@@ -61,13 +61,7 @@
 			}
 			d.awaitSync()
 			require.Equal(t, 4*daemons, d.countServed(4))
-			old := d.fleet.Servers("ledger")
-			d.startServer("ledger", "")
-			d.startServer("ledger", "")
-			time.Sleep(time.Second)
-			for _, server := range old {
-				server.Leave()
-			}
+			d.replaceServers("ledger")
 			d.awaitSync()
 			require.Equal(t, 4*daemons, d.countServed(4))
 			require.Less(t, d.store.Calls("/api/log-read")-calls, 4*readerCalls, "daemons read the store for themselves")
--- a/cowslipd/relay/restored_test.go
+++ b/cowslipd/relay/restored_test.go
@@ -47,19 +47,26 @@
 			d := deploy(t, daemons)
 			d.padList(lostListRecords)
 			d.restore(map[string]int{"keyed.servers": lostListRecords})
-			old := d.fleet.Servers("ledger")
-			d.startServer("ledger", "")
-			d.startServer("ledger", "")
-			time.Sleep(time.Second) // the new servers are listed before the old ones leave
-			for _, server := range old {
-				server.Leave()
-			}
+			d.replaceServers("ledger")
 			time.Sleep(restoredBound)
 			require.Equal(t, 4*daemons, d.countServed(4))
 		})
 	}
 }
 
+// replaceServers starts new servers of a plain service, and lets the old ones leave once the
+// new ones are listed.
+func (d *deployment) replaceServers(service string) {
+	old := d.fleet.Servers(service)
+	for range old {
+		d.startServer(service, "")
+	}
+	time.Sleep(time.Second)
+	for _, server := range old {
+		server.Leave()
+	}
+}
+
 // countServed sends requests to all daemons and returns how many were served.
 func (d *deployment) countServed(perDaemon int) int {
 	var served atomic.Int64
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -13,8 +13,8 @@
 
 const (
 	// recoveryGrace is how long entries that the list drops after an outage or a restore
-	// from an older copy are kept, so that their servers can register again. The platform's protocol gives them
-	// about two seconds.
+	// from an older copy are kept, so that their servers can register again. The platform's
+	// protocol gives them about two seconds.
 	recoveryGrace = 2200 * time.Millisecond
 	// tombstoneTTL is how long a dropped entry is remembered, so that an outdated
 	// list does not restore it.
