worker: keep scripted replies in a file of their own

Also shortens the comments of two tests and uses the usual terms for a server that announces that it is leaving.

--- a/cowslipd/relay/availability_test.go
+++ b/cowslipd/relay/availability_test.go
@@ -121,7 +121,7 @@
 }
 
 // departures records by server and daemon when the daemon first passed on an answer of a
-// server that says it is leaving.
+// server that announces that it is leaving.
 type departures struct {
 	mu    sync.Mutex
 	first map[string]time.Time
@@ -141,8 +141,8 @@
 	return now.Sub(d.first[key])
 }
 
-// Guards against requests to a server that says in its replies that it is leaving, while the list has it as ready.
-func TestServerThatSaysItIsLeavingGetsNoNewRequests(t *testing.T) {
+// Guards against requests to a server that announces in its replies that it is leaving, while the list has it as ready.
+func TestServerThatAnnouncesLeavingGetsNoNewRequests(t *testing.T) {
 	t.Parallel()
 	for _, daemons := range []int{4, 15} {
 		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
@@ -150,7 +150,7 @@
 			d := deploy(t, daemons)
 			leaving := []*worker.Server{d.fleet.Servers("ledger")[0], d.enginesAt(0)[0]}
 			for _, server := range leaving {
-				server.SayLeaving()
+				server.AnnounceLeaving()
 			}
 			var told departures
 			var group sync.WaitGroup
--- a/cowslipd/relay/framing_test.go
+++ b/cowslipd/relay/framing_test.go
@@ -127,8 +127,7 @@
 	}
 }
 
-// Guards against bytes of an invalid resumption within an answer, and against invalid
-// resumptions that end an answer as if it were complete.
+// Guards against an invalid resumption whose bytes are joined to an answer, or that ends it as if it were complete.
 func TestInvalidResumptionIsNotJoined(t *testing.T) {
 	t.Parallel()
 	for name, next := range map[string]func(id string, last int) string{
@@ -169,8 +168,7 @@
 	}
 }
 
-// Guards against answers that are known to be broken and end like complete ones, because
-// the upstream's reply had neither a length nor chunks.
+// Guards against unframed answers that are known to be broken and end like complete ones.
 func TestBrokenUnframedStreamEndsWithError(t *testing.T) {
 	t.Parallel()
 	fail := func(id string, _ int) string { return rejection(id, "500 Internal Server Error", "") }
--- /dev/null
+++ b/standin/worker/script.go
@@ -0,0 +1,46 @@
+package worker
+
+import "net/http"
+
+// Script returns the bytes that a server sends instead of its reply to a request, before it
+// closes the connection. An empty string means the regular reply.
+type Script func(id, lastEventID string) string
+
+// SetScript sets the replies to later requests. The requests count as run.
+func (s *Server) SetScript(script Script) {
+	s.SetRequestScript(func(r *http.Request) string {
+		return script(r.Header.Get("X-Request-Id"), r.Header.Get("Last-Event-Id"))
+	})
+}
+
+// SetRequestScript is like SetScript, for replies that depend on the whole request. A nil
+// script ends that.
+func (s *Server) SetRequestScript(script func(r *http.Request) string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.script = script
+}
+
+// runScript reports whether the script replaced the reply to a request.
+func (s *Server) runScript(w http.ResponseWriter, r *http.Request, body []byte) bool {
+	s.mu.Lock()
+	script := s.script
+	s.mu.Unlock()
+	if script == nil {
+		return false
+	}
+	text := script(r)
+	if text == "" {
+		return false
+	}
+	index := s.fleet.recordRun(s, r, body)
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return true
+	}
+	defer conn.Close()
+	_, _ = buffer.WriteString(text) // fails only if the caller disconnected
+	_ = buffer.Flush()
+	s.fleet.completeRun(index)
+	return true
+}
--- a/standin/worker/server.go
+++ b/standin/worker/server.go
@@ -47,7 +47,7 @@
 	fault          Fault
 	paths          map[string][]stage           // by request id, for streams whose first stage is this engine
 	script         func(r *http.Request) string // returns the reply to send instead; may be nil
-	leaving        bool                         // says in its replies that it is leaving
+	leaving        bool                         // announces in its replies that it is leaving
 	limit          string                       // value of the header that names the server's limit; empty if it has none
 	arrivals       []time.Time                  // of requests of any kind
 	stopped        bool
@@ -82,52 +82,9 @@
 	s.fault = fault
 }
 
-// Script returns the bytes that a server sends instead of its reply to a request, before it
-// closes the connection. An empty string stands for the regular reply.
-type Script func(id, lastEventID string) string
-
-// SetScript sets the replies to later requests. The requests count as run.
-func (s *Server) SetScript(script Script) {
-	s.SetRequestScript(func(r *http.Request) string {
-		return script(r.Header.Get("X-Request-Id"), r.Header.Get("Last-Event-Id"))
-	})
-}
-
-// SetRequestScript is like SetScript, for replies that depend on the whole request. A nil
-// script ends that.
-func (s *Server) SetRequestScript(script func(r *http.Request) string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.script = script
-}
-
-// runScript reports whether the script replaced the reply to a request.
-func (s *Server) runScript(w http.ResponseWriter, r *http.Request, body []byte) bool {
-	s.mu.Lock()
-	script := s.script
-	s.mu.Unlock()
-	if script == nil {
-		return false
-	}
-	text := script(r)
-	if text == "" {
-		return false
-	}
-	index := s.fleet.recordRun(s, r, body)
-	conn, buffer, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return true
-	}
-	defer conn.Close()
-	_, _ = buffer.WriteString(text) // fails only if the caller disconnected
-	_ = buffer.Flush()
-	s.fleet.completeRun(index)
-	return true
-}
-
-// SayLeaving makes the server state in all its replies that it is leaving. Its entry in the
+// AnnounceLeaving makes the server announce in all its replies that it is leaving. Its entry in the
 // list does not change.
-func (s *Server) SayLeaving() {
+func (s *Server) AnnounceLeaving() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = true
