--- a/cowslipd/relay/framing_test.go
+++ b/cowslipd/relay/framing_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"net/netip"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -101,6 +104,7 @@
 		},
 		"events without ids": func(id string, _ int) string { return chunkedStream(id, "data: failure\n\n") },
 		"no reply":           func(string, int) string { return "failure\r\n\r\n" },
+		"part of a text":     func(id string, _ int) string { return replyHead(id, "text/event-stream", "") + "fail" },
 		"silence": func(string, int) string {
 			time.Sleep(4 * time.Second)
 			return "late"
@@ -168,6 +172,36 @@
 	}
 }
 
+// Guards against a crash within the first event of a resumption that does not count as a crash.
+func TestCrashInFirstEventOfResumptionCounts(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	for _, engine := range d.enginesAt(0) {
+		engine.SetScript(func(id, lastEventID string) string {
+			if lastEventID == "" {
+				return brokenStream(id)
+			}
+			return replyHead(id, "text/event-stream", "") + "i" // of the line with the id
+		})
+	}
+	d.send(d.daemons[0], call{path: lettersPath + "1", tokens: scriptedEvents})
+	require.Equal(t, 5, d.crashesOf(d.daemons[0])) // one for each attempt
+}
+
+// crashesOf returns how many crashes of upstreams a daemon has counted.
+func (d *deployment) crashesOf(node *daemon) int {
+	response, err := http.Get("http://" + netip.AddrPortFrom(node.settings.Callers.Addr(), node.settings.Metrics).String() + "/metrics")
+	require.NoError(d.t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	require.NoError(d.t, err)
+	found := regexp.MustCompile(`(?m)^cowslip_quarantiner_crashes (\d+)$`).FindSubmatch(text)
+	require.NotNil(d.t, found, string(text))
+	count, err := strconv.Atoi(string(found[1]))
+	require.NoError(d.t, err)
+	return count
+}
+
 // Guards against unframed answers that are known to be broken and end like complete ones.
 func TestBrokenUnframedStreamEndsWithError(t *testing.T) {
 	t.Parallel()
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -65,10 +65,6 @@
 	}
 }
 
-// isWithinEvent reports whether a part of an event was read. After next returned an error,
-// the stream broke off within that event.
-func (r *eventReader) isWithinEvent() bool { return len(r.data) > 0 }
-
 // append appends to the current event.
 func (r *eventReader) append(line []byte) error {
 	if len(r.data)+len(line) > cap(r.data) {
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -296,15 +296,16 @@
 		if errors.Is(err, io.EOF) {
 			return a.endStream(reply, isResumption)
 		}
-		if events.isWithinEvent() {
-			if err := a.checkOrder(next, isResumption); err != nil {
-				return err
-			}
+		orderErr := a.checkOrder(next, isResumption)
+		if next.id != "" && orderErr == nil {
 			a.recordContinuation()
 		}
 		if err != nil {
 			return readError(a.ctx, err)
 		}
+		if orderErr != nil {
+			return orderErr
+		}
 		a.recordEvent()
 		if err := a.writeEvent(reply, next); err != nil {
 			return err
