--- a/cowslipd/relay/entries_test.go
+++ b/cowslipd/relay/entries_test.go
@@ -50,7 +50,6 @@
 
 // Guards against entries of another writer that end daemons or stop them from following the list.
 func TestOddEntriesDoNotStopDaemons(t *testing.T) {
-	t.Parallel()
 	for _, daemons := range deploymentSizes {
 		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
 			d := deploy(t, daemons)
--- a/cowslipd/relay/restored_test.go
+++ b/cowslipd/relay/restored_test.go
@@ -41,7 +41,6 @@
 
 // Guards against daemons that keep an outdated list because a restored store gives out lower offsets.
 func TestListOfRestoredStoreIsFollowed(t *testing.T) {
-	t.Parallel()
 	for _, daemons := range deploymentSizes {
 		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
 			d := deploy(t, daemons)
@@ -86,7 +85,6 @@
 
 // Guards against a change that a reader misses because it was written below its offset in a restored store.
 func TestConfigurationOfRestoredStoreTakesEffect(t *testing.T) {
-	t.Parallel()
 	for _, daemons := range deploymentSizes {
 		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
 			d := deploy(t, daemons)
