relayer: log how the end of an answer was established

Event 900 said "done" for an end that the upstream stated, one that a resumption confirmed, and one that nobody confirmed. It now has the field end, the number of attempts to verify it, why an unverified end stayed so, and the protocol of the caller. Event 103 of the relay daemon has the requests in flight, which are broken off when it ends. No decision changes.

--- a/cowslipd/relay/stop.go
+++ b/cowslipd/relay/stop.go
@@ -55,5 +55,5 @@
 }
 
 func (d *Daemon) logPhase(name string) {
-	reporter.EventStopPhase.Log(context.Background(), d.Logger, slog.String("phase", name))
+	reporter.EventStopPhase.Log(context.Background(), d.Logger, slog.String("phase", name), slog.Int64("inflight", d.server.InFlight()))
 }
--- a/relayer/resumption.go
+++ b/relayer/resumption.go
@@ -7,6 +7,16 @@
 	"github.com/pkg/errors"
 )
 
+// answerEnd tells how the end of an answer was established. It is empty if the answer has not
+// ended regularly.
+type answerEnd string
+
+const (
+	endStated     answerEnd = "stated"     // by the length or the chunks of the upstream's reply
+	endVerified   answerEnd = "verified"   // by a resumption that has no further event
+	endUnverified answerEnd = "unverified" // by nothing but the end of the upstream's connection
+)
+
 // errUnverifiedEnd reports a stream without a length or chunks that ended between two
 // events. A crash of the engine ends it in the same way as the end of the answer, so that
 // only a resumption shows whether more events follow.
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -81,6 +81,7 @@
 type exchange struct {
 	*Server
 	w             http.ResponseWriter
+	protocol      string                // of the caller, such as HTTP/1.1
 	bodyMemory    *allocator.Allocation // of the request's body
 	callerRequest cowslipproxy.RelayRequest
 	route         cowslipproxy.Route
@@ -94,6 +95,9 @@
 	attempts      int                              // number of attempts that upstreams may have executed
 	status        int                              // HTTP status sent to the caller; 0 before the header is sent
 	framed        bool                             // the upstream's reply that began the answer has a length or chunks
+	answerEnd     answerEnd                        // how the end of the answer was established
+	endCause      error                            // why it was not verified
+	confirmations int                              // number of attempts made to verify it
 	path          []cowslipproxy.Hop               // path of the last attempt
 	limit         float64                          // limit that the last upstream named, in requests per second; 0 if it named none
 	atLimit       int                              // number of attempts that upstreams did not accept because of their limits or for some time
@@ -107,7 +111,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	x := &exchange{Server: s, w: w, bodyMemory: s.Memory.Open(nil)}
+	x := &exchange{Server: s, w: w, protocol: r.Proto, bodyMemory: s.Memory.Open(nil)}
 	defer x.bodyMemory.Release()
 	if s.Stopping() {
 		w.Header().Set("Connection", "close")
@@ -265,6 +269,8 @@
 	outcome, reason, message := cowslipproxy.OutcomeDone, cowslipproxy.Reason(""), ""
 	if failure != nil {
 		outcome, reason, message = failure.Outcome, failure.Reason, failure.Message
+	} else if x.endCause != nil {
+		message = x.endCause.Error()
 	}
 	took := x.Clock().Sub(x.callerRequest.Arrived)
 	reporter.Count(x.Metrics, reporter.Labelled(reporter.MetricRequests, "outcome", string(outcome), "reason", string(reason)))
@@ -272,7 +278,7 @@
 	reporter.EventRequestEnded.Log(ctx, x.Logger,
 		slog.String("request", x.callerRequest.ID), slog.String("route", x.route.Name), slog.Uint64("version", x.version),
 		slog.Int("tries", x.attempts), slog.Int("status", x.status), slog.Duration("took", took),
-		slog.String("path", formatPath(x.path)), slog.Float64("limit", x.limit), slog.Int("limited", x.atLimit), slog.Bool("framed", x.framed), slog.Int("events", x.eventsSent), slog.Duration("first", x.timeToFirst), slog.Duration("pause", x.longestPause),
+		slog.String("path", formatPath(x.path)), slog.Float64("limit", x.limit), slog.Int("limited", x.atLimit), slog.Bool("framed", x.framed), slog.String("end", string(x.answerEnd)), slog.Int("verifications", x.confirmations), slog.String("protocol", x.protocol), slog.Int("events", x.eventsSent), slog.Duration("first", x.timeToFirst), slog.Duration("pause", x.longestPause),
 		slog.String("outcome", string(outcome)), slog.String("reason", string(reason)), slog.String("message", message))
 }
 
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -57,7 +57,6 @@
 	retryGranted       bool
 	lastEventID        string           // id of the last event sent to the caller
 	isEndUnverified    bool             // the last events came without a length or chunks and ended between two events
-	confirmations      int              // number of attempts made to verify the end
 	entryEngineCount   int              // number of entry engines (first engines of a path) that may have started the request
 	entryEngines       []string         // ids of these engines
 	failedEntryEngines []string         // ids of entry engines whose attempt failed
@@ -195,6 +194,7 @@
 // is made.
 func (s *streamExchange) finalFailure(ctx context.Context, err error) *cowslipproxy.Failure {
 	if s.isEndUnverified && !s.framed {
+		s.answerEnd, s.endCause = endUnverified, err
 		return nil // the answer ends as it came, and the caller judges its end
 	}
 	if s.status != 0 {
@@ -324,11 +324,16 @@
 		a.isEndUnverified = true
 		return errors.WithStack(errUnverifiedEnd)
 	}
+	end := endStated
+	if a.isEndUnverified {
+		end = endVerified
+	}
 	a.isEndUnverified = false
 	a.recordEvent()
 	if err := a.writeEvent(reply, event{}); err != nil {
 		return err
 	}
+	a.answerEnd = end
 	a.recordCompletion(reply)
 	return nil
 }
--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -156,8 +156,10 @@
 	}
 	x.copyHeader(last.reply.Header)
 	if last.reply.isFramed() {
+		x.answerEnd = endStated
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(last.body)))
 	} else {
+		x.answerEnd = endUnverified
 		cowslipproxy.KeepUnframed(x.w.Header())
 	}
 	x.status, x.framed = last.reply.StatusCode, last.reply.isFramed()
--- a/reporter/events_relay.go
+++ b/reporter/events_relay.go
@@ -4,7 +4,7 @@
 
 // Events of the relay daemon, 900 to 999.
 var (
-	EventRequestEnded         = newEvent(900, slog.LevelInfo, "request ended", "The event has the request, its route, its attempts, its outcome, whether the upstream's answer had a length or chunks, and the limit in requests per second that the last upstream named. docs/callers.md lists the reasons.")
+	EventRequestEnded         = newEvent(900, slog.LevelInfo, "request ended", "The event has the request, its route, its attempts, its outcome, whether the upstream's answer had a length or chunks, how its end was established (stated by the upstream, verified by a resumption, or unverified), the number of attempts to verify it, the protocol of the caller, and the limit in requests per second that the last upstream named. docs/callers.md lists the reasons.")
 	EventAttemptFailed        = newEvent(901, slog.LevelInfo, "attempt failed", "An upstream refused a request or failed while it ran it. The event has the upstream, its response and the next action of the daemon. For a stream it also has the number of events that the upstream sent and the parts of the prompt that other requests may share.")
 	EventStalled              = newEvent(902, slog.LevelWarn, "stream stalled", "No event of the stream arrived in time. The engines in the log event served no other request meanwhile and get no new work for some seconds.")
 	EventRelayConfigActivated = newEvent(903, slog.LevelInfo, "configuration activated", "A newer configuration was read. The event has its version, whether it came from the store or another daemon, and how long this daemon has known that a newer version exists.")
