--- a/caller/service_test.go
+++ b/caller/service_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -103,3 +104,38 @@
 	require.Equal(t, "half of the ans", string(body))
 	require.False(t, cowslipproxy.IsFramed(response))
 }
+
+// brokenService answers with neither a length nor chunks and breaks off.
+type brokenService struct{ stub }
+
+func (brokenService) Call(context.Context, cowslipproxy.Service, cowslipproxy.ServiceCall, time.Time) (*http.Response, error) {
+	body := io.MultiReader(strings.NewReader("half of the ans"), iotest.ErrReader(errors.New("connection reset")))
+	return &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: io.NopCloser(body)}, nil
+}
+
+// Guards against an answer without length or chunks that is known to be broken and ends like a complete one.
+func TestBrokenUnframedAnswerEndsWithError(t *testing.T) {
+	for _, effect := range []cowslipproxy.Effect{cowslipproxy.EffectRepeat, cowslipproxy.EffectOnce} {
+		t.Run(string(effect), func(t *testing.T) {
+			sum := sha256.Sum256([]byte("key"))
+			active := cowslipproxy.ActiveConfiguration{Configuration: cowslipproxy.Configuration{
+				Customers: []cowslipproxy.Customer{{Name: "officers", Keys: []string{hex.EncodeToString(sum[:])}}},
+				Services:  []cowslipproxy.Service{{Name: "ledger", Effect: effect}},
+			}}.Indexed()
+			server := httptest.NewServer((&caller.Server{
+				ActiveConfiguration: func() (cowslipproxy.ActiveConfiguration, bool) { return active, true },
+				Admitter:            stub{}, Services: brokenService{}, Guard: &fakeGuard{},
+				BodyLimit: 1 << 10, DefaultTimeout: time.Minute, Metrics: metrics.NewRegistry(), Clock: time.Now,
+			}).Handler())
+			defer server.Close()
+			request, err := http.NewRequest(http.MethodPost, server.URL+"/v1/services/ledger/fees", strings.NewReader("{}"))
+			require.NoError(t, err)
+			request.Header.Set("Authorization", "Bearer key")
+			response, err := server.Client().Do(request)
+			require.NoError(t, err)
+			defer response.Body.Close()
+			body, err := io.ReadAll(response.Body)
+			require.Error(t, err, "%q ends as if it were complete", body)
+		})
+	}
+}
--- a/standin/worker/script.go
+++ b/standin/worker/script.go
@@ -1,6 +1,10 @@
 package worker
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
 
 // Script returns the bytes that a server sends instead of its reply to a request, before it
 // closes the connection. An empty string means the regular reply.
@@ -21,6 +25,22 @@
 	s.script = script
 }
 
+// SetUnframed makes the server send its regular replies without a length or chunks.
+func (s *Server) SetUnframed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isUnframed = true
+}
+
+// keepUnframed applies SetUnframed to the header of a reply.
+func (s *Server) keepUnframed(header http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isUnframed {
+		cowslipproxy.KeepUnframed(header)
+	}
+}
+
 // runScript reports whether the script replaced the reply to a request.
 func (s *Server) runScript(w http.ResponseWriter, r *http.Request, body []byte) bool {
 	s.mu.Lock()
--- a/standin/worker/server.go
+++ b/standin/worker/server.go
@@ -51,6 +51,7 @@
 	limit          string                       // value of the header that names the server's limit; empty if it has none
 	arrivals       []time.Time                  // of requests of any kind
 	stopped        bool
+	isUnframed     bool // sends its replies without a length or chunks
 }
 
 // stage is an engine of a path and the layers that it runs.
@@ -326,6 +327,7 @@
 	if s.runScript(w, r, body) {
 		return
 	}
+	s.keepUnframed(w.Header())
 	if s.AcceleratorKind != "" {
 		s.serveStream(w, r, body, fault)
 		return
