relay: test that a complete unframed stream is no crash, failing

Engines that answer without length or chunks answer a resumption after the last event with no event, in the same form. The daemon takes that as a broken connection: the end is never confirmed, and each of the two attempts counts as a crash with this request, 2 of 2.

--- a/cowslipd/relay/broken_test.go
+++ b/cowslipd/relay/broken_test.go
@@ -274,3 +274,14 @@
 		}
 	}
 }
+
+// Guards against complete streams without length or chunks that count as crashes of their engines.
+func TestCompleteUnframedStreamIsNoCrash(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	d.makeUnframed()
+	got := d.send(d.daemons[0], call{path: lettersPath + "1", tokens: scriptedEvents})
+	require.NoError(t, got.err)
+	require.Equal(t, streamBody(got.id, 1, scriptedEvents), got.body)
+	require.Zero(t, d.crashesOf(d.daemons[0]))
+}
