relay: test that complete unframed streams are not quarantined, failing

Requests of complete streams without length or chunks that share a part of their prompt are refused with 503 after the attempts to verify their ends counted as crashes of four engines.

--- a/cowslipd/relay/broken_test.go
+++ b/cowslipd/relay/broken_test.go
@@ -285,3 +285,24 @@
 	require.Equal(t, streamBody(got.id, 1, scriptedEvents), got.body)
 	require.Zero(t, d.crashesOf(d.daemons[0]))
 }
+
+// Guards against complete streams without length or chunks whose requests are refused as harmful.
+func TestCompleteUnframedStreamsAreNotQuarantined(t *testing.T) {
+	t.Parallel()
+	for _, daemons := range []int{1, 4} {
+		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
+			t.Parallel()
+			d := deployForPoison(t, daemons)
+			d.makeUnframed()
+			for range 10 {
+				for _, node := range d.daemons {
+					got := d.send(node, call{path: lettersPath + "1", tokens: scriptedEvents, header: promptHeader(sharedPart)})
+					require.Equal(t, http.StatusOK, got.status, got.body)
+				}
+			}
+			for _, node := range d.daemons {
+				require.Empty(t, d.quarantined(node))
+			}
+		})
+	}
+}
