relayer, resetter: let an answer end regularly only once its end is established

Callers got answers without a length or chunks that had been broken off and ended as if they were complete: streams cut by the end of the grace time (7680 of 16584 bytes) or by SIGKILL of the daemon (1862 of 16584), streams of 3 of 8 events whose end no engine confirmed or whose verification the retry budget refused, a plain answer of a killed daemon (4011008 of 7340032 bytes), streams of HTTP/1.0 callers, streams of a service that is not split, and broken answers of the product's own interface.

Cause: such an answer ends with its connection, and every way in which a connection can end was taken as that end, unless some code saw an error and hijacked the connection. The end of the process, an early return of nil and a panic did not.

resetter sets the connection of such an answer to end with a reset from its first byte on (SO_LINGER 0, which the kernel also applies to a killed process), and lifts that only when the handler has completed the answer. A resumption without an event now confirms the end, framed or not: engines that never frame their streams answer like that, and were counted as crashed for it (2 crashes a complete stream, and 503 for requests that shared a part). A stream of a plain server that ends within an event is broken.

acceptor is the listener of gossiper, which gives access to the connection below it. netutil.LimitListener, which the router used, does not.

--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -25,6 +25,7 @@
 	"github.com/cowslipproxy/cowslipproxy/registrar"
 	"github.com/cowslipproxy/cowslipproxy/relayer"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/resetter"
 	"github.com/cowslipproxy/cowslipproxy/sharer"
 	"github.com/cowslipproxy/cowslipproxy/watcher"
 )
@@ -200,7 +201,7 @@
 
 func (d *Daemon) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: resetter.Handler(handler), ConnContext: resetter.SaveConn, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(d.Logger.Handler(), slog.LevelDebug),
 	}
 }
--- a/cowslipd/router/router.go
+++ b/cowslipd/router/router.go
@@ -14,11 +14,11 @@
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/acceptor"
 	"github.com/cowslipproxy/cowslipproxy/advertiser"
 	"github.com/cowslipproxy/cowslipproxy/caller"
 	"github.com/cowslipproxy/cowslipproxy/checker"
@@ -39,6 +39,7 @@
 	"github.com/cowslipproxy/cowslipproxy/pooler"
 	"github.com/cowslipproxy/cowslipproxy/quarantiner"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
+	"github.com/cowslipproxy/cowslipproxy/resetter"
 	"github.com/cowslipproxy/cowslipproxy/retrier"
 )
 
@@ -120,7 +121,7 @@
 	group.Go(func() error { return r.announceWhenReady(workCtx) })
 	group.Go(func() error { return r.replicateSuspects(workCtx) })
 	group.Go(func() error { return r.commander.Run(workCtx) })
-	group.Go(func() error { return serve(callerServer, netutil.LimitListener(sockets.callers, r.Settings.Sockets)) })
+	group.Go(func() error { return serve(callerServer, acceptor.New(sockets.callers, r.Settings.Sockets)) })
 	group.Go(func() error { return serve(operatorServer, sockets.operator) })
 	reporter.EventStarted.Log(ctx, r.Logger, slog.String("name", r.owner.Key()), slog.String("callers", sockets.callers.Addr().String()))
 	group.Go(func() error {
@@ -162,7 +163,8 @@
 
 func (r *Router) httpServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           handler,
+		Handler:           resetter.Handler(handler),
+		ConnContext:       resetter.SaveConn,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/acceptor"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
@@ -120,7 +121,7 @@
 	g.server = server
 	g.mu.Unlock()
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(newLimitListener(g.Listener, maxConns)) }()
+	go func() { served <- server.Serve(acceptor.New(g.Listener, maxConns)) }()
 	err := g.loop(ctx, served)
 	server.Stop()
 	return err
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -77,3 +77,8 @@
 	r.data = append(r.data, line...)
 	return nil
 }
+
+// endsWithinEvent reports whether a stream, given whole, ends within an event.
+func endsWithinEvent(stream []byte) bool {
+	return len(stream) > 0 && !bytes.HasSuffix(stream, []byte("\n\n")) && !bytes.HasSuffix(stream, []byte("\n\r\n"))
+}
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -8,7 +8,6 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -126,27 +125,7 @@
 	}
 	x.log(r.Context(), failure)
 	if failure != nil && failure.Reason == cowslipproxy.ReasonAnswerLost {
-		x.breakOff()
-	}
-}
-
-// breakOff ends the connection so that the truncated answer does not look complete.
-func (x *exchange) breakOff() {
-	if !x.framed {
-		x.resetConnection() // without a length or chunks, a regular end would complete the answer
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// resetConnection closes the caller's connection with a reset.
-func (x *exchange) resetConnection() {
-	conn, _, err := http.NewResponseController(x.w).Hijack()
-	if err != nil {
-		return // the connection is closed already
-	}
-	defer conn.Close()
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // fails only on a closed connection
+		panic(http.ErrAbortHandler) // ends the connection so that the answer does not look complete
 	}
 }
 
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -193,9 +193,11 @@
 // finalFailure returns the failure that the caller gets when no further attempt
 // is made.
 func (s *streamExchange) finalFailure(ctx context.Context, err error) *cowslipproxy.Failure {
-	if s.isEndUnverified && !s.framed {
+	if s.isEndUnverified {
 		s.answerEnd, s.endCause = endUnverified, err
-		return nil // the answer ends as it came, and the caller judges its end
+	}
+	if s.isEndUnverified && s.status != 0 && !s.framed && s.route.Effect != cowslipproxy.EffectRepeat {
+		return nil // neither this daemon nor the caller may resume it: the answer ends as it came
 	}
 	if s.status != 0 {
 		return cowslipproxy.Unknown(cowslipproxy.ReasonAnswerLost, "the stream broke off: %v", err)
@@ -315,12 +317,15 @@
 
 // endStream processes a regular end of the upstream's stream.
 func (a *streamAttempt) endStream(reply upstreamReply, isResumption bool) error {
+	isEmpty := a.received == 0
 	switch {
-	case a.received == 0 && !reply.isFramed():
-		return readError(a.ctx, io.EOF)
-	case a.received == 0 && isResumption && !a.isEndUnverified:
+	case isEmpty && a.isEndUnverified: // another attempt has no further event either
+	case isEmpty && isResumption:
 		return errors.Wrap(errInvalidReply, "the resumption has no event")
-	case a.received > 0 && !reply.isFramed():
+	case reply.isFramed():
+	case isEmpty && a.lastEventID == "":
+		return readError(a.ctx, io.EOF)
+	default:
 		a.isEndUnverified = true
 		return errors.WithStack(errUnverifiedEnd)
 	}
@@ -334,7 +339,7 @@
 		return err
 	}
 	a.answerEnd = end
-	a.recordCompletion(reply)
+	a.recordCompletion()
 	return nil
 }
 
--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"mime"
 	"net/http"
 	"slices"
 	"strconv"
@@ -134,6 +135,7 @@
 	defer last.reply.Body.Close()
 	if last.body, last.err = last.memory.ReadAll(last.reply.Body, last.reply.ContentLength, maxReplyBody); last.err == nil {
 		last.memory.Keep()
+		last.err = checkStreamEnd(last.reply, last.body)
 	} else if errors.Is(context.Cause(ctx), allocator.ErrExhausted) {
 		last.err = errors.WithStack(allocator.ErrExhausted)
 	} else {
@@ -142,6 +144,16 @@
 	return last
 }
 
+// checkStreamEnd returns an error if a reply is a stream without a length or chunks that ends
+// within an event.
+func checkStreamEnd(reply upstreamReply, body []byte) error {
+	mediaType, _, err := mime.ParseMediaType(reply.Header.Get("Content-Type"))
+	if err != nil || mediaType != mediaTypeEvents || reply.isFramed() || !endsWithinEvent(body) {
+		return nil
+	}
+	return errors.Wrap(errConnectionBroken, "the stream ends within an event")
+}
+
 // finish sends the result of the last attempt to the caller.
 func (x *exchange) finish(ctx context.Context, last result) *cowslipproxy.Failure {
 	if last.notExecuted() && last.reply.RetryAfter > 0 {
