relayer: decide at the first send whether a stopping daemon takes a request

In a planned stop, a request that came before the daemon refuses new ones (2.8 s after SIGTERM) was passed on at any later time, when its body was complete, when the throttler's queue admitted it, or when a path was found. Its upstream could still be at work when the process ended, which cut the request without an answer.

Cause: that the head of the request arrived in time was taken as proof that the request is passed on in time. Whether the daemon still takes requests was asked once, before the body is read and before the queue.

Rejecting is now a context. A request that no upstream may have started is refused with 503 once it is done: while its body is read, in the queue, in the wait for a path, and between the choice of an upstream and the first send. A request that was passed on keeps its retries. An idle daemon also refuses requests before it checks again that it is idle and ends, so that a request that comes in between is not passed on and cut.

--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -42,6 +43,7 @@
 		Clock:  d.Clock, Logger: d.Logger,
 	}
 	d.quarantine.build(d.owner)
+	d.rejecting, d.reject = context.WithCancel(context.Background())
 	d.server = &relayer.Server{
 		Matcher:    func() *matcher.Matcher { return d.matcher.Load() },
 		Upstreams:  &d.pools,
@@ -52,7 +54,7 @@
 		Quarantine: d.quarantine.Quarantiner,
 		Limits:     &d.limits,
 		Stopping:   d.stopping.Load,
-		Rejecting:  d.rejecting.Load,
+		Rejecting:  d.rejecting,
 		Clock:      d.Clock,
 		Logger:     d.Logger,
 		Metrics:    d.Metrics,
--- a/cowslipd/relay/deployment_test.go
+++ b/cowslipd/relay/deployment_test.go
@@ -212,6 +212,7 @@
 	tokens                     int
 	lastEventID                string
 	wait                       time.Duration // time to the caller's deadline
+	slowBody                   io.Reader     // sent in chunks instead of body if it is set
 	header                     http.Header
 	ctx                        context.Context
 }
@@ -235,7 +236,11 @@
 	if c.method == "" {
 		c.method = http.MethodPost
 	}
-	request, err := http.NewRequestWithContext(c.ctx, c.method, "http://"+to.settings.Callers.String()+c.path, bytes.NewReader([]byte(c.body)))
+	body := c.slowBody
+	if body == nil {
+		body = bytes.NewReader([]byte(c.body))
+	}
+	request, err := http.NewRequestWithContext(c.ctx, c.method, "http://"+to.settings.Callers.String()+c.path, body)
 	require.NoError(d.t, err)
 	request.Host = host
 	for name, values := range c.header {
@@ -267,8 +272,8 @@
 		return result{id: id, err: err}
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	return result{id: id, status: response.StatusCode, header: response.Header, body: string(body), framed: cowslipproxy.IsFramed(response), err: err}
+	text, err := io.ReadAll(response.Body)
+	return result{id: id, status: response.StatusCode, header: response.Header, body: string(text), framed: cowslipproxy.IsFramed(response), err: err}
 }
 
 // enginesAt returns the engines whose layer range begins at the given layer.
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -72,9 +72,10 @@
 	owner            cowslipproxy.Owner
 	matcher          atomic.Pointer[matcher.Matcher]
 	registrar        registrar.Registrar
-	listKnown        atomic.Bool // the instance list is known
-	stopping         atomic.Bool // the graceful shutdown has begun
-	rejecting        atomic.Bool // new requests are refused
+	listKnown        atomic.Bool     // the instance list is known
+	stopping         atomic.Bool     // the graceful shutdown has begun
+	rejecting        context.Context // done when new requests are refused
+	reject           context.CancelFunc
 	pools            pools
 	gossiper         *gossiper.Gossiper
 	lease            *holder.Holder
--- a/cowslipd/relay/stop.go
+++ b/cowslipd/relay/stop.go
@@ -23,8 +23,8 @@
 
 // stop waits for ctx to be cancelled and shuts the daemon down gracefully. The
 // daemon is removed from address answers, completes its requests, and after
-// acceptTime refuses new requests of callers that still use its address. If
-// workCtx ends first, because a part of the daemon failed, stop returns at once.
+// acceptTime refuses those that it has not passed on. If workCtx ends first, because a
+// part of the daemon failed, stop returns at once.
 func (d *Daemon) stop(ctx, workCtx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -40,18 +40,26 @@
 	go d.lease.Release()
 	ticker := time.NewTicker(stopPollInterval)
 	defer ticker.Stop()
-	maxAddressAge := lifetimeFactor * time.Duration(d.settings().Lifetime)
-	for {
+	for !d.advanceStop(d.Clock().Sub(begin)) {
 		<-ticker.C
-		elapsed := d.Clock().Sub(begin)
-		if elapsed >= acceptTime && !d.rejecting.Swap(true) {
+	}
+	d.logPhase("ended")
+}
+
+// advanceStop takes the next step of a shutdown that began some time ago, if it is due, and
+// reports whether the shutdown is complete.
+func (d *Daemon) advanceStop(elapsed time.Duration) bool {
+	settings := d.settings()
+	end := time.Duration(settings.Grace) - stopMargin
+	isIdle := elapsed >= lifetimeFactor*time.Duration(settings.Lifetime) && d.server.InFlight() == 0
+	if d.rejecting.Err() == nil {
+		if elapsed >= min(acceptTime, end) || isIdle {
 			d.logPhase("finishing")
+			d.reject()
 		}
-		if elapsed >= time.Duration(d.settings().Grace)-stopMargin || elapsed >= maxAddressAge && d.server.InFlight() == 0 {
-			d.logPhase("ended")
-			return
-		}
+		return false // a request that was accepted before is counted at the next step
 	}
+	return isIdle || elapsed >= end
 }
 
 func (d *Daemon) logPhase(name string) {
--- a/relayer/queueing.go
+++ b/relayer/queueing.go
@@ -49,6 +49,9 @@
 	select {
 	case <-s.place.Ready:
 		return nil
+	case <-s.Rejecting.Done():
+		s.serviceThrottler.Leave(s.Clock(), bounds, s.place)
+		return refuseStopping()
 	case <-ctx.Done():
 		s.serviceThrottler.Leave(s.Clock(), bounds, s.place)
 		return s.finalFailure(ctx, ctx.Err())
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -64,8 +64,8 @@
 	Memory     *allocator.Allocator // for the bodies of requests and replies
 	Quarantine *quarantiner.Quarantiner
 	Limits     Limits
-	Stopping   func() bool // whether to close connections after the reply, so that callers connect elsewhere
-	Rejecting  func() bool // whether to refuse new requests
+	Stopping   func() bool     // whether to close connections after the reply, so that callers connect elsewhere
+	Rejecting  context.Context // done when requests that no upstream has got are refused
 	Clock      func() time.Time
 	Logger     *slog.Logger
 	Metrics    metrics.Registry
@@ -153,8 +153,8 @@
 	if x.callerRequest, err = x.Dialect.RelayRequest(r, x.Clock()); err != nil {
 		return cowslipproxy.Refuse(cowslipproxy.ReasonMalformed, "%v", err)
 	}
-	if x.Rejecting() {
-		return cowslipproxy.Refuse(cowslipproxy.ReasonStopping, "this daemon is shutting down").After(time.Millisecond)
+	if x.isRejected() {
+		return refuseStopping()
 	}
 	m := x.Matcher()
 	if m == nil {
@@ -195,8 +195,14 @@
 	if r.ContentLength > limit {
 		return cowslipproxy.Refuse(cowslipproxy.ReasonTooLarge, "request body of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
 	}
+	stop := x.abortReads()
 	var err error
-	if x.callerRequest.Body, err = x.bodyMemory.ReadAll(r.Body, r.ContentLength, limit); err == nil {
+	x.callerRequest.Body, err = x.bodyMemory.ReadAll(r.Body, r.ContentLength, limit)
+	stop()
+	if x.isRejected() {
+		return refuseStopping()
+	}
+	if err == nil {
 		return nil
 	}
 	if errors.Is(err, allocator.ErrTooLarge) {
@@ -232,6 +238,9 @@
 	}
 	x.status = x.Dialect.Status(failure)
 	header := x.w.Header()
+	if x.Stopping() {
+		header.Set("Connection", "close")
+	}
 	if x.callerRequest.ID != "" {
 		x.Dialect.SetID(header, x.callerRequest.ID)
 	}
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -133,6 +133,9 @@
 	limit := s.Clock().Add(s.route.Target)
 	for {
 		path, err := s.choosePath(ctx, finder)
+		if s.isRejected() {
+			return nil, errors.WithStack(errRejected)
+		}
 		if err == nil {
 			return path, nil
 		}
@@ -200,6 +203,9 @@
 	if s.status != 0 {
 		return cowslipproxy.Unknown(cowslipproxy.ReasonAnswerLost, "the stream broke off: %v", err)
 	}
+	if errors.Is(err, errRejected) {
+		return refuseStopping()
+	}
 	if s.entryEngineCount > 0 {
 		return s.unknownOutcome(ctx, err)
 	}
--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -51,10 +51,14 @@
 		if !ok {
 			break
 		}
-		tried = append(tried, server.ID)
 		if last.memory != nil {
 			last.memory.Release()
 		}
+		if x.isRejected() {
+			servers.Release(server.ID)
+			return refuseStopping()
+		}
+		tried = append(tried, server.ID)
 		last = x.attempt(ctx, server, len(tried))
 		servers.Done(x.Clock(), server.ID, last.isFailure(), loadOf(last.reply))
 		if !last.isFailure() {
