relay: answer the requests in flight before the process ends

In a planned stop, requests whose upstreams were still at work at the end of the grace time were cut: callers got a closed connection, also for requests that may not be repeated and that came late in the grace time.

Cause: the process ends with http.Server.Close, which takes a handler that still runs as one whose caller needs no answer. It also closes connections whose handler has returned and whose answer net/http has not written yet.

The contexts of requests in flight now end 250 ms before the exit, with a cause of their own, so that plain requests get 502 with an unknown outcome, those that were not passed on get 503, and streams are broken off. The servers are then shut down instead of closed, for at most 200 ms, which waits for answers that are being written.

That an answer is cut while it is written was found by reading and not reproduced.

--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -44,6 +44,7 @@
 	}
 	d.quarantine.build(d.owner)
 	d.rejecting, d.reject = context.WithCancel(context.Background())
+	d.ending, d.endRequests = context.WithCancel(context.Background())
 	d.server = &relayer.Server{
 		Matcher:    func() *matcher.Matcher { return d.matcher.Load() },
 		Upstreams:  &d.pools,
@@ -55,6 +56,7 @@
 		Limits:     &d.limits,
 		Stopping:   d.stopping.Load,
 		Rejecting:  d.rejecting,
+		Ending:     d.ending,
 		Clock:      d.Clock,
 		Logger:     d.Logger,
 		Metrics:    d.Metrics,
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -76,6 +76,8 @@
 	stopping         atomic.Bool     // the graceful shutdown has begun
 	rejecting        context.Context // done when new requests are refused
 	reject           context.CancelFunc
+	ending           context.Context // done when requests in flight get their final answer
+	endRequests      context.CancelFunc
 	pools            pools
 	gossiper         *gossiper.Gossiper
 	lease            *holder.Holder
@@ -111,7 +113,7 @@
 	}
 	for _, server := range servers {
 		group.Go(func() error { return ignoreClosed(server.Serve(server.listener)) })
-		context.AfterFunc(workCtx, func() { _ = server.Close() }) // an error has no effect, since the process exits
+		group.Go(func() error { <-workCtx.Done(); server.close(closeTimeout); return nil })
 	}
 	group.Go(func() error { return d.gossiper.Run(workCtx) })
 	group.Go(func() error { d.watchConfigurations(workCtx); return nil })
@@ -163,6 +165,15 @@
 	listener net.Listener
 }
 
+// close lets the server write its last answers for some time.
+func (s httpServer) close(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		_ = s.Close() // an error has no effect, since the process exits
+	}
+}
+
 // openServers opens all listeners before any of them is served, so that a daemon that
 // accepts callers also answers readiness checks. After an error, none is open.
 func (d *Daemon) openServers() (servers []httpServer, err error) {
--- a/cowslipd/relay/stop.go
+++ b/cowslipd/relay/stop.go
@@ -16,6 +16,11 @@
 	acceptTime = 2800 * time.Millisecond
 	// stopMargin is the part of the grace time that is left when the process exits.
 	stopMargin = 500 * time.Millisecond
+	// answerTime is the time before that in which requests in flight get their final answer.
+	answerTime = 250 * time.Millisecond
+	// closeTimeout bounds the wait for answers that are still being written at the exit. It is
+	// a part of stopMargin.
+	closeTimeout = 200 * time.Millisecond
 	// lifetimeFactor is the multiple of its lifetime for which some callers keep an
 	// address answer.
 	lifetimeFactor = 3
@@ -23,8 +28,9 @@
 
 // stop waits for ctx to be cancelled and shuts the daemon down gracefully. The
 // daemon is removed from address answers, completes its requests, and after
-// acceptTime refuses those that it has not passed on. If workCtx ends first, because a
-// part of the daemon failed, stop returns at once.
+// acceptTime refuses those that it has not passed on. Requests that do not end in time
+// get a final answer. If workCtx ends first, because a part of the daemon failed, stop
+// returns at once.
 func (d *Daemon) stop(ctx, workCtx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -52,12 +58,17 @@
 	settings := d.settings()
 	end := time.Duration(settings.Grace) - stopMargin
 	isIdle := elapsed >= lifetimeFactor*time.Duration(settings.Lifetime) && d.server.InFlight() == 0
-	if d.rejecting.Err() == nil {
-		if elapsed >= min(acceptTime, end) || isIdle {
+	switch {
+	case d.rejecting.Err() == nil:
+		if elapsed >= min(acceptTime, end-answerTime) || isIdle {
 			d.logPhase("finishing")
 			d.reject()
 		}
 		return false // a request that was accepted before is counted at the next step
+	case d.ending.Err() == nil && elapsed >= end-answerTime:
+		d.logPhase("answering")
+		d.endRequests()
+		return false
 	}
 	return isIdle || elapsed >= end
 }
--- a/cowslipd/relay/stopping_test.go
+++ b/cowslipd/relay/stopping_test.go
@@ -151,3 +151,49 @@
 		})
 	}
 }
+
+// Guards against requests that a stop cuts without a final answer while their upstream is at work.
+func TestRequestsAtWorkAtEndOfGraceGetFinalAnswer(t *testing.T) {
+	t.Parallel()
+	for _, daemons := range stoppingSizes {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			t.Parallel()
+			d, stopping := deployPatient(t, daemons, longWork)
+			work := func(id, _ string) string { time.Sleep(longWork); return rejection(id, "500 Internal Server Error", "") }
+			for _, server := range append(d.fleet.Servers("ledger"), d.enginesAt(0)...) {
+				server.SetScript(work)
+			}
+			begin := time.Now()
+			time.AfterFunc(time.Second, stopping.stop)
+			var group sync.WaitGroup
+			for i := range 60 {
+				path := []string{feesPath, readsPath, lettersPath}[i%3]
+				time.Sleep(50 * time.Millisecond)
+				group.Go(func() {
+					got := d.send(stopping, call{path: fmt.Sprint(path, i), tokens: 3, wait: longWork})
+					require.NoError(t, got.err)
+					require.Contains(t, []int{http.StatusBadGateway, http.StatusServiceUnavailable}, got.status, got.body)
+					if got.status == http.StatusServiceUnavailable {
+						d.requireRefused(got)
+						require.Equal(t, lettersPath, path, "only streams are queued")
+					}
+				})
+			}
+			group.Wait()
+			require.NoError(t, <-stopping.done)
+			require.Less(t, time.Since(begin), time.Second+grace)
+		})
+	}
+}
+
+// Guards against a stream that a stop cuts and that looks complete.
+func TestStreamInProgressAtEndOfGraceIsBrokenOff(t *testing.T) {
+	t.Parallel()
+	d, stopping := deployPatient(t, 1, time.Second)
+	time.AfterFunc(100*time.Millisecond, stopping.stop)
+	got := d.send(stopping, call{path: lettersPath + "1", tokens: 5000, wait: longWork})
+	require.Equal(t, http.StatusOK, got.status)
+	require.Error(t, got.err)
+	require.True(t, strings.HasPrefix(streamBody(got.id, 1, 5000), got.body), "a partial event was sent to the caller")
+	require.NoError(t, <-stopping.done)
+}
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -66,6 +66,7 @@
 	Limits     Limits
 	Stopping   func() bool     // whether to close connections after the reply, so that callers connect elsewhere
 	Rejecting  context.Context // done when requests that no upstream has got are refused
+	Ending     context.Context // done when requests in flight get their final answer, because the daemon ends
 	Clock      func() time.Time
 	Logger     *slog.Logger
 	Metrics    metrics.Registry
@@ -215,6 +216,8 @@
 }
 
 func (x *exchange) run(ctx context.Context) *cowslipproxy.Failure {
+	ctx, stop := x.withEnd(ctx)
+	defer stop()
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.fingerprints = fingerprintsOf(x.callerRequest, x.service.Name, x.customer.Name)
@@ -300,6 +303,9 @@
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return cowslipproxy.Unknown(cowslipproxy.ReasonCancelled, "the caller disconnected")
 	}
+	if errors.Is(context.Cause(ctx), errEnding) {
+		return cowslipproxy.Unknown(cowslipproxy.ReasonStopping, "no answer before this daemon ended")
+	}
 	if !x.Clock().Before(x.deadline) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return cowslipproxy.Unknown(cowslipproxy.ReasonDeadline, "no answer before the deadline")
 	}
--- a/relayer/stopping.go
+++ b/relayer/stopping.go
@@ -10,6 +10,9 @@
 	"github.com/cowslipproxy/cowslipproxy"
 )
 
+// errEnding is the cause of the end of requests that are in flight when their daemon ends.
+var errEnding = errors.New("this daemon ends")
+
 // errRejected reports that a request was not passed on before its daemon rejects requests.
 var errRejected = errors.New("this daemon is shutting down")
 
@@ -25,6 +28,13 @@
 	return cowslipproxy.Refuse(cowslipproxy.ReasonStopping, "this daemon is shutting down").After(stoppingRetryAfter)
 }
 
+// withEnd returns a context that also ends when the daemon ends, with errEnding as its cause.
+func (x *exchange) withEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(x.Ending, func() { cancel(errEnding) })
+	return ctx, func() { stop(); cancel(nil) }
+}
+
 // abortReads ends the reading of the request's body when new requests are rejected, unless
 // the returned function was called before.
 func (x *exchange) abortReads() (stop func() bool) {
