relay: test replies that are cut at each byte of their heads

Another operator's callers got 200 with an empty or short body, framed as whole, when a server stopped in the middle of its answer's head and closed.

This does not happen here: net/http takes a head that ends before its empty line as an error, and the relay and the forwarder pass on no status before the head is whole. The tests cut the reply after each byte of its head, and of the body where its end is known, and close or reset the connection: with a length, chunks or neither, both line ends, with and without an informational reply before it.

--- a/standin/worker/script.go
+++ b/standin/worker/script.go
@@ -1,6 +1,10 @@
 package worker
 
-import "net/http"
+import (
+	"net"
+	"net/http"
+	"time"
+)
 
 // Script returns the bytes that a server sends instead of its reply to a request, before it
 // closes the connection. An empty string means the regular reply.
@@ -21,10 +25,18 @@
 	s.script = script
 }
 
+// ResetAfterScript makes the server reset the connections of scripted replies instead of
+// closing them.
+func (s *Server) ResetAfterScript() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resetsScripts = true
+}
+
 // runScript reports whether the script replaced the reply to a request.
 func (s *Server) runScript(w http.ResponseWriter, r *http.Request, body []byte) bool {
 	s.mu.Lock()
-	script := s.script
+	script, isReset := s.script, s.resetsScripts
 	s.mu.Unlock()
 	if script == nil {
 		return false
@@ -41,6 +53,10 @@
 	defer conn.Close()
 	_, _ = buffer.WriteString(text) // fails only if the caller disconnected
 	_ = buffer.Flush()
+	if tcp, ok := conn.(*net.TCPConn); ok && isReset {
+		time.Sleep(eventInterval) // a reset discards what the caller has not read
+		_ = tcp.SetLinger(0)      // fails only on a closed connection
+	}
 	s.fleet.completeRun(index)
 	return true
 }
--- a/standin/worker/server.go
+++ b/standin/worker/server.go
@@ -47,6 +47,7 @@
 	fault          Fault
 	paths          map[string][]stage           // by request id, for streams whose first stage is this engine
 	script         func(r *http.Request) string // returns the reply to send instead; may be nil
+	resetsScripts  bool                         // resets the connections of scripted replies
 	leaving        bool                         // announces in its replies that it is leaving
 	limit          string                       // value of the header that names the server's limit; empty if it has none
 	arrivals       []time.Time                  // of requests of any kind
