--- a/relayer/server.go
+++ b/relayer/server.go
@@ -63,8 +63,9 @@
 	Memory     *allocator.Allocator // for the bodies of requests and replies
 	Quarantine *quarantiner.Quarantiner
 	Limits     Limits
-	Stopping   func() bool // whether to close connections after the reply, so that callers connect elsewhere
-	Rejecting  func() bool // whether to refuse new requests
+	Stopping   func() bool     // whether to close connections after the reply, so that callers connect elsewhere
+	Rejecting  context.Context // done when requests that no upstream has got are refused
+	Ending     context.Context // done when requests in flight get their final answer, because the daemon ends
 	Clock      func() time.Time
 	Logger     *slog.Logger
 	Metrics    metrics.Registry
@@ -136,8 +137,8 @@
 	if x.callerRequest, err = x.Dialect.RelayRequest(r, x.Clock()); err != nil {
 		return cowslipproxy.Refuse(cowslipproxy.ReasonMalformed, "%v", err)
 	}
-	if x.Rejecting() {
-		return cowslipproxy.Refuse(cowslipproxy.ReasonStopping, "this daemon is shutting down").After(time.Millisecond)
+	if x.isRejected() {
+		return refuseStopping()
 	}
 	m := x.Matcher()
 	if m == nil {
@@ -178,8 +179,14 @@
 	if r.ContentLength > limit {
 		return cowslipproxy.Refuse(cowslipproxy.ReasonTooLarge, "request body of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
 	}
+	stop := x.abortReads()
 	var err error
-	if x.callerRequest.Body, err = x.bodyMemory.ReadAll(r.Body, r.ContentLength, limit); err == nil {
+	x.callerRequest.Body, err = x.bodyMemory.ReadAll(r.Body, r.ContentLength, limit)
+	stop()
+	if x.isRejected() {
+		return refuseStopping()
+	}
+	if err == nil {
 		return nil
 	}
 	if errors.Is(err, allocator.ErrTooLarge) {
@@ -192,6 +199,8 @@
 }
 
 func (x *exchange) run(ctx context.Context) *cowslipproxy.Failure {
+	ctx, stop := x.withEnd(ctx)
+	defer stop()
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.fingerprints = fingerprintsOf(x.callerRequest, x.service.Name, x.customer.Name)
@@ -215,6 +224,9 @@
 	}
 	x.status = x.Dialect.Status(failure)
 	header := x.w.Header()
+	if x.Stopping() {
+		header.Set("Connection", "close")
+	}
 	if x.callerRequest.ID != "" {
 		x.Dialect.SetID(header, x.callerRequest.ID)
 	}
@@ -276,6 +288,9 @@
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return cowslipproxy.Unknown(cowslipproxy.ReasonCancelled, "the caller disconnected")
 	}
+	if errors.Is(context.Cause(ctx), errEnding) {
+		return cowslipproxy.Unknown(cowslipproxy.ReasonStopping, "no answer before this daemon ended")
+	}
 	if !x.Clock().Before(x.deadline) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return cowslipproxy.Unknown(cowslipproxy.ReasonDeadline, "no answer before the deadline")
 	}
