gossiper, relay: log what the state of a member and of the list rests on

What is known of a member changed without a line that says why: its own observation, reports of others, or that no report is left. Event 615 has that and the reporters, 616 that a member was forgotten. Event 908 has the list that it is about and the entries kept after an outage.

--- a/cowslipd/relay/apply.go
+++ b/cowslipd/relay/apply.go
@@ -82,7 +82,8 @@
 	}
 	instances := d.registrar.Instances()
 	live := countLive(instances)
-	reporter.EventUpstreamsChanged.Log(context.Background(), d.Logger, slog.Int("live", live), slog.Int("leaving", len(instances)-live))
+	reporter.EventUpstreamsChanged.Log(context.Background(), d.Logger, slog.Int("live", live), slog.Int("leaving", len(instances)-live),
+		slog.Int("deferred", d.registrar.Deferred()), d.sharing.listAttributes(d.Clock()))
 	if m := d.matcher.Load(); m != nil {
 		d.pools.set(m.RelayConfiguration, instances)
 	}
--- a/cowslipd/relay/sharing.go
+++ b/cowslipd/relay/sharing.go
@@ -162,6 +162,14 @@
 	return now.Sub(s.list.knownAt())
 }
 
+// listAttributes returns what the instance list is based on, for the log.
+func (s *sharing) listAttributes(now time.Time) slog.Attr {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slog.Group("list", slog.String("from", s.listSource), slog.Uint64("version", s.listVersion), slog.Uint64("position", s.list.position),
+		slog.Duration("age", now.Sub(s.list.knownAt())), slog.Duration("read", now.Sub(s.list.read)))
+}
+
 // ages returns the ages of the instance list and the configuration.
 func (s *sharing) ages(now time.Time) (list, configuration time.Duration) {
 	s.mu.Lock()
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -65,8 +65,9 @@
 	superseded    bool // a peer knows a later incarnation of this daemon
 	rounds        int
 	server        *grpc.Server
-	helloMutex    sync.Mutex // serializes read-modify-write cycles of the published hello
-	comparingWith string     // peer with which a comparison is in progress
+	helloMutex    sync.Mutex                  // serializes read-modify-write cycles of the published hello
+	comparingWith string                      // peer with which a comparison is in progress
+	loggedStates  map[cowslipproxy.Owner]bool // whether each member was down when that was last logged
 }
 
 // peer is the exchange state of one other daemon.
@@ -195,6 +196,7 @@
 	live, unreachable := g.contacts()
 	chosen := Neighbours(g.selfContact(), live)
 	g.watchNeighbours(ctx, chosen, now)
+	g.logStateChanges(ctx)
 	g.rounds++
 	chosen = append(chosen, g.unreachableToCall(unreachable)...)
 	if g.rounds%pruneRounds == 0 {
--- a/gossiper/members.go
+++ b/gossiper/members.go
@@ -285,6 +285,8 @@
 	g.setup()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	_, reporters := g.stateBasis(owner)
+	reporter.EventPeerForgotten.Log(context.Background(), g.Logger, slog.String("peer", owner.Key()), slog.Any("reporters", reporters))
 	g.detector.Forget(owner)
 	g.store.Forget(owner, time.Now())
 	delete(g.peers, owner.Name)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -213,6 +213,18 @@
 	return all
 }
 
+// Deferred returns the number of instances that the list dropped and that are still in use.
+func (r *Registrar) Deferred() (count int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, known := range r.known {
+		if known.dropped {
+			count++
+		}
+	}
+	return count
+}
+
 // Version returns a number that changes whenever an instance is added, removed
 // or changed.
 func (r *Registrar) Version() uint64 {
--- a/reporter/events_relay.go
+++ b/reporter/events_relay.go
@@ -12,7 +12,7 @@
 	EventListEntryInvalid     = newEvent(905, slog.LevelWarn, "list entry invalid", "An entry of the list could not be decoded and is ignored.")
 	EventFeedLost             = newEvent(906, slog.LevelWarn, "platform store can't be read", "The data read before stays in use, and newer data is requested from other daemons.")
 	EventFeedRestored         = newEvent(907, slog.LevelInfo, "platform store can be read again", "The event has the duration of the outage.")
-	EventUpstreamsChanged     = newEvent(908, slog.LevelInfo, "upstreams changed", "The event has the numbers of live and leaving upstreams.")
+	EventUpstreamsChanged     = newEvent(908, slog.LevelInfo, "upstreams changed", "The event has the numbers of live and leaving upstreams, those that an outage of the list keeps in use, the daemon whose list this is, its version, its position and its age.")
 	EventReadinessChanged     = newEvent(909, slog.LevelInfo, "readiness changed", "The daemon accepts requests once it has a configuration and the list of upstreams, until it is stopped.")
 	EventLinkAvoided          = newEvent(911, slog.LevelWarn, "link between data centres avoided", "Consecutive requests whose paths cross the link got their events late, while few requests on other paths did. New paths avoid the link for the duration in the event.")
 	EventRelayConfigAnnounced = newEvent(912, slog.LevelInfo, "newer configuration announced", "Another daemon has a newer configuration than this one. The event has its version and the active one. 913 or 914 follows for each attempt to fetch it, and 903 when it is active.")
