--- a/cowslipd/relay/deployment_test.go
+++ b/cowslipd/relay/deployment_test.go
@@ -64,7 +64,8 @@
 	rate    int                      // bytes per second that each daemon can send to other daemons; 0 for no limit
 	ids     atomic.Int64             // id of the latest request
 
-	clockOffset atomic.Int64 // nanoseconds by which the daemons' clocks are ahead
+	clockOffset atomic.Int64  // nanoseconds by which the daemons' clocks are ahead
+	startOffset time.Duration // by which the clocks of the daemons that are started next are ahead as well
 }
 
 type daemon struct {
@@ -150,10 +151,11 @@
 func (d *deployment) startDaemon(settings loader.RelaySettings) *daemon {
 	ctx, cancel := context.WithCancel(context.Background())
 	node := &daemon{settings: settings, stop: cancel, done: make(chan error, 1)}
+	offset := d.startOffset
 	daemonProcess := &relay.Daemon{
 		Settings: settings,
 		Platform: platform.Open(settings.Store, relay.Transport(true), relay.Transport(false)),
-		Clock:    func() time.Time { return time.Now().Add(time.Duration(d.clockOffset.Load())) },
+		Clock:    func() time.Time { return time.Now().Add(time.Duration(d.clockOffset.Load()) + offset) },
 		Logger:   logger(),
 		Metrics:  metrics.NewRegistry(),
 	}
--- a/cowslipd/relay/spread_test.go
+++ b/cowslipd/relay/spread_test.go
@@ -75,7 +75,10 @@
 // dump is the part of a daemon's dump that tests use.
 type dump struct {
 	Reader  bool
-	Members []struct{ Down, Starting bool }
+	Members []struct {
+		Down, Starting, Stopping bool
+		Peer                     netip.AddrPort
+	}
 
 	Quarantine []struct {
 		Fingerprint, State string
--- /dev/null
+++ b/gossiper/departures_test.go
@@ -0,0 +1,200 @@
+package gossiper_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+const (
+	// forgetTimeouts is the number of timeouts after which a daemon forgets one that is down,
+	// as in package relay.
+	forgetTimeouts = 10
+	// settlePeriods is longer than a forgotten daemon's state takes to spread.
+	settlePeriods = 60
+)
+
+// cutPower stops daemons whose addresses then neither accept nor refuse connections.
+func (n *network) cutPower(daemons []*daemon) {
+	n.mu.Lock()
+	for _, d := range daemons {
+		n.dark[d.address] = true
+	}
+	n.mu.Unlock()
+	for _, d := range daemons {
+		d.cancel()
+	}
+	for _, d := range daemons {
+		_ = d.shutDown() // its error has no meaning once it has lost its power
+	}
+}
+
+// forgetLost forgets daemons that are down as package relay does, until the test ends.
+func forgetLost(t *testing.T, d *daemon) {
+	done := make(chan struct{})
+	var stopped sync.WaitGroup
+	stopped.Go(func() {
+		time.Sleep(rand.N(d.Period))
+		downSince := map[cowslipproxy.Owner]time.Time{}
+		for ticker := time.NewTicker(d.Period); ; {
+			select {
+			case <-done:
+				ticker.Stop()
+				return
+			case now := <-ticker.C:
+				forgetOnce(d, now, downSince)
+			}
+		}
+	})
+	t.Cleanup(func() { close(done); stopped.Wait() })
+}
+
+func forgetOnce(d *daemon, now time.Time, downSince map[cowslipproxy.Owner]time.Time) {
+	for _, member := range d.Members() {
+		switch {
+		case !member.Down:
+			delete(downSince, member.Owner)
+		case downSince[member.Owner].IsZero():
+			downSince[member.Owner] = now
+		case now.Sub(downSince[member.Owner]) > forgetTimeouts*d.Timeout:
+			d.Forget(member.Owner)
+		}
+	}
+}
+
+// countListing returns how many observers consider one of the lost daemons up.
+func countListing(observers, lost []*daemon) (count int) {
+	isLost := map[cowslipproxy.Owner]bool{}
+	for _, d := range lost {
+		isLost[d.Self] = true
+	}
+	for _, d := range observers {
+		for _, member := range d.Members() {
+			if !member.Down && isLost[member.Owner] {
+				count++
+				break
+			}
+		}
+	}
+	return count
+}
+
+// watchListing returns a function that ends the observation and returns the largest number of
+// observers that considered a lost daemon up at the same time.
+func watchListing(observers func() []*daemon, lost []*daemon) (end func() int) {
+	done, most := make(chan struct{}), make(chan int)
+	go func() {
+		largest := 0
+		for {
+			select {
+			case <-done:
+				most <- largest
+				return
+			case <-time.After(shortPeriod):
+				largest = max(largest, countListing(observers(), lost))
+			}
+		}
+	}()
+	return func() int { close(done); return <-most }
+}
+
+// Guards against dead daemons that are members again once those that reported them forget them.
+func TestForgottenDaemonIsNotListedAgain(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			n := newNetwork()
+			fleet := n.fleet(t, size, shortPeriod)
+			lost, remaining := fleet[:size/3], fleet[size/3:]
+			for _, d := range remaining {
+				forgetLost(t, d)
+			}
+			n.cutPower(lost)
+			eventually(t, func() bool { return countListing(remaining, lost) == 0 })
+			end := watchListing(func() []*daemon { return remaining }, lost)
+			time.Sleep(forgetTimeouts*remaining[0].Timeout + settlePeriods*shortPeriod)
+			last := countListing(remaining, lost)
+			require.Zero(t, end(), "most daemons at once that list a dead one; %d do at the end", last)
+		})
+	}
+}
+
+// Guards against a dead daemon that is a member again once those that reported it are replaced.
+func TestReplacedReportersLeaveDaemonDown(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			n := newNetwork()
+			fleet := n.fleet(t, size, shortPeriod)
+			lost, remaining := fleet[:1], fleet[1:]
+			n.cutPower(lost)
+			eventually(t, func() bool { return countListing(remaining, lost) == 0 })
+			var mu sync.Mutex
+			end := watchListing(func() []*daemon {
+				mu.Lock()
+				defer mu.Unlock()
+				return append([]*daemon(nil), remaining...)
+			}, lost)
+			half := len(remaining) / 2
+			for _, part := range [][2]int{{0, half}, {half, len(remaining)}} {
+				for i := part[0]; i < part[1]; i++ {
+					require.NoError(t, remaining[i].shutDown())
+				}
+				listed := remaining[(part[1] % len(remaining)):][:1] // in the other half
+				for i := part[0]; i < part[1]; i++ {
+					started := n.launch(t, i+1, 2, shortPeriod, listed)
+					mu.Lock()
+					remaining[i] = started
+					mu.Unlock()
+				}
+				eventually(t, func() bool { return allKnown(remaining) })
+			}
+			time.Sleep(settlePeriods * shortPeriod)
+			require.Zero(t, end(), "most daemons at once that list the dead one")
+		})
+	}
+}
+
+// allKnown reports whether each daemon considers all of them up.
+func allKnown(daemons []*daemon) bool {
+	for _, d := range daemons {
+		up := map[cowslipproxy.Owner]bool{}
+		for _, member := range d.Members() {
+			up[member.Owner] = !member.Down
+		}
+		for _, other := range daemons {
+			if !up[other.Self] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Guards against a daemon that stays unknown because it was cut off until the others forgot it.
+func TestDaemonCutOffForLongIsMemberAgain(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			n := newNetwork()
+			fleet := n.fleet(t, size, shortPeriod)
+			for _, d := range fleet {
+				forgetLost(t, d)
+			}
+			n.setPartition("oyo-a", "oyo-b", true)
+			n.setPartition("oyo-a", "oyo-c", true)
+			sideA, sideB := fleet[:1], fleet[1:2]
+			eventually(t, func() bool { return countListing(sideB, sideA) == 0 && countListing(sideA, sideB) == 0 })
+			time.Sleep(forgetTimeouts*fleet[0].Timeout + settlePeriods*shortPeriod)
+			n.setPartition("oyo-a", "oyo-b", false)
+			n.setPartition("oyo-a", "oyo-c", false)
+			for _, d := range fleet {
+				d.SetListed(vms(fleet))
+			}
+			require.Eventually(t, func() bool { return allKnown(fleet) }, 2*settlePeriods*shortPeriod, shortPeriod)
+		})
+	}
+}
--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -27,6 +27,7 @@
 	mu          sync.Mutex
 	centre      map[string]string  // by address
 	partitioned map[[2]string]bool // pairs of data centres
+	dark        map[string]bool    // addresses without power: no connection to them is accepted or refused
 	open        map[*trackedConn]bool
 	bytes       atomic.Int64       // both ways, each counted once
 	onClose     func(*trackedConn) // called before a connection closes
@@ -40,15 +41,19 @@
 }
 
 func newNetwork() *network {
-	return &network{centre: map[string]string{}, partitioned: map[[2]string]bool{}, open: map[*trackedConn]bool{}}
+	return &network{centre: map[string]string{}, partitioned: map[[2]string]bool{}, dark: map[string]bool{}, open: map[*trackedConn]bool{}}
 }
 
 func (n *network) dial(from string) func(context.Context, string) (net.Conn, error) {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		n.mu.Lock()
 		ends := [2]string{from, n.centre[address]}
-		partitioned := n.partitioned[ends]
+		partitioned, dark := n.partitioned[ends], n.dark[address]
 		n.mu.Unlock()
+		if dark {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		if partitioned {
 			return nil, errors.New("data centres are partitioned")
 		}
--- /dev/null
+++ b/gossiper/sizes_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package gossiper_test
+
+var fleetSizes = []int{4, 15, 126}
--- /dev/null
+++ b/registrar/departures_test.go
@@ -0,0 +1,52 @@
+package registrar_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/registrar"
+)
+
+// Guards against a removed server that stays in use because one read failed, for too short a time to make its entry expire.
+func TestFailedReadKeepsNoRemovedServer(t *testing.T) {
+	var r registrar.Registrar
+	r.Apply(start, put(instance("a", 1, cowslipproxy.VMLive)))
+	r.RecordReadFailure()
+	r.Apply(start.Add(700*time.Millisecond), drop("a"))
+	require.Empty(t, r.Instances())
+}
+
+// Guards against a server that is live again in the same run after it stated that it is leaving, because its entry was missing for some time.
+func TestStatedLeavingOutlivesEntry(t *testing.T) {
+	for name, prepare := range map[string]func(*registrar.Registrar, string){
+		"dropped": func(r *registrar.Registrar, incarnation string) {
+			r.Apply(start, put(instance("a", 5, cowslipproxy.VMLive)))
+			r.MarkLeaving(incarnation)
+			r.Apply(start, drop("a"))
+		},
+		"unknown": func(r *registrar.Registrar, incarnation string) { r.MarkLeaving(incarnation) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var r registrar.Registrar
+			prepare(&r, instance("a", 5, cowslipproxy.VMLive).Incarnation())
+			r.Apply(start.Add(time.Second), put(instance("a", 6, cowslipproxy.VMLive)))
+			require.Len(t, r.Instances(), 1)
+			require.Equal(t, cowslipproxy.VMLeaving, r.Instances()[0].State)
+		})
+	}
+}
+
+// Guards against a server that stays in use while it drains, because its clock was set back before it started again.
+func TestServerWithEarlierStartIsFollowed(t *testing.T) {
+	var r registrar.Registrar
+	r.Apply(start, put(instance("a", 50, cowslipproxy.VMLive)))
+	again := instance("a", 1, cowslipproxy.VMLeaving)
+	again.StartedAt = start.Add(-2 * time.Second)
+	r.Apply(start.Add(time.Second), put(again))
+	for _, known := range r.Instances() {
+		require.Equal(t, cowslipproxy.VMLeaving, known.State)
+	}
+}
--- a/standin/worker/server.go
+++ b/standin/worker/server.go
@@ -104,6 +104,12 @@
 	s.sendHeartbeat()
 }
 
+// Unlist deletes the server's entry and sends no more. The server continues to handle requests.
+func (s *Server) Unlist() {
+	s.stopOnce.Do(func() { close(s.stop) })
+	s.fleet.Store.Put("keyed.servers", s.ID, nil)
+}
+
 // Crash stops the server at once and leaves its entry in the store.
 func (s *Server) Crash() {
 	s.stopOnce.Do(func() { close(s.stop) })
