--- a/gossiper/departures_test.go
+++ b/gossiper/departures_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipproxy/cowslipproxy"
@@ -16,6 +17,9 @@
 	// forgetTimeouts is the number of timeouts after which a daemon forgets one that is down,
 	// as in package relay.
 	forgetTimeouts = 10
+	// detectionTimeouts is the number of timeouts within which answers of the directory must
+	// omit a daemon that is off, 6 s as the users measured it.
+	detectionTimeouts = 2
 	// settlePeriods is longer than a forgotten daemon's state takes to spread.
 	settlePeriods = 60
 )
@@ -198,3 +202,20 @@
 		})
 	}
 }
+
+// Guards against detection times that add up when daemons and those that watch them are lost together.
+func TestHalfOfFleetIsDetectedInTime(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			n := newNetwork()
+			fleet := n.fleet(t, size, shortPeriod)
+			lost, remaining := fleet[:size/2], fleet[size/2:]
+			started := time.Now()
+			n.cutPower(lost)
+			bound := detectionTimeouts * remaining[0].Timeout
+			assert.Eventually(t, func() bool { return countListing(remaining, lost) == 0 }, bound, shortPeriod)
+			eventually(t, func() bool { return countListing(remaining, lost) == 0 })
+			t.Logf("detected after %v, want %v", time.Since(started), bound)
+		})
+	}
+}
