registrar: defer drops only after outages in which entries can have expired

Cause: after any failed read, one of a single call too, drops were deferred for 2.2 s from the next successful read, and the reader passed the removed entries on to its followers, which the bound holds for.

An entry of a live server expires after three heartbeats of silence, so that drops are deferred only if the list was not known to be current for 2 s.

TestOutageDefersRemoval names the time that the outage began.

--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -235,7 +235,7 @@
 // handleListError handles a failed read of the instance list. The daemon still
 // sends shares, so that others learn the age of the list.
 func (d *Daemon) handleListError() {
-	d.registrar.RecordReadFailure()
+	d.registrar.RecordReadFailure(d.sharing.listCurrentAt())
 	d.share(context.Background())
 }
 
--- a/cowslipd/relay/sharing.go
+++ b/cowslipd/relay/sharing.go
@@ -162,6 +162,13 @@
 	return now.Sub(s.list.knownAt())
 }
 
+// listCurrentAt returns when the instance list was last known to be current.
+func (s *sharing) listCurrentAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list.knownAt()
+}
+
 // listAttributes returns what the instance list is based on, for the log.
 func (s *sharing) listAttributes(now time.Time) slog.Attr {
 	s.mu.Lock()
--- a/registrar/departures_test.go
+++ b/registrar/departures_test.go
@@ -14,7 +14,7 @@
 func TestFailedReadKeepsNoRemovedServer(t *testing.T) {
 	var r registrar.Registrar
 	r.Apply(start, put(instance("a", 1, cowslipproxy.VMLive)))
-	r.RecordReadFailure()
+	r.RecordReadFailure(start)
 	r.Apply(start.Add(700*time.Millisecond), drop("a"))
 	require.Empty(t, r.Instances())
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -16,6 +16,10 @@
 	// from an older copy are kept, so that their servers can register again. The platform's
 	// protocol gives them about two seconds.
 	recoveryGrace = 2200 * time.Millisecond
+	// minExpiry is the shortest time without access to the list after which an entry of a live
+	// server may be missing. An entry expires after three heartbeats of 1.2 s, and the last one
+	// may have been written 1.2 s before the list was lost.
+	minExpiry = 2 * time.Second
 	// tombstoneTTL is how long a dropped entry is remembered, so that an outdated
 	// list does not restore it.
 	tombstoneTTL = 30 * time.Second
@@ -31,7 +35,7 @@
 	mu                 sync.Mutex
 	known              map[string]entry
 	tombstones         map[string]tombstone
-	readFailed         bool      // the last read of the list failed
+	lostSince          time.Time // when the list was last known to be current; zero unless the last read failed
 	dropsDeferredUntil time.Time // drops are deferred until this time
 	version            uint64
 }
@@ -47,11 +51,14 @@
 	droppedAt time.Time
 }
 
-// RecordReadFailure records that the list could not be read.
-func (r *Registrar) RecordReadFailure() {
+// RecordReadFailure records that the list could not be read, and when it was last known to be
+// current.
+func (r *Registrar) RecordReadFailure(current time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.readFailed = true
+	if r.lostSince.IsZero() {
+		r.lostSince = current
+	}
 }
 
 // Apply applies changes read from the list and reports whether any instance
@@ -60,10 +67,10 @@
 func (r *Registrar) Apply(now time.Time, changes cowslipproxy.Changes[cowslipproxy.Instance]) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.readFailed || changes.Restored {
-		r.readFailed = false
+	if !r.lostSince.IsZero() && now.Sub(r.lostSince) >= minExpiry || changes.Restored {
 		r.dropsDeferredUntil = now.Add(recoveryGrace)
 	}
+	r.lostSince = time.Time{}
 	before := r.version
 	seen := map[string]bool{}
 	for _, item := range changes.Items {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -34,7 +34,7 @@
 func TestOutageDefersRemoval(t *testing.T) {
 	var r registrar.Registrar
 	r.Apply(start, put(instance("a", 1, cowslipproxy.VMLive), instance("b", 1, cowslipproxy.VMLive)))
-	r.RecordReadFailure()
+	r.RecordReadFailure(start)
 	recovered := start.Add(10 * time.Second)
 	require.False(t, r.Apply(recovered, cowslipproxy.Changes[cowslipproxy.Instance]{Complete: true}))
 	require.Len(t, r.Instances(), 2)
