registrar: keep for its run that a server stated that it is leaving

What a server states in its replies was kept in its entry of the list. If the entry was dropped and came back in the same run, or was not known at that moment, the server got requests again.

The mark is kept by the run of the server, whether or not the list has its entry, and for ten minutes after the last sign of it.

TestStatedLeavingOutlivesEntry failed before in both cases and passes now.

--- a/cowslipd/relay/limits.go
+++ b/cowslipd/relay/limits.go
@@ -65,7 +65,7 @@
 
 // Leaving implements relayer.Limits.
 func (l *limits) Leaving(upstream string) {
-	if !l.daemon.registrar.MarkLeaving(upstream) {
+	if !l.daemon.registrar.MarkLeaving(l.daemon.Clock(), upstream) {
 		return
 	}
 	reporter.EventUpstreamLeaving.Log(context.Background(), l.daemon.Logger, slog.String("upstream", upstream))
--- a/registrar/departures_test.go
+++ b/registrar/departures_test.go
@@ -24,10 +24,10 @@
 	for name, prepare := range map[string]func(*registrar.Registrar, string){
 		"dropped": func(r *registrar.Registrar, incarnation string) {
 			r.Apply(start, put(instance("a", 5, cowslipproxy.VMLive)))
-			r.MarkLeaving(incarnation)
+			r.MarkLeaving(start, incarnation)
 			r.Apply(start, drop("a"))
 		},
-		"unknown": func(r *registrar.Registrar, incarnation string) { r.MarkLeaving(incarnation) },
+		"unknown": func(r *registrar.Registrar, incarnation string) { r.MarkLeaving(start, incarnation) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			var r registrar.Registrar
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -23,6 +23,9 @@
 	// tombstoneTTL is how long a dropped entry is remembered, so that an outdated
 	// list does not restore it.
 	tombstoneTTL = 30 * time.Second
+	// leavingTTL is how long a run of a server is remembered as leaving after it was last known
+	// as such. Servers that leave may serve for many seconds.
+	leavingTTL = 10 * time.Minute
 	// maxClockDifference exceeds the differences and jumps of the clocks of servers and
 	// daemons. An entry that started later is not a server's: it would replace each entry of
 	// the server with that id until then.
@@ -35,8 +38,9 @@
 	mu                 sync.Mutex
 	known              map[string]entry
 	tombstones         map[string]tombstone
-	lostSince          time.Time // when the list was last known to be current; zero unless the last read failed
-	dropsDeferredUntil time.Time // drops are deferred until this time
+	leaving            map[string]time.Time // when a run of a server was last known as leaving, by its incarnation
+	lostSince          time.Time            // when the list was last known to be current; zero unless the last read failed
+	dropsDeferredUntil time.Time            // drops are deferred until this time
 	version            uint64
 }
 
@@ -106,10 +110,13 @@
 }
 
 // MarkLeaving records that an upstream, given by its incarnation, stated itself that it is
-// leaving. It reports whether that was not known.
-func (r *Registrar) MarkLeaving(incarnation string) bool {
+// leaving. That holds for its run, whether or not the list has its entry. It reports whether
+// it was not known.
+func (r *Registrar) MarkLeaving(now time.Time, incarnation string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	_, marked := r.leaving[incarnation]
+	r.markLeaving(now, incarnation)
 	for id, known := range r.known {
 		if known.Incarnation() != incarnation || known.State == cowslipproxy.VMLeaving {
 			continue
@@ -119,7 +126,14 @@
 		r.version++
 		return true
 	}
-	return false
+	return !marked
+}
+
+func (r *Registrar) markLeaving(now time.Time, incarnation string) {
+	if r.leaving == nil {
+		r.leaving = map[string]time.Time{}
+	}
+	r.leaving[incarnation] = now
 }
 
 // dropUnseen drops the entries that a complete list does not contain.
@@ -150,6 +164,12 @@
 	if instance.StartedAt.Sub(now) > maxClockDifference {
 		return
 	}
+	if _, marked := r.leaving[instance.Incarnation()]; marked {
+		instance.State = cowslipproxy.VMLeaving
+	}
+	if instance.State == cowslipproxy.VMLeaving {
+		r.markLeaving(now, instance.Incarnation())
+	}
 	if r.known == nil {
 		r.known, r.tombstones = map[string]entry{}, map[string]tombstone{}
 	}
@@ -198,6 +218,11 @@
 			delete(r.tombstones, id)
 		}
 	}
+	for incarnation, markedAt := range r.leaving {
+		if now.Sub(markedAt) > leavingTTL {
+			delete(r.leaving, incarnation)
+		}
+	}
 	if now.Before(r.dropsDeferredUntil) {
 		return
 	}
