relayer: ask another server for an answer that may have been cut

A request that may be repeated is now sent to another server, within the attempts of its route and the retry budget. The answer whose end is stated goes to the caller, or else the longer one. A request that may not be repeated keeps the form in which its answer came.

TestCutAnswerOfOneServerIsRepeated failed before with 1 and 4 daemons and passes now, with the tests of unframed answers, retries and requests that may run once.

--- a/cowslipd/relay/broken_test.go
+++ b/cowslipd/relay/broken_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/standin/worker"
 )
 
 const (
@@ -284,3 +285,23 @@
 		})
 	}
 }
+
+// Guards against an answer that a server cut, has neither a length nor chunks and looks complete, although another server has all of it.
+func TestCutAnswerOfOneServerIsRepeated(t *testing.T) {
+	t.Parallel()
+	for _, daemons := range []int{1, 4} {
+		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, daemons)
+			d.fleet.Servers("ledger")[0].SetScript(func(id, _ string) string { return replyHead(id, "text/plain", "") + "do" })
+			for range 4 {
+				for _, node := range d.daemons {
+					got := d.send(node, call{path: readsPath + "1", method: http.MethodGet})
+					require.NoError(t, got.err)
+					require.Equal(t, worker.ResponseBody(got.id), got.body)
+					require.LessOrEqual(t, len(d.fleet.RunsOf(got.id)), 2)
+				}
+			}
+		})
+	}
+}
--- a/relayer/resumption.go
+++ b/relayer/resumption.go
@@ -13,7 +13,7 @@
 
 const (
 	endStated     answerEnd = "stated"     // by the length or the chunks of the upstream's reply
-	endVerified   answerEnd = "verified"   // by a resumption that has no further event
+	endVerified   answerEnd = "verified"   // by a resumption that has no further event, or another server's answer of the same length
 	endUnverified answerEnd = "unverified" // by nothing but the end of the upstream's connection
 )
 
--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -28,6 +28,8 @@
 	body   []byte
 	memory *allocator.Allocation // of the body
 	err    error
+
+	isVerified bool // another server gave an answer of the same length
 }
 
 // notExecuted reports whether the server provably did not execute the request.
@@ -85,10 +87,34 @@
 	if len(tried) == 0 {
 		return cowslipproxy.Refuse(cowslipproxy.ReasonNoUpstream, "service %s has no live server", x.service.Name).After(overloadRetryAfter)
 	}
+	last = x.verify(ctx, servers, tried, last)
 	defer last.memory.Release()
 	return x.finish(ctx, last)
 }
 
+// verify sends a request that may be repeated to another server if the answer has neither a
+// length nor chunks, so that it may have been cut. It returns the answer whose end is stated,
+// or else the longer one.
+func (x *exchange) verify(ctx context.Context, servers *picker.Picker, tried []string, first result) result {
+	if first.isFailure() || first.reply.isFramed() || x.route.Effect != cowslipproxy.EffectRepeat || !x.canRetry(first) {
+		return first
+	}
+	server, ok := x.pick(ctx, servers, tried)
+	if !ok {
+		return first
+	}
+	x.confirmations++
+	second := x.attempt(ctx, server, len(tried)+1)
+	servers.Done(x.Clock(), server.ID, second.isFailure(), loadOf(second.reply))
+	if second.isFailure() || !second.reply.isFramed() && len(second.body) <= len(first.body) {
+		first.isVerified = !second.isFailure() && len(second.body) == len(first.body)
+		second.memory.Release()
+		return first
+	}
+	first.memory.Release()
+	return second
+}
+
 // pick chooses a server that was not tried and may get another request.
 func (x *exchange) pick(ctx context.Context, servers *picker.Picker, tried []string) (cowslipproxy.Instance, bool) {
 	excluded := slices.Clone(tried)
@@ -171,10 +197,14 @@
 		return x.unknownOutcome(ctx, last.err)
 	}
 	x.copyHeader(last.reply.Header)
-	if last.reply.isFramed() {
+	switch {
+	case last.reply.isFramed():
 		x.answerEnd = endStated
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(last.body)))
-	} else {
+	case last.isVerified:
+		x.answerEnd = endVerified
+		cowslipproxy.KeepUnframed(x.w.Header())
+	default:
 		x.answerEnd = endUnverified
 		cowslipproxy.KeepUnframed(x.w.Header())
 	}
