gossiper: let a report that a daemon is down outlive its reporter

Cause: a daemon that nobody reported as down counted as live, and a report was an item of the process that made it. It went when that process was replaced, and was withdrawn when the reporter forgot the dead daemon; daemons that forgot it a moment later then took it as live, and nobody watched it any more.

Each daemon now keeps that a daemon was reported until it hears from it directly or the daemon refutes the reports. The end of a report is no sign of life.

--- a/gossiper/changes.go
+++ b/gossiper/changes.go
@@ -15,6 +15,7 @@
 const (
 	basisWatch    basis = "watch"    // this daemon's own observation
 	basisReports  basis = "reports"  // reports of other daemons that the member is down
+	basisEnded    basis = "ended"    // reports that have ended with the daemons that published them
 	basisRefuted  basis = "refuted"  // the member refuted all such reports
 	basisNoReport basis = "noreport" // there is neither an observation nor a report
 )
@@ -56,6 +57,8 @@
 		return basisWatch, reporters
 	case len(reporters) > 0:
 		return basisReports, reporters
+	case g.detector.IsReported(owner.Key()):
+		return basisEnded, nil
 	case refuted:
 		return basisRefuted, nil
 	}
--- a/gossiper/detector.go
+++ b/gossiper/detector.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"maps"
 	"time"
 
 	"github.com/cowslipproxy/cowslipproxy"
@@ -11,10 +12,12 @@
 	down          bool
 }
 
-// Detector is a heartbeat failure detector for the watched daemons.
+// Detector is a heartbeat failure detector for the watched daemons. For the others, it keeps
+// which ones were reported as down.
 type Detector struct {
 	Timeout  time.Duration // time without a heartbeat after which a daemon counts as down
 	watches  map[cowslipproxy.Owner]*watch
+	reported map[string]bool // keys of the daemons that were reported as down and gave no sign of life since
 	lastTick time.Time
 }
 
@@ -36,9 +39,38 @@
 	d.watches = next
 }
 
+// RecordReport records that a daemon, given by its key, was reported as down. The record
+// outlives the report, which ends with the process that published it.
+func (d *Detector) RecordReport(key string) {
+	if d.reported == nil {
+		d.reported = map[string]bool{}
+	}
+	d.reported[key] = true
+}
+
+// ClearReport records that a daemon refuted all reports.
+func (d *Detector) ClearReport(key string) { delete(d.reported, key) }
+
+// IsReported reports whether a daemon was reported as down and gave no sign of life since.
+func (d *Detector) IsReported(key string) bool { return d.reported[key] }
+
+// Retain deletes the reports about other daemons than the given ones.
+func (d *Detector) Retain(keys map[string]bool) {
+	maps.DeleteFunc(d.reported, func(key string, _ bool) bool { return !keys[key] })
+}
+
+// WatchReported adds a daemon that was reported as down to the watched set.
+func (d *Detector) WatchReported(owner cowslipproxy.Owner) {
+	if d.watches == nil {
+		d.watches = map[cowslipproxy.Owner]*watch{}
+	}
+	d.watches[owner] = &watch{down: true}
+}
+
 // RecordHeartbeat records a heartbeat and reports whether the daemon was down
 // before.
 func (d *Detector) RecordHeartbeat(owner cowslipproxy.Owner, now time.Time) bool {
+	delete(d.reported, owner.Key())
 	w := d.watches[owner]
 	if w == nil {
 		return false
@@ -59,8 +91,11 @@
 	return true
 }
 
-// Forget removes a daemon from the watched set.
-func (d *Detector) Forget(owner cowslipproxy.Owner) { delete(d.watches, owner) }
+// Forget deletes what is known of a daemon.
+func (d *Detector) Forget(owner cowslipproxy.Owner) {
+	delete(d.watches, owner)
+	delete(d.reported, owner.Key())
+}
 
 // IsDown reports whether a daemon is down, and whether it is watched at all.
 func (d *Detector) IsDown(owner cowslipproxy.Owner) (down, watched bool) {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -197,6 +197,7 @@
 	live, unreachable := g.contacts()
 	chosen := Neighbours(g.selfContact(), live)
 	g.watchNeighbours(ctx, chosen, now)
+	g.adoptReports(live, unreachable, now)
 	g.logStateChanges(ctx)
 	g.rounds++
 	chosen = append(chosen, g.unreachableToCall(unreachable)...)
@@ -299,16 +300,6 @@
 	}
 }
 
-// reportDown publishes a report that a daemon is down.
-func (g *Gossiper) reportDown(ctx context.Context, failed cowslipproxy.Owner, now time.Time) {
-	if failed.Incarnation < g.store.LatestIncarnation(failed.Name) {
-		g.detector.Forget(failed)
-		return
-	}
-	reporter.EventPeerDown.Log(ctx, g.Logger, slog.String("peer", failed.Name))
-	g.putLocal(Item{Kind: KindDown, Key: failed.Key(), Reach: ReachAll, Urgent: true}, now)
-}
-
 // handleRefused reports a daemon as down because its address refuses connections.
 // Its process has exited, and callers would be directed to it until the heartbeat
 // timeout.
--- a/gossiper/members.go
+++ b/gossiper/members.go
@@ -5,7 +5,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"sort"
-	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -155,7 +154,6 @@
 
 func (g *Gossiper) members() []cowslipproxy.Member {
 	var members []cowslipproxy.Member
-	reportedDown := g.reportedDown()
 	for _, item := range g.store.Items(KindHello) {
 		hello, ok := g.hello(item)
 		if !ok {
@@ -166,7 +164,7 @@
 		if down, watched := g.detector.IsDown(member.Owner); watched {
 			member.Down = down
 		} else {
-			member.Down = reportedDown[member.Key()] && member.Owner != g.Self
+			member.Down = g.detector.IsReported(member.Key()) && member.Owner != g.Self
 		}
 		members = append(members, member)
 	}
@@ -208,61 +206,7 @@
 		}
 		current[owner.Key()] = true
 	}
-	for _, item := range g.store.Items(KindDown) {
-		if item.Owner == g.Self && !current[item.Key] {
-			g.putLocal(Item{Kind: KindDown, Key: item.Key, Reach: ReachAll, Withdrawn: true}, now)
-		}
-	}
-}
-
-// reportedDown returns the keys of the daemons that others report as down, except
-// those that refuted the report. A daemon that lost only its link to the
-// reporting daemon therefore stays in use.
-func (g *Gossiper) reportedDown() map[string]bool {
-	reportedDown := map[string]bool{}
-	for _, report := range g.store.Items(KindDown) {
-		if !g.isRefuted(report) {
-			reportedDown[report.Key] = true
-		}
-	}
-	return reportedDown
-}
-
-func (g *Gossiper) isRefuted(report Item) bool {
-	name, _ := splitKey(report.Key)
-	refutation, ok := g.store.Get(cowslipproxy.Owner{Name: name, Incarnation: g.store.LatestIncarnation(name)}, ReachAll, KindAlive, report.Owner.Key())
-	if !ok {
-		return false
-	}
-	var version uint64
-	if err := decoder.CBOR(refutation.Data, &version); err != nil {
-		return false
-	}
-	return version >= report.Version
-}
-
-// splitKey splits the key of an owner into name and incarnation.
-func splitKey(key string) (name, incarnation string) {
-	i := strings.LastIndexByte(key, '-')
-	if i < 0 {
-		return key, ""
-	}
-	return key[:i], key[i+1:]
-}
-
-// refute publishes a refutation of each report that this daemon is down.
-func (g *Gossiper) refute(fresh []Item, now time.Time) {
-	for _, report := range fresh {
-		if report.Kind != KindDown || report.Key != g.Self.Key() {
-			continue
-		}
-		refutation := Item{Kind: KindAlive, Key: report.Owner.Key(), Reach: ReachAll, Urgent: true, Withdrawn: report.Withdrawn}
-		var err error
-		if refutation.Data, err = Encode(report.Version); err != nil {
-			continue // unreachable: encoding an integer doesn't fail
-		}
-		g.putLocal(refutation, now)
-	}
+	g.pruneReports(current, now)
 }
 
 // SetListed sets the entry VMs from the platform's list. They are called until
@@ -280,7 +224,8 @@
 }
 
 // Forget deletes a daemon that was removed permanently, for instance one that is
-// down and that a recent list doesn't contain.
+// down and that a recent list doesn't contain. The report that it is down stays, for daemons
+// that have not forgotten it yet.
 func (g *Gossiper) Forget(owner cowslipproxy.Owner) {
 	g.setup()
 	g.mu.Lock()
@@ -290,9 +235,7 @@
 	g.detector.Forget(owner)
 	g.store.Forget(owner, time.Now())
 	delete(g.peers, owner.Name)
-	if _, reported := g.store.Get(g.Self, ReachAll, KindDown, owner.Key()); reported {
-		g.putLocal(Item{Kind: KindDown, Key: owner.Key(), Reach: ReachAll, Withdrawn: true}, time.Now())
-	}
+	delete(g.hellos, owner)
 }
 
 // contacts returns the other daemons that are up, and those that are down or are
--- a/gossiper/store.go
+++ b/gossiper/store.go
@@ -226,6 +226,15 @@
 	return r.item, true
 }
 
+// Age returns how long an item has been held.
+func (s *Store) Age(item Item, now time.Time) time.Duration {
+	stream := s.streams[streamID{item.Owner, item.Reach}]
+	if stream == nil || stream.records[itemID{item.Kind, item.Key}] == nil {
+		return 0
+	}
+	return now.Sub(stream.records[itemID{item.Kind, item.Key}].addedAt)
+}
+
 // Items returns all items of a kind, without withdrawn ones.
 func (s *Store) Items(kind Kind) []Item {
 	var items []Item
