--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -63,7 +63,8 @@
 	wake          chan struct{}
 	announced     cowslipproxy.Hello // last hello published by this daemon
 	hellos        map[cowslipproxy.Owner]cachedHello
-	superseded    bool // a peer knows a later incarnation of this daemon
+	heard         map[cowslipproxy.Owner]time.Time // time of the last message that came from a daemon itself
+	superseded    bool                             // a peer knows a later incarnation of this daemon
 	rounds        int
 	server        *grpc.Server
 	helloMutex    sync.Mutex                  // serializes read-modify-write cycles of the published hello
@@ -99,6 +100,7 @@
 		g.announced = g.Hello
 		g.store = NewStore()
 		g.hellos = map[cowslipproxy.Owner]cachedHello{}
+		g.heard = map[cowslipproxy.Owner]time.Time{}
 		g.detector = &Detector{Timeout: g.Timeout}
 		g.pacer = pacer{budget: g.Budget}
 		g.listed = map[string]Contact{}
@@ -315,6 +317,7 @@
 }
 
 func (g *Gossiper) recordHeartbeat(owner cowslipproxy.Owner, now time.Time) {
+	g.heard[owner] = now
 	g.detector.RecordHeartbeat(owner, now)
 	if _, reported := g.store.Get(g.Self, ReachAll, KindDown, owner.Key()); reported {
 		reporter.EventPeerUp.Log(context.Background(), g.Logger, slog.String("peer", owner.Name))
--- a/gossiper/members.go
+++ b/gossiper/members.go
@@ -153,13 +153,14 @@
 }
 
 func (g *Gossiper) members() []cowslipproxy.Member {
+	now := time.Now()
 	var members []cowslipproxy.Member
 	for _, item := range g.store.Items(KindHello) {
 		hello, ok := g.hello(item)
 		if !ok {
 			continue
 		}
-		member := cowslipproxy.Member{Owner: item.Owner, Hello: hello}
+		member := cowslipproxy.Member{Owner: item.Owner, Hello: hello, Silence: g.silence(item.Owner, now)}
 		// The local failure detector takes precedence over reports of other daemons.
 		if down, watched := g.detector.IsDown(member.Owner); watched {
 			member.Down = down
@@ -172,6 +173,18 @@
 	return members
 }
 
+// silence returns the time since a daemon was heard from, or -1 if it never was.
+func (g *Gossiper) silence(owner cowslipproxy.Owner, now time.Time) cowslipproxy.Duration {
+	if owner == g.Self {
+		return 0
+	}
+	heard, ok := g.heard[owner]
+	if !ok {
+		return -1
+	}
+	return cowslipproxy.Duration(now.Sub(heard))
+}
+
 // cachedHello is a decoded hello. It is cached, since every round needs all of
 // them.
 type cachedHello struct {
@@ -202,6 +215,7 @@
 	for owner := range g.hellos {
 		if g.store.LatestIncarnation(owner.Name) != owner.Incarnation {
 			delete(g.hellos, owner)
+			delete(g.heard, owner)
 			continue
 		}
 		current[owner.Key()] = true
@@ -236,6 +250,7 @@
 	g.store.Forget(owner, time.Now())
 	delete(g.peers, owner.Name)
 	delete(g.hellos, owner)
+	delete(g.heard, owner)
 }
 
 // contacts returns the other daemons that are up, and those that are down or are
--- a/members.go
+++ b/members.go
@@ -56,7 +56,8 @@
 type Member struct {
 	Owner
 	Hello
-	Down bool `json:"down"` // sends no heartbeats
+	Down    bool     `json:"down"`    // sends no heartbeats
+	Silence Duration `json:"silence"` // time since this daemon heard from it, not through others; negative if it never did
 }
 
 // Address is the address at which an entry daemon serves callers.
