relay: decide which process is at an address by who was heard from there

A daemon that started again at its address with its clock set back was forgotten by all others and by itself, and was in no answer of the directory until its next start. The process with the later start time counted as the current one at an address.

The process that was heard from last at an address is the current one. A start time decides only if neither was heard from, and then removes nothing. If another process answers at an address, the former one is reported as down at once. Daemons that are down are kept for ten minutes, because a forgotten one is not admitted again and data centres may be cut off for minutes.

--- a/cowslipd/relay/members.go
+++ b/cowslipd/relay/members.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -12,8 +13,9 @@
 
 const (
 	memberInterval = time.Second
-	// forgetAfter is how long a daemon that is down is kept as a member and retried.
-	forgetAfter = 30 * time.Second
+	// forgetAfter is how long a daemon that is down is kept as a member and retried. Data
+	// centres may be cut off from each other for minutes.
+	forgetAfter = 10 * time.Minute
 )
 
 // trackMembers periodically updates the set of live daemons.
@@ -39,20 +41,11 @@
 }
 
 // updateMembers updates the live daemons. It removes members that were replaced
-// by a newer process at the same address or were down for longer than
+// by another process at the same address or were down for longer than
 // forgetAfter.
 func (d *Daemon) updateMembers(now time.Time, downSince map[cowslipproxy.Owner]time.Time) {
-	newest := map[netip.AddrPort]cowslipproxy.Member{}
 	members := d.gossiper.Members()
-	var live []cowslipproxy.Member
-	for _, member := range members {
-		if member.Down {
-			continue
-		}
-		if other, ok := newest[member.Peer]; !ok || other.Incarnation < member.Incarnation {
-			newest[member.Peer] = member
-		}
-	}
+	current := currentMembers(members)
 	for _, member := range members {
 		if !member.Down {
 			delete(downSince, member.Owner)
@@ -60,16 +53,14 @@
 		if downSince[member.Owner].IsZero() && member.Down {
 			downSince[member.Owner] = now
 		}
-		current, ok := newest[member.Peer]
-		if ok && current.Owner != member.Owner || member.Down && now.Sub(downSince[member.Owner]) > forgetAfter {
+		other, ok := current[member.Peer]
+		isReplaced := ok && other.Owner != member.Owner && (member.Down || other.Silence >= 0)
+		if isReplaced || member.Down && now.Sub(downSince[member.Owner]) > forgetAfter {
 			d.gossiper.Forget(member.Owner)
 			delete(downSince, member.Owner)
 		}
 	}
-	for _, member := range newest {
-		live = append(live, member)
-	}
-	slices.SortFunc(live, func(a, b cowslipproxy.Member) int { return cmp.Compare(a.Name, b.Name) })
+	live := slices.SortedFunc(maps.Values(current), func(a, b cowslipproxy.Member) int { return cmp.Compare(a.Name, b.Name) })
 	d.sharing.setMembers(d.owner, d.Settings.Centre, live)
 	d.pools.setDaemons(now, len(live))
 	var keys []string
@@ -79,3 +70,27 @@
 	d.quarantine.SetPeers(keys)
 	d.limits.setMembers(now, live)
 }
+
+// currentMembers returns the member that is up at each address.
+func currentMembers(members []cowslipproxy.Member) map[netip.AddrPort]cowslipproxy.Member {
+	current := map[netip.AddrPort]cowslipproxy.Member{}
+	for _, member := range members {
+		if other, ok := current[member.Peer]; !member.Down && (!ok || replaces(member, other)) {
+			current[member.Peer] = member
+		}
+	}
+	return current
+}
+
+// replaces reports whether a is the process that is now at the address of b: the one that was
+// heard from last. Start times do not decide if one was heard from, because clocks may be set
+// back between two starts.
+func replaces(a, b cowslipproxy.Member) bool {
+	if a.Silence >= 0 && b.Silence >= 0 {
+		return a.Silence < b.Silence
+	}
+	if a.Silence >= 0 || b.Silence >= 0 {
+		return a.Silence >= 0
+	}
+	return a.Incarnation > b.Incarnation
+}
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -32,6 +32,9 @@
 	if response.From.Name == g.Self.Name {
 		return nil // the platform's list has this daemon's address for another VM
 	}
+	if response.From != contact.Owner {
+		g.handleReplaced(contact.Owner)
+	}
 	if !g.applyExchange(response, time.Now()) || !g.beginCompare(response.From.Name, time.Now()) {
 		return nil
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -310,12 +310,27 @@
 	defer g.mu.Unlock()
 	live, _ := g.contacts()
 	for _, contact := range live {
-		if contact.Address == address && g.detector.MarkDown(contact.Owner) {
-			g.reportDown(context.Background(), contact.Owner, time.Now())
+		if contact.Address == address {
+			g.handleExit(contact.Owner)
 		}
 	}
 }
 
+// handleReplaced reports a daemon as down because another process answers at its address.
+func (g *Gossiper) handleReplaced(owner cowslipproxy.Owner) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.handleExit(owner)
+}
+
+// handleExit reports a watched daemon as down whose process has exited. The caller holds
+// the lock.
+func (g *Gossiper) handleExit(owner cowslipproxy.Owner) {
+	if g.detector.MarkDown(owner) {
+		g.reportDown(context.Background(), owner, time.Now())
+	}
+}
+
 func (g *Gossiper) recordHeartbeat(owner cowslipproxy.Owner, now time.Time) {
 	g.heard[owner] = now
 	g.detector.RecordHeartbeat(owner, now)
