--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -88,10 +88,15 @@
 	}
 	last = x.verify(ctx, servers, tried, last)
 	defer last.memory.Release()
+	x.recordSurvival(last)
+	return x.finish(ctx, last)
+}
+
+// recordSurvival records that a server did not crash by the request, if that is certain.
+func (x *exchange) recordSurvival(last result) {
 	if !last.isFailure() && (last.reply.isFramed() || last.isVerified) {
 		x.Quarantine.Survived(x.Clock(), x.fingerprints)
 	}
-	return x.finish(ctx, last)
 }
 
 // verify sends a request that may be repeated to another server if the answer has neither a
