gossiper: adopt only reports that have lasted longer than a refutation takes

Each wrong report, as an overload causes them, was adopted by up to three daemons at once, so that it had to be refuted several times: a reaction to overload that adds load. It is adopted only once it has lasted for one timeout.

--- a/gossiper/detector.go
+++ b/gossiper/detector.go
@@ -17,7 +17,7 @@
 type Detector struct {
 	Timeout  time.Duration // time without a heartbeat after which a daemon counts as down
 	watches  map[cowslipproxy.Owner]*watch
-	reported map[string]bool // keys of the daemons that were reported as down and gave no sign of life since
+	reported map[string]time.Time // when daemons, given by their keys, were reported as down; only those that gave no sign of life since
 	lastTick time.Time
 }
 
@@ -33,7 +33,7 @@
 	for _, owner := range owners {
 		next[owner] = d.watches[owner]
 		if next[owner] == nil {
-			next[owner] = &watch{lastHeartbeat: now, down: d.reported[owner.Key()]}
+			next[owner] = &watch{lastHeartbeat: now, down: d.IsReported(owner.Key())}
 		}
 	}
 	d.watches = next
@@ -41,22 +41,30 @@
 
 // RecordReport records that a daemon, given by its key, was reported as down. The record
 // outlives the report, which ends with the process that published it.
-func (d *Detector) RecordReport(key string) {
+func (d *Detector) RecordReport(key string, now time.Time) {
 	if d.reported == nil {
-		d.reported = map[string]bool{}
+		d.reported = map[string]time.Time{}
+	}
+	if !d.IsReported(key) {
+		d.reported[key] = now
 	}
-	d.reported[key] = true
 }
 
 // ClearReport records that a daemon refuted all reports.
 func (d *Detector) ClearReport(key string) { delete(d.reported, key) }
 
 // IsReported reports whether a daemon was reported as down and gave no sign of life since.
-func (d *Detector) IsReported(key string) bool { return d.reported[key] }
+func (d *Detector) IsReported(key string) bool { return !d.reported[key].IsZero() }
+
+// IsReportLasting reports whether a daemon was reported as down longer ago than it takes to
+// refute a wrong report.
+func (d *Detector) IsReportLasting(key string, now time.Time) bool {
+	return d.IsReported(key) && now.Sub(d.reported[key]) >= d.Timeout
+}
 
 // Retain deletes the reports about other daemons than the given ones.
 func (d *Detector) Retain(keys map[string]bool) {
-	maps.DeleteFunc(d.reported, func(key string, _ bool) bool { return !keys[key] })
+	maps.DeleteFunc(d.reported, func(key string, _ time.Time) bool { return !keys[key] })
 }
 
 // WatchReported adds a daemon that was reported as down to the watched set.
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -105,7 +105,7 @@
 	if g.coversPosition(p, message) {
 		p.received = max(p.received, message.Seq)
 	}
-	g.recordReports(fresh)
+	g.recordReports(fresh, now)
 	g.recordHeartbeat(message.From, now)
 	g.refute(fresh, now)
 	if slices.ContainsFunc(fresh, func(i Item) bool { return i.Urgent }) {
--- a/gossiper/reports.go
+++ b/gossiper/reports.go
@@ -20,12 +20,12 @@
 // recordReports applies reports and refutations that other daemons published. The end of a
 // report is no sign of life of the daemon that it is about: reports end with the processes
 // that published them.
-func (g *Gossiper) recordReports(fresh []Item) {
+func (g *Gossiper) recordReports(fresh []Item, now time.Time) {
 	for _, item := range fresh {
 		switch {
 		case item.Withdrawn:
 		case item.Kind == KindDown && !g.isRefuted(item):
-			g.detector.RecordReport(item.Key)
+			g.detector.RecordReport(item.Key, now)
 		case item.Kind == KindAlive && !g.isReportHeld(item.Owner.Key()):
 			g.detector.ClearReport(item.Owner.Key())
 		}
@@ -80,10 +80,11 @@
 
 // adoptReports publishes reports that others made about daemons that this one would watch if
 // they were up, so that a report outlives its reporter. If all reporters of a daemon have
-// ended, any daemon may do so, on average one in each round.
+// ended, any daemon may do so, on average one in each round. Reports that may still be refuted
+// are left alone: in an overload, which causes wrong reports, more of them would add to it.
 func (g *Gossiper) adoptReports(live, unreachable []Contact, now time.Time) {
 	for _, contact := range unreachable {
-		if _, watched := g.detector.IsDown(contact.Owner); watched || !g.detector.IsReported(contact.Owner.Key()) {
+		if _, watched := g.detector.IsDown(contact.Owner); watched || !g.detector.IsReportLasting(contact.Owner.Key(), now) {
 			continue
 		}
 		if g.isNeighbour(contact, live) || rand.IntN(len(live)+1) == 0 && !g.isReportHeld(contact.Owner.Key()) {
