--- a/cowslipd/router/stop_late_test.go
+++ b/cowslipd/router/stop_late_test.go
@@ -24,8 +24,7 @@
 	return r.Reader.Read(data)
 }
 
-// Guards against requests that a stop cuts: those at work longer than the grace time, and
-// those whose body ends when new requests are refused.
+// Guards against requests that a stop cuts, because they take longer than the grace time or their body ends late.
 func TestStopAnswersRequestsBeyondGrace(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t)
--- a/relayer/resumption.go
+++ b/relayer/resumption.go
@@ -7,8 +7,8 @@
 	"github.com/pkg/errors"
 )
 
-// answerEnd tells how the end of an answer was established. It is empty if the answer has not
-// ended regularly.
+// answerEnd is how the end of an answer was established. It is empty if the answer broke off
+// before its end.
 type answerEnd string
 
 const (
