gossiper: tell callers when other daemons were last heard from

In a large fleet callers got three to six addresses instead of eight, and some daemons were named more often than others.

A daemon now returns with each heartbeat how long ago it heard from others. The ages are counted from the time of the request, so that a daemon that is off is never named for longer than before, 3 s after its last sign of life.

Member.Silence becomes LastHeard and LastSeen; the zero time replaces -1, and SelectAddresses gets the present time as an argument.

TestAnswersNameEightDaemons fails without the ages with 15 and 126 daemons and passes with them; TestAnswersOmitHalfOfFleetInTime passes as before.

--- a/advertiser/advertiser.go
+++ b/advertiser/advertiser.go
@@ -23,21 +23,20 @@
 	Lifetime time.Duration // of a response; 0 means 30 s
 	Random   *rand.Rand
 	MinLocal int // remote daemons are omitted if at least this many local ones are usable; 0 means never
-	// MaxSilence is the time after which a daemon that this one has not heard from is omitted;
-	// 0 means 3 s.
+	// MaxSilence is the time without a sign of life after which a daemon is omitted; 0 means 3 s.
 	MaxSilence time.Duration
 }
 
 // SelectAddresses returns the addresses of up to 8 daemons that are up and neither
-// starting nor stopping. It omits those that this daemon has not heard from itself recently:
-// what others know of them may be outdated by many seconds when several fail together. Daemons in the same data centre come before the
-// others. Each group is rotated by a random offset, so that callers are
-// distributed evenly.
-func (a *Advertiser) SelectAddresses(members []cowslipproxy.Member) cowslipproxy.Addresses {
+// starting nor stopping. It omits those of which neither this daemon nor one that it calls
+// has had a sign of life recently: reports that they are down may take many seconds when several
+// fail together. Daemons in the same data centre come before the others. Each group is rotated
+// by a random offset, so that callers are distributed evenly.
+func (a *Advertiser) SelectAddresses(now time.Time, members []cowslipproxy.Member) cowslipproxy.Addresses {
 	var local, remote []cowslipproxy.Member
 	for _, member := range members {
 		switch {
-		case member.Down || member.Starting || member.Stopping || a.isSilent(member):
+		case member.Down || member.Starting || member.Stopping || now.Sub(member.LastSeen) > orDefault(a.MaxSilence, defaultMaxSilence):
 		case member.Centre == a.Centre:
 			local = append(local, member)
 		default:
@@ -59,10 +58,6 @@
 	return response
 }
 
-func (a *Advertiser) isSilent(member cowslipproxy.Member) bool {
-	return member.Silence < 0 || time.Duration(member.Silence) > orDefault(a.MaxSilence, defaultMaxSilence)
-}
-
 func (a *Advertiser) lifetime() time.Duration {
 	if a.Lifetime == 0 {
 		return defaultLifetime
--- a/advertiser/advertiser_test.go
+++ b/advertiser/advertiser_test.go
@@ -28,13 +28,14 @@
 	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
 	return cowslipproxy.Member{
 		Owner: cowslipproxy.Owner{Name: "entry-" + strconv.Itoa(100+i), Incarnation: 1},
-		Hello: cowslipproxy.Hello{Caller: address, Peer: address, Centre: centre},
+		Hello: cowslipproxy.Hello{Caller: address, Peer: address, Centre: centre}, LastSeen: start,
 	}
 }
 
-// Guards against responses that include starting, stopping or failed daemons,
+// Guards against responses that include starting, stopping, failed or silent daemons,
 // list another data centre first, or omit usable daemons.
 func TestSelectAddresses(t *testing.T) {
+	const maxSilence = 3 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		centres := []string{"oyo-a", "oyo-b", "oyo-c"}
 		usable := map[netip.AddrPort]string{}
@@ -44,8 +45,10 @@
 			m := member(i, rapid.SampledFrom(centres).Draw(t, "centre"))
 			m.Down, m.Stopping = rapid.Bool().Draw(t, "down"), rapid.Bool().Draw(t, "stopping")
 			m.Starting = rapid.Bool().Draw(t, "starting")
+			silence := time.Duration(rapid.Int64Range(0, int64(2*maxSilence)).Draw(t, "silence"))
+			m.LastSeen = start.Add(-silence)
 			members = append(members, m)
-			if !m.Down && !m.Starting && !m.Stopping {
+			if !m.Down && !m.Starting && !m.Stopping && silence <= maxSilence {
 				usable[m.Caller] = m.Centre
 				if m.Centre == "oyo-a" {
 					localCount++
@@ -53,7 +56,7 @@
 			}
 		}
 		a := advertiser.Advertiser{Centre: "oyo-a", Random: rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed")))}
-		response := a.SelectAddresses(members)
+		response := a.SelectAddresses(start, members)
 		require.Len(t, response.Addresses, min(len(usable), 8))
 		seen := map[netip.AddrPort]bool{}
 		for i, address := range response.Addresses {
@@ -74,7 +77,7 @@
 	a := advertiser.Advertiser{Centre: "a", Random: rand.New(rand.NewPCG(1, 2))}
 	first := map[netip.AddrPort]int{}
 	for range 5000 {
-		first[a.SelectAddresses(members).Addresses[0].Address]++
+		first[a.SelectAddresses(start, members).Addresses[0].Address]++
 	}
 	require.Len(t, first, 5)
 	for _, count := range first {
@@ -98,7 +101,7 @@
 			delay := time.Duration(rapid.Int64Range(0, int64(time.Second)-1).Draw(t, "delay"))
 			seen := stopping
 			seen.Stopping = requestedAt >= learnedAt
-			response := a.SelectAddresses([]cowslipproxy.Member{seen, member(1, "a")})
+			response := a.SelectAddresses(start, []cowslipproxy.Member{seen, member(1, "a")})
 			require.Len(t, response.Addresses, map[bool]int{true: 1, false: 2}[seen.Stopping])
 			if expiry := start.Add(requestedAt + delay + time.Duration(response.Lifetime)); !seen.Stopping && expiry.After(last) {
 				last = expiry
--- a/cowslipd/relay/members.go
+++ b/cowslipd/relay/members.go
@@ -54,7 +54,7 @@
 			downSince[member.Owner] = now
 		}
 		other, ok := current[member.Peer]
-		isReplaced := ok && other.Owner != member.Owner && (member.Down || other.Silence >= 0 && member.Silence > other.Silence)
+		isReplaced := ok && other.Owner != member.Owner && (member.Down || !member.LastHeard.IsZero() && other.LastHeard.After(member.LastHeard))
 		if isReplaced || member.Down && now.Sub(downSince[member.Owner]) > forgetAfter {
 			d.gossiper.Forget(member.Owner)
 			delete(downSince, member.Owner)
@@ -62,7 +62,7 @@
 	}
 	live := slices.SortedFunc(maps.Values(current), func(a, b cowslipproxy.Member) int { return cmp.Compare(a.Name, b.Name) })
 	for i := range live {
-		live[i].Silence = 0 // changes with each update, and is not compared
+		live[i].LastHeard, live[i].LastSeen = time.Time{}, time.Time{} // they change with each update, and are not compared
 	}
 	d.sharing.setMembers(d.owner, d.Settings.Centre, live)
 	d.pools.setDaemons(now, len(live))
@@ -78,22 +78,18 @@
 func currentMembers(members []cowslipproxy.Member) map[netip.AddrPort]cowslipproxy.Member {
 	current := map[netip.AddrPort]cowslipproxy.Member{}
 	for _, member := range members {
-		if other, ok := current[member.Peer]; !member.Down && (!ok || replaces(member, other)) {
+		if other, ok := current[member.Peer]; !member.Down && (!ok || wasHeardLater(member, other)) {
 			current[member.Peer] = member
 		}
 	}
 	return current
 }
 
-// replaces reports whether a is the process that is now at the address of b: the one that was
-// heard from last. Start times do not decide if one was heard from, because clocks may be set
-// back between two starts.
-func replaces(a, b cowslipproxy.Member) bool {
-	if a.Silence >= 0 && b.Silence >= 0 {
-		return a.Silence < b.Silence
+// wasHeardLater reports whether a was heard from later than b, which has the same address. Start
+// times decide only if neither was, because clocks may be set back between two starts.
+func wasHeardLater(a, b cowslipproxy.Member) bool {
+	if a.LastHeard.Equal(b.LastHeard) {
+		return a.Incarnation > b.Incarnation
 	}
-	if a.Silence >= 0 || b.Silence >= 0 {
-		return a.Silence >= 0
-	}
-	return a.Incarnation > b.Incarnation
+	return a.LastHeard.After(b.LastHeard)
 }
--- a/gossiper/departures_test.go
+++ b/gossiper/departures_test.go
@@ -93,12 +93,15 @@
 	return countObservers(observers, lost, func(_ *daemon, m cowslipproxy.Member) bool { return !m.Down })
 }
 
+// mayName reports whether answers of a daemon may name a member.
+func mayName(d *daemon, m cowslipproxy.Member) bool {
+	a := advertiser.Advertiser{Centre: d.Hello.Centre, MaxSilence: d.Timeout}
+	return len(a.SelectAddresses(time.Now(), []cowslipproxy.Member{m}).Addresses) > 0
+}
+
 // countNaming returns how many observers may name one of the lost daemons to callers.
 func countNaming(observers, lost []*daemon) int {
-	return countObservers(observers, lost, func(d *daemon, m cowslipproxy.Member) bool {
-		a := advertiser.Advertiser{Centre: d.Hello.Centre, MaxSilence: d.Timeout}
-		return len(a.SelectAddresses([]cowslipproxy.Member{m}).Addresses) > 0
-	})
+	return countObservers(observers, lost, mayName)
 }
 
 // watchListing returns a function that ends the observation and returns the largest number of
@@ -272,3 +275,33 @@
 		})
 	}
 }
+
+// Guards against answers that name only the few daemons that a daemon exchanges messages with,
+// so that callers have fewer to choose from and some daemons get most of them.
+func TestAnswersNameEightDaemons(t *testing.T) {
+	for _, size := range fleetSizes {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			n := newNetwork()
+			period := shortPeriod * time.Duration(max(1, size/30)) // leaves the processors idle at times
+			fleet := n.fleet(t, size, period)
+			time.Sleep(fleet[0].Timeout) // daemons that were neighbours during the start are silent since
+			want := min(size, 8)
+			require.Eventually(t, func() bool {
+				answers := map[cowslipproxy.Owner]int{} // daemons whose answers may name each
+				for _, d := range fleet {
+					usable := 0
+					for _, member := range d.Members() {
+						if mayName(d, member) {
+							answers[member.Owner]++
+							usable++
+						}
+					}
+					if usable < want {
+						return false
+					}
+				}
+				return !slices.ContainsFunc(fleet, func(d *daemon) bool { return answers[d.Self] < want })
+			}, fleet[0].Timeout, period)
+		})
+	}
+}
--- a/gossiper/exchange.go
+++ b/gossiper/exchange.go
@@ -25,6 +25,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	heartbeat := g.heartbeat(contact)
+	requestedAt := time.Now()
 	var response Exchange
 	if err := g.invoke(ctx, contact.Address, "Exchange", &heartbeat, &response); err != nil {
 		return g.noteSuperseded(err)
@@ -35,6 +36,7 @@
 	if response.From != contact.Owner {
 		g.handleReplaced(contact.Owner)
 	}
+	g.recordAges(response.Ages, requestedAt)
 	if !g.applyExchange(response, time.Now()) || !g.beginCompare(response.From.Name, time.Now()) {
 		return nil
 	}
@@ -255,6 +257,7 @@
 	defer g.mu.Unlock()
 	sameCentre := request.Centre == g.Hello.Centre
 	message := g.newMessage(request.From.Name, sameCentre)
+	message.Ages = g.ages(time.Now())
 	if len(request.Slots) > 0 {
 		message.Base = 0 // the items are not a contiguous part of the journal
 		message.Items = g.store.Newer(request.Slots, request.Versions, sameCentre)
--- a/gossiper/forward_test.go
+++ b/gossiper/forward_test.go
@@ -129,7 +129,7 @@
 		a := advertiser.Advertiser{Centre: centres[i%3], Random: mathrand.New(mathrand.NewPCG(1, 2))}
 		// A daemon names others once it has heard from them, which takes a round after the start.
 		require.Eventually(t, func() bool {
-			addresses := a.SelectAddresses(d.Members()).Addresses
+			addresses := a.SelectAddresses(time.Now(), d.Members()).Addresses
 			for _, address := range addresses {
 				require.NotEqual(t, fleet[1].address, address.Address.String())
 			}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -64,6 +64,7 @@
 	announced     cowslipproxy.Hello // last hello published by this daemon
 	hellos        map[cowslipproxy.Owner]cachedHello
 	heard         map[cowslipproxy.Owner]time.Time // time of the last message that came from a daemon itself
+	seen          map[uint64]time.Time             // time at which a daemon that this one calls last heard from another, by the hash of its owner
 	superseded    bool                             // a peer knows a later incarnation of this daemon
 	rounds        int
 	server        *grpc.Server
@@ -101,6 +102,7 @@
 		g.store = NewStore()
 		g.hellos = map[cowslipproxy.Owner]cachedHello{}
 		g.heard = map[cowslipproxy.Owner]time.Time{}
+		g.seen = map[uint64]time.Time{}
 		g.detector = &Detector{Timeout: g.Timeout}
 		g.pacer = pacer{budget: g.Budget}
 		g.listed = map[string]Contact{}
--- a/gossiper/item.go
+++ b/gossiper/item.go
@@ -94,6 +94,7 @@
 	AllHash       uint64             `json:"all"`            // hash of the version vector for ReachAll
 	CentreHash    uint64             `json:"near,omitempty"` // hash of the version vector for ReachCentre; 0 to other data centres
 	Items         []Item             `json:"items,omitempty"`
+	Ages          map[uint64]uint64  `json:"ages,omitempty"`  // in a response: milliseconds since the sender heard from other daemons, by the hashes of their owners
 	Slots         []int              `json:"slots,omitempty"` // slots of the version vector that a comparison covers
 	Versions      []VectorEntry      `json:"wants,omitempty"` // the sender's version vector in Slots; the response has the items that are newer
 }
@@ -108,6 +109,18 @@
 			return errors.Wrapf(err, "items[%d]", i)
 		}
 	}
+	return e.checkAges()
+}
+
+func (e Exchange) checkAges() error {
+	if len(e.Ages) > maxAges {
+		return errors.Errorf("ages: %d exceed the limit of %d", len(e.Ages), maxAges)
+	}
+	for _, age := range e.Ages {
+		if age > uint64(maxAge.Milliseconds()) {
+			return errors.Errorf("ages: %d ms exceed the limit of %d", age, maxAge.Milliseconds())
+		}
+	}
 	return nil
 }
 
--- a/gossiper/members.go
+++ b/gossiper/members.go
@@ -160,29 +160,18 @@
 		if !ok {
 			continue
 		}
-		member := cowslipproxy.Member{Owner: item.Owner, Hello: hello, Silence: g.silence(item.Owner, now)}
+		member := cowslipproxy.Member{Owner: item.Owner, Hello: hello}
+		member.LastHeard, member.LastSeen = g.lastSigns(item.Owner, now)
 		// The local failure detector takes precedence over reports of other daemons.
 		down, watched := g.detector.IsDown(member.Owner)
 		isReported := member.Owner != g.Self && g.detector.IsReported(member.Key())
-		member.Down = down || isReported && (!watched || member.Silence < 0)
+		member.Down = down || isReported && (!watched || member.LastHeard.IsZero())
 		members = append(members, member)
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
 	return members
 }
 
-// silence returns the time since a daemon was heard from, or -1 if it never was.
-func (g *Gossiper) silence(owner cowslipproxy.Owner, now time.Time) cowslipproxy.Duration {
-	if owner == g.Self {
-		return 0
-	}
-	heard, ok := g.heard[owner]
-	if !ok {
-		return -1
-	}
-	return cowslipproxy.Duration(now.Sub(heard))
-}
-
 // cachedHello is a decoded hello. It is cached, since every round needs all of
 // them.
 type cachedHello struct {
@@ -218,6 +207,7 @@
 		}
 		current[owner.Key()] = true
 	}
+	g.pruneSeen(now)
 	g.pruneReports(current, now)
 }
 
--- a/members.go
+++ b/members.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -56,8 +57,9 @@
 type Member struct {
 	Owner
 	Hello
-	Down    bool     `json:"down"`    // sends no heartbeats
-	Silence Duration `json:"silence"` // time since this daemon heard from it, not through others; negative if it never did
+	Down      bool      `json:"down"`      // sends no heartbeats
+	LastHeard time.Time `json:"lastHeard"` // when this daemon heard from it, not through others; zero if it never did
+	LastSeen  time.Time `json:"lastSeen"`  // when this daemon heard from it, or one that it calls did; zero if neither did
 }
 
 // Address is the address at which an entry daemon serves callers.
