gossiper: keep the fleets of test processes apart

A daemon calls the addresses of daemons that have ended, and another process may listen there since. Names and incarnations are the same in all processes, so that the fleets merged. The test network now refuses connections to daemons that have ended, as their system would.

4 processes at once with 30 runs of TestReplaceAllDaemons each: 120 of 120 passed.

--- a/gossiper/fleet_test.go
+++ b/gossiper/fleet_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -28,6 +29,7 @@
 	centre      map[string]string  // by address
 	partitioned map[[2]string]bool // pairs of data centres
 	dark        map[string]bool    // addresses without power: no connection to them is accepted or refused
+	ended       map[string]bool    // addresses of daemons that have ended; another test process may listen there since
 	open        map[*trackedConn]bool
 	bytes       atomic.Int64       // both ways, each counted once
 	onClose     func(*trackedConn) // called before a connection closes
@@ -41,14 +43,14 @@
 }
 
 func newNetwork() *network {
-	return &network{centre: map[string]string{}, partitioned: map[[2]string]bool{}, dark: map[string]bool{}, open: map[*trackedConn]bool{}}
+	return &network{centre: map[string]string{}, partitioned: map[[2]string]bool{}, dark: map[string]bool{}, ended: map[string]bool{}, open: map[*trackedConn]bool{}}
 }
 
 func (n *network) dial(from string) func(context.Context, string) (net.Conn, error) {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		n.mu.Lock()
 		ends := [2]string{from, n.centre[address]}
-		partitioned, dark := n.partitioned[ends], n.dark[address]
+		partitioned, dark, ended := n.partitioned[ends], n.dark[address], n.ended[address]
 		n.mu.Unlock()
 		if dark {
 			<-ctx.Done()
@@ -57,6 +59,9 @@
 		if partitioned {
 			return nil, errors.New("data centres are partitioned")
 		}
+		if ended {
+			return nil, errors.WithStack(syscall.ECONNREFUSED)
+		}
 		var dialer net.Dialer
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if err != nil {
@@ -124,6 +129,7 @@
 	centre := centres[name%len(centres)]
 	n.mu.Lock()
 	n.centre[address.String()] = centre
+	delete(n.ended, address.String())
 	n.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &daemon{address: address.String(), cancel: cancel, done: make(chan error, 1)}
@@ -136,7 +142,13 @@
 		Handler:  http.HandlerFunc(echoHandler),
 	}
 	d.SetListed(vms(listed))
-	go func() { d.done <- d.Run(ctx) }()
+	go func() {
+		err := d.Run(ctx)
+		n.mu.Lock()
+		n.ended[d.address] = true
+		n.mu.Unlock()
+		d.done <- err
+	}()
 	t.Cleanup(func() { d.shutDown() })
 	return d
 }
