standin: add package binder for the addresses of test processes

The tests of packages relay and router, which run at the same time, took ports of the same range and host. A daemon of one that called the address of an ended daemon could reach a daemon of the other, as in the tests of package gossiper. Each process has a loopback address of its own now. The function that chose the ports existed three times.

--- a/cowslipd/relay/deployment_test.go
+++ b/cowslipd/relay/deployment_test.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -27,6 +25,7 @@
 	"github.com/cowslipproxy/cowslipproxy/cowslipd/relay"
 	"github.com/cowslipproxy/cowslipproxy/loader"
 	"github.com/cowslipproxy/cowslipproxy/platform"
+	"github.com/cowslipproxy/cowslipproxy/standin/binder"
 	"github.com/cowslipproxy/cowslipproxy/standin/keeper"
 	"github.com/cowslipproxy/cowslipproxy/standin/worker"
 )
@@ -74,24 +73,10 @@
 	done     chan error
 }
 
-// nextPort is the offset of the port that freeAddress tries next. The ports are below
-// the ephemeral range of the system, so that no connection takes a port between its
-// choice and the daemon's start. The first one is random, so that test processes that
-// start together choose different ports.
-var nextPort atomic.Uint32
-
 func freeAddress(t *testing.T) netip.AddrPort {
-	const first, count = 12_000, 18_000
-	nextPort.CompareAndSwap(0, rand.Uint32N(count))
-	for range count {
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(first+nextPort.Add(1)%count))
-		if listener, err := net.Listen("tcp", address.String()); err == nil {
-			require.NoError(t, listener.Close())
-			return address
-		}
-	}
-	require.Fail(t, "no port is free")
-	return netip.AddrPort{}
+	address, err := binder.FreeAddress()
+	require.NoError(t, err)
+	return address
 }
 
 // retryFloor is the number of retries that tests allow at any load. It is so large
--- a/cowslipd/router/deployment_test.go
+++ b/cowslipd/router/deployment_test.go
@@ -29,6 +29,7 @@
 	"github.com/cowslipproxy/cowslipproxy/loader"
 	"github.com/cowslipproxy/cowslipproxy/runner"
 	"github.com/cowslipproxy/cowslipproxy/standin/appender"
+	"github.com/cowslipproxy/cowslipproxy/standin/binder"
 	"github.com/cowslipproxy/cowslipproxy/standin/emulator"
 	"github.com/cowslipproxy/cowslipproxy/standin/registrar"
 	"github.com/cowslipproxy/cowslipproxy/standin/server"
@@ -149,23 +150,10 @@
 	return s
 }
 
-// nextPort is the offset of the port that freeAddress tries next. The ports are below
-// the ephemeral range of the system, so that no connection takes a port between its
-// choice and the daemon's start.
-var nextPort atomic.Uint32
-
 func freeAddress(t *testing.T) netip.AddrPort {
-	const first, count = 12_000, 18_000
-	nextPort.CompareAndSwap(0, uint32(os.Getpid())*64)
-	for range count {
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(first+nextPort.Add(1)%count))
-		if listener, err := net.Listen("tcp", address.String()); err == nil {
-			require.NoError(t, listener.Close())
-			return address
-		}
-	}
-	require.Fail(t, "no port is free")
-	return netip.AddrPort{}
+	address, err := binder.FreeAddress()
+	require.NoError(t, err)
+	return address
 }
 
 func (d *deployment) settings(name string) loader.Settings {
--- a/standin/slopes_fleet.go
+++ b/standin/slopes_fleet.go
@@ -20,6 +20,7 @@
 	"github.com/cowslipproxy/cowslipproxy/cowslipd/router"
 	"github.com/cowslipproxy/cowslipproxy/loader"
 	"github.com/cowslipproxy/cowslipproxy/standin/appender"
+	"github.com/cowslipproxy/cowslipproxy/standin/binder"
 	"github.com/cowslipproxy/cowslipproxy/standin/registrar"
 )
 
@@ -27,17 +28,11 @@
 	warmUpTime      = 4 * time.Second
 	idleTime        = 6 * time.Second
 	changeTime      = 5 * time.Second
-	firstPort       = 21_000
-	lastPort        = 32_000
 	readyTimeout    = 30 * time.Second
 	changeInterval  = 200 * time.Millisecond // 33 times the rate of 13,000 changes a day, so that the slope is visible above idle traffic
 	keysPerCustomer = 8                      // bearer keys; the body of a customer has about 0.6 KB
 )
 
-// nextPort increases for the lifetime of the process. A daemon that reused an address of
-// an earlier fleet would be called by the daemons of that fleet.
-var nextPort uint16 = firstPort
-
 var fleetSizes = []int{5, 15, 50, 150}
 
 // fleet holds a log, a list and entry daemons that run in this process.
@@ -108,18 +103,6 @@
 	return "peers"
 }
 
-// freeAddress returns a free address below the range of ephemeral ports, in which an
-// outgoing connection could take the port before the daemon listens on it.
-func (f *fleet) freeAddress() (netip.AddrPort, error) {
-	for nextPort++; nextPort < lastPort; nextPort++ {
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), nextPort)
-		if listener, err := net.Listen("tcp", address.String()); err == nil {
-			return address, errors.WithStack(listener.Close())
-		}
-	}
-	return netip.AddrPort{}, errors.Errorf("no port is free below %d", lastPort)
-}
-
 // startDaemon runs a daemon until the context is cancelled. Daemons are distributed evenly
 // over the data centres.
 func (f *fleet) startDaemon(ctx context.Context, centres int) error {
@@ -129,7 +112,7 @@
 	settings.Log, settings.List = f.logAddress, f.listAddress
 	for _, address := range []*netip.AddrPort{&settings.Callers, &settings.Peers, &settings.Operator} {
 		var err error
-		if *address, err = f.freeAddress(); err != nil {
+		if *address, err = binder.FreeAddress(); err != nil {
 			return err
 		}
 	}
