--- a/gossiper/detector.go
+++ b/gossiper/detector.go
@@ -62,8 +62,8 @@
 	return d.IsReported(key) && now.Sub(d.reported[key]) >= d.Timeout
 }
 
-// Retain deletes the reports about other daemons than the given ones.
-func (d *Detector) Retain(keys map[string]bool) {
+// RetainReports deletes the reports about other daemons than the given ones.
+func (d *Detector) RetainReports(keys map[string]bool) {
 	maps.DeleteFunc(d.reported, func(key string, _ time.Time) bool { return !keys[key] })
 }
 
--- a/gossiper/reports.go
+++ b/gossiper/reports.go
@@ -113,7 +113,7 @@
 // pruneReports withdraws reports about daemons that were forgotten long ago, and refutations
 // of reports whose daemons are gone. current has the keys of the known daemons.
 func (g *Gossiper) pruneReports(current map[string]bool, now time.Time) {
-	g.detector.Retain(current)
+	g.detector.RetainReports(current)
 	for _, item := range g.store.Items(KindDown) {
 		if item.Owner == g.Self && !current[item.Key] && g.store.Age(item, now) > reportRetention {
 			g.putLocal(Item{Kind: KindDown, Key: item.Key, Reach: ReachAll, Withdrawn: true}, now)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -57,11 +57,11 @@
 
 // RecordReadFailure records that the list could not be read, and when it was last known to be
 // current.
-func (r *Registrar) RecordReadFailure(current time.Time) {
+func (r *Registrar) RecordReadFailure(currentAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.lostSince.IsZero() {
-		r.lostSince = current
+		r.lostSince = currentAt
 	}
 }
 
--- a/relayer/resumption.go
+++ b/relayer/resumption.go
@@ -60,5 +60,5 @@
 		return
 	}
 	a.isEndUnverified = false
-	a.confirmTimer.Stop()
+	a.verifyTimer.Stop()
 }
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -97,7 +97,7 @@
 	framed        bool                             // the upstream's reply that began the answer has a length or chunks
 	answerEnd     answerEnd                        // how the end of the answer was established
 	endCause      error                            // why it was not verified
-	confirmations int                              // number of attempts made to verify it
+	verifications int                              // number of attempts made to verify it
 	path          []cowslipproxy.Hop               // path of the last attempt
 	limit         float64                          // limit that the last upstream named, in requests per second; 0 if it named none
 	atLimit       int                              // number of attempts that upstreams did not accept because of their limits or for some time
@@ -269,7 +269,7 @@
 	reporter.EventRequestEnded.Log(ctx, x.Logger,
 		slog.String("request", x.callerRequest.ID), slog.String("route", x.route.Name), slog.Uint64("version", x.version),
 		slog.Int("tries", x.attempts), slog.Int("status", x.status), slog.Duration("took", took),
-		slog.String("path", formatPath(x.path)), slog.Float64("limit", x.limit), slog.Int("limited", x.atLimit), slog.Bool("framed", x.framed), slog.String("end", string(x.answerEnd)), slog.Int("verifications", x.confirmations), slog.String("protocol", x.protocol), slog.Int("events", x.eventsSent), slog.Duration("first", x.timeToFirst), slog.Duration("pause", x.longestPause),
+		slog.String("path", formatPath(x.path)), slog.Float64("limit", x.limit), slog.Int("limited", x.atLimit), slog.Bool("framed", x.framed), slog.String("end", string(x.answerEnd)), slog.Int("verifications", x.verifications), slog.String("protocol", x.protocol), slog.Int("events", x.eventsSent), slog.Duration("first", x.timeToFirst), slog.Duration("pause", x.longestPause),
 		slog.String("outcome", string(outcome)), slog.String("reason", string(reason)), slog.String("message", message))
 }
 
--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -55,7 +55,7 @@
 	timer        *time.Timer
 	ended        bool
 
-	confirmTimer *time.Timer // ends an attempt that should verify the end of the answer and gets no event; else nil
+	verifyTimer *time.Timer // ends an attempt that should verify the end of the answer and gets no event; else nil
 }
 
 func (s *streamExchange) startAttempt(ctx context.Context, finder *pathfinder.Finder, path *pathfinder.Path) *streamAttempt {
@@ -64,7 +64,7 @@
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	finder.Begin(path)
 	if s.isEndUnverified {
-		a.confirmTimer = time.AfterFunc(confirmTimeout, func() { a.cancel(errUnverifiedEnd) })
+		a.verifyTimer = time.AfterFunc(verifyTimeout, func() { a.cancel(errUnverifiedEnd) })
 	}
 	a.timer = time.AfterFunc(a.stallCheckDelay(0), a.checkStall)
 	return a
@@ -73,8 +73,8 @@
 // end stops the timer, cancels the request and releases the path.
 func (a *streamAttempt) end() {
 	a.timer.Stop()
-	if a.confirmTimer != nil {
-		a.confirmTimer.Stop()
+	if a.verifyTimer != nil {
+		a.verifyTimer.Stop()
 	}
 	a.cancel(nil)
 	a.mu.Lock()
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -35,11 +35,11 @@
 	// resumePollInterval is the time between two checks whether the retry budget allows
 	// to resume a stream, and the longest delay after a refused resumption.
 	resumePollInterval = 200 * time.Millisecond
-	// confirmTimeout bounds the wait for the first event of an attempt that verifies the end of
+	// verifyTimeout bounds the wait for the first event of an attempt that verifies the end of
 	// an answer. The caller may have the whole answer and waits only for its end.
-	confirmTimeout = time.Second
-	// maxConfirmations bounds these attempts.
-	maxConfirmations = 2
+	verifyTimeout = time.Second
+	// maxVerifications bounds these attempts.
+	maxVerifications = 2
 	// streamBufferSize is the read buffer of a stream in bytes; it holds a few events.
 	streamBufferSize = 2 << 10
 )
@@ -82,7 +82,7 @@
 			break
 		}
 		if s.isEndUnverified {
-			s.confirmations++
+			s.verifications++
 		}
 		var notExecuted bool
 		if notExecuted, err = s.attempt(ctx, finder, path); err == nil {
@@ -91,7 +91,7 @@
 		if notExecuted && s.awaitsRest() {
 			s.refusedResumes++
 		}
-		if ctx.Err() != nil || s.isQuarantined() || s.isEndUnverified && s.confirmations == maxConfirmations || !s.retryGranted && !s.awaitRetry(ctx, notExecuted) {
+		if ctx.Err() != nil || s.isQuarantined() || s.isEndUnverified && s.verifications == maxVerifications || !s.retryGranted && !s.awaitRetry(ctx, notExecuted) {
 			break
 		}
 		if notExecuted && !waiter.Wait(ctx, s.backoff()) {
--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -110,7 +110,7 @@
 	if !ok {
 		return first
 	}
-	x.confirmations++
+	x.verifications++
 	ctx, cancel := context.WithTimeout(ctx, min(x.route.Target, x.timeLeft()/2))
 	defer cancel()
 	second := x.attempt(ctx, server, len(tried)+1)
