gossiper: limit the ages in a heartbeat to eight

A daemon that was started with many others hears from more of them than its neighbours for one timeout.

--- a/gossiper/seen.go
+++ b/gossiper/seen.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	maxAges = 16        // daemons in one message; a daemon calls three and is called by about as many
+	maxAges = 8         // daemons in one message; a daemon calls three and is called by about as many
 	maxAge  = time.Hour // far above any Timeout
 )
 
