relay, router: choose addresses by the clock of the members' times

The gossiper takes the times of members from the system's clock, and a daemon's Clock may differ from it, as in tests of clocks that are ahead. An answer would then name no daemon.

--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -245,7 +245,7 @@
 }
 
 // addresses returns the address answer for callers in a data centre.
-func (d *Daemon) addresses(now time.Time, centre string) cowslipproxy.Addresses {
+func (d *Daemon) addresses(_ time.Time, centre string) cowslipproxy.Addresses {
 	a := advertiser.Advertiser{Centre: centre, Lifetime: time.Duration(d.settings().Lifetime), Random: newRandom(), MinLocal: minLocalDaemons}
-	return a.SelectAddresses(now, d.gossiper.Members())
+	return a.SelectAddresses(time.Now(), d.gossiper.Members()) // members have times of the system's clock, like all timeouts of the gossiper
 }
--- a/cowslipd/router/stop.go
+++ b/cowslipd/router/stop.go
@@ -65,9 +65,9 @@
 }
 
 // addresses returns the response to a caller's query for entry VMs.
-func (r *Router) addresses(now time.Time, _ netip.Addr) cowslipproxy.Addresses {
+func (r *Router) addresses(_ time.Time, _ netip.Addr) cowslipproxy.Addresses {
 	members := r.gossiper.Members()
 	r.stopMu.Lock()
 	defer r.stopMu.Unlock()
-	return r.advertiser.SelectAddresses(now, members)
+	return r.advertiser.SelectAddresses(time.Now(), members) // members have times of the system's clock, like all timeouts of the gossiper
 }
