--- a/gossiper/departures_test.go
+++ b/gossiper/departures_test.go
@@ -287,21 +287,29 @@
 			time.Sleep(fleet[0].Timeout) // daemons that were neighbours during the start are silent since
 			want := min(size, 8)
 			require.Eventually(t, func() bool {
-				answers := map[cowslipproxy.Owner]int{} // daemons whose answers may name each
-				for _, d := range fleet {
-					usable := 0
-					for _, member := range d.Members() {
-						if mayName(d, member) {
-							answers[member.Owner]++
-							usable++
-						}
-					}
-					if usable < want {
-						return false
-					}
-				}
-				return !slices.ContainsFunc(fleet, func(d *daemon) bool { return answers[d.Self] < want })
+				nameable, named := countNames(fleet)
+				return slices.Min(nameable) >= want && slices.Min(named) >= want
 			}, fleet[0].Timeout, period)
 		})
 	}
 }
+
+// countNames returns, for each daemon, how many daemons its answers may name and in the answers
+// of how many it may be named.
+func countNames(fleet []*daemon) (nameable, named []int) {
+	answers := map[cowslipproxy.Owner]int{}
+	for _, d := range fleet {
+		count := 0
+		for _, member := range d.Members() {
+			if mayName(d, member) {
+				answers[member.Owner]++
+				count++
+			}
+		}
+		nameable = append(nameable, count)
+	}
+	for _, d := range fleet {
+		named = append(named, answers[d.Self])
+	}
+	return nameable, named
+}
