--- a/gossiper/departures_test.go
+++ b/gossiper/departures_test.go
@@ -276,8 +276,7 @@
 	}
 }
 
-// Guards against answers that name only the few daemons that a daemon exchanges messages with,
-// so that callers have fewer to choose from and some daemons get most of them.
+// Guards against answers that name only the few daemons that a daemon exchanges messages with.
 func TestAnswersNameEightDaemons(t *testing.T) {
 	for _, size := range fleetSizes {
 		t.Run(strconv.Itoa(size), func(t *testing.T) {
