registrar: send with the list which removals are deferred

Callers saw requests go to a server that had left, for as long as nobody removed it again. After an outage of 2 s a reader keeps entries that the store has dropped for 2.2 s, so that live servers can register again. It sent them to its followers like all others, at a position after their removal. A follower that became the reader in that time read on from this position, and so never saw the removal: it kept the server for good.

A list now says which removals are deferred and for how long, and each daemon removes the entries itself. The mark changes the version of the list, so that followers get it. TestDeferredRemovalOutlivesReader (4, 15 and 126 daemons) fails if the marks are ignored; the code before had none.

The grace is 2 s now, which is what the platform gives servers to register again. With reads each 0.7 s, 2.2 s took effect after 2.8 s, and 2 s does after 2.1 s, which leaves less beyond the bound of 2 s.

Event 926 says that removals are deferred and why; an unchanged list logged nothing.

--- a/cowslipd/relay/apply.go
+++ b/cowslipd/relay/apply.go
@@ -67,7 +67,11 @@
 	if changes.Restored {
 		d.quarantine.recordRestored()
 	}
+	deferred := d.registrar.Deferred()
 	changed := d.registrar.Apply(now, changes)
+	if after := d.registrar.Deferred(); after > deferred {
+		reporter.EventRemovalsDeferred.Log(context.Background(), d.Logger, slog.Int("deferred", after), slog.Duration("age", d.sharing.listAge(now)), slog.Bool("restored", changes.Restored))
+	}
 	d.sharing.recordRead(&d.sharing.list, now, changes.Next)
 	d.sharing.setList(d.owner.Name, 0, changes.Next)
 	d.updateInstances(changed)
--- a/cowslipd/relay/share.go
+++ b/cowslipd/relay/share.go
@@ -68,7 +68,7 @@
 		ConfigurationVersion: d.configurationVersion(), ConfigurationAge: now.Sub(s.configuration.knownAt()), ConfigurationPosition: s.configuration.position,
 	}
 	if heldListVersion, ok := s.heldListVersion[member.Name]; member.Centre == d.Settings.Centre && ok && heldListVersion != listVersion {
-		share.Complete, share.Instances = true, d.registrar.Instances()
+		share.Complete, share.InstanceList = true, d.registrar.List(now)
 	}
 	return share
 }
@@ -140,7 +140,7 @@
 	newList := accepted && s.accept(now, share, d.configurationVersion())
 	s.mu.Unlock()
 	if newList {
-		changed := d.registrar.Replace(now, share.Instances)
+		changed := d.registrar.Replace(now, share.InstanceList)
 		s.setList(share.From, share.ListVersion, share.ListPosition)
 		d.updateInstances(changed)
 	}
@@ -150,7 +150,7 @@
 	if share.RequestList {
 		reply.Age, reply.ConfigurationAge = s.ages(now)
 		if share.ListPosition == 0 || share.ListPosition < reply.ListPosition {
-			reply.Instances = d.registrar.Instances()
+			reply.InstanceList = d.registrar.List(now)
 		}
 	} else {
 		s.loads.Put(now, share.From, share.Loads)
--- a/instances.go
+++ b/instances.go
@@ -24,12 +24,13 @@
 	Range      LayerRange     `json:"range"` // layers that it serves; empty when it holds none
 }
 
-// Bounds on the fields of an instance. Entries that exceed them come from another writer.
+// Bounds on the fields of an instance and of a list. Entries that exceed them come from another writer.
 const (
 	maxSlots      = 1 << 20
 	maxLayers     = 1 << 16
 	maxHeartbeats = 1 << 53 // largest integer that all JSON decoders keep
 	maxWarmUp     = 24 * time.Hour
+	maxDeferral   = time.Minute
 )
 
 // maxStartedAt is the latest time that can be encoded for other daemons.
@@ -64,6 +65,26 @@
 	return nil
 }
 
+// InstanceList is the complete instance list that a daemon sends to another one.
+type InstanceList struct {
+	Instances   []Instance    `json:"instances,omitempty"`
+	Deferred    []string      `json:"deferred,omitempty"` // ids of instances that the store's list has dropped and that stay in use for DeferredFor
+	DeferredFor time.Duration `json:"grace,omitempty"`
+}
+
+// Check reports the first invalid field.
+func (l InstanceList) Check() error {
+	if l.DeferredFor < 0 || l.DeferredFor > maxDeferral {
+		return errors.Errorf("removals deferred for %v: want between 0 and %v", l.DeferredFor, maxDeferral)
+	}
+	for _, instance := range l.Instances {
+		if err := instance.Check(); err != nil {
+			return errors.Wrapf(err, "instance %s", instance.ID)
+		}
+	}
+	return nil
+}
+
 // Incarnation identifies this run of the server.
 func (i Instance) Incarnation() string { return incarnation(i.ID, i.StartedAt) }
 
--- a/registrar/departures_test.go
+++ b/registrar/departures_test.go
@@ -56,7 +56,31 @@
 	var r registrar.Registrar
 	r.Apply(start, put(instance("a", 1, cowslipproxy.VMLive)))
 	r.RecordReadFailure(start)
-	r.Replace(start.Add(time.Second), r.Instances())
+	r.Replace(start.Add(time.Second), r.List(start))
 	r.Apply(start.Add(time.Minute), drop("a"))
 	require.Empty(t, r.Instances())
 }
+
+// Guards against a removed server that stays in use for good, because the daemon that deferred its
+// removal ended and the others follow the store from a later position.
+func TestDeferredRemovalOutlivesReader(t *testing.T) {
+	for _, daemons := range []int{4, 15, 126} {
+		var reader registrar.Registrar
+		reader.Apply(start, put(instance("a", 1, cowslipproxy.VMLive), instance("b", 1, cowslipproxy.VMLive)))
+		followers := make([]registrar.Registrar, daemons-1)
+		for i := range followers {
+			followers[i].Replace(start, reader.List(start))
+		}
+		reader.RecordReadFailure(start)
+		version, recovered := reader.Version(), start.Add(10*time.Second)
+		reader.Apply(recovered, drop("a"))
+		require.NotEqual(t, version, reader.Version(), "followers would not get the list")
+		for i := range followers {
+			follower := &followers[i]
+			require.False(t, follower.Replace(recovered.Add(time.Second), reader.List(recovered.Add(time.Second))))
+			require.Len(t, follower.Instances(), 2)
+			require.True(t, follower.Apply(recovered.Add(3*time.Second), put()))
+			require.Len(t, follower.Instances(), 1)
+		}
+	}
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -14,8 +14,8 @@
 const (
 	// recoveryGrace is how long entries that the list drops after an outage or a restore
 	// from an older copy are kept, so that their servers can register again. The platform's
-	// protocol gives them about two seconds.
-	recoveryGrace = 2200 * time.Millisecond
+	// protocol gives them about two seconds, and as long to stop using a server that left.
+	recoveryGrace = 2 * time.Second
 	// minExpiry is the shortest time without access to the list after which an entry of a live
 	// server may be missing. An entry expires after three heartbeats of 1.2 s, and the last one
 	// may have been written 1.2 s before the list was lost.
@@ -42,6 +42,7 @@
 	lostSince          time.Time            // when the list was last known to be current; zero unless the last read failed
 	dropsDeferredUntil time.Time            // drops are deferred until this time
 	version            uint64
+	changed            bool // an instance changed in the current call
 }
 
 type entry struct {
@@ -74,8 +75,7 @@
 	if !r.lostSince.IsZero() && now.Sub(r.lostSince) >= minExpiry || changes.Restored {
 		r.dropsDeferredUntil = now.Add(recoveryGrace)
 	}
-	r.lostSince = time.Time{}
-	before := r.version
+	r.lostSince, r.changed = time.Time{}, false
 	seen := map[string]bool{}
 	for _, item := range changes.Items {
 		seen[item.Key] = true
@@ -89,24 +89,33 @@
 		r.dropUnseen(now, seen)
 	}
 	r.expire(now)
-	return r.version != before
+	return r.changed
 }
 
 // Replace applies the complete list of another daemon and reports whether any
 // instance changed.
-func (r *Registrar) Replace(now time.Time, instances []cowslipproxy.Instance) bool {
+func (r *Registrar) Replace(now time.Time, list cowslipproxy.InstanceList) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.version
-	seen := map[string]bool{}
-	for _, instance := range instances {
-		seen[instance.ID] = true
+	r.lostSince, r.changed = time.Time{}, false
+	listed := map[string]cowslipproxy.Instance{}
+	for _, instance := range list.Instances {
+		listed[instance.ID] = instance
 		r.put(now, instance)
 	}
-	r.dropsDeferredUntil, r.lostSince = time.Time{}, time.Time{}
-	r.dropUnseen(now, seen)
+	for id, known := range r.known {
+		if _, ok := listed[id]; !ok {
+			r.remove(now, known)
+		}
+	}
+	r.dropsDeferredUntil = now.Add(list.DeferredFor)
+	for _, id := range list.Deferred {
+		if known, ok := r.known[id]; ok && known.Instance == listed[id] { // the server has not registered again
+			r.drop(now, id)
+		}
+	}
 	r.expire(now)
-	return r.version != before
+	return r.changed
 }
 
 // MarkLeaving records that an upstream, given by its incarnation, stated itself that it is
@@ -123,7 +132,7 @@
 		}
 		known.State = cowslipproxy.VMLeaving
 		r.known[id] = known
-		r.version++
+		r.recordChange()
 		return true
 	}
 	return !marked
@@ -186,10 +195,15 @@
 	r.known[instance.ID] = entry{Instance: instance}
 	instance.Heartbeats, instance.WarmUp = old.Heartbeats, old.WarmUp // ignore fields that change with each heartbeat
 	if !ok || instance != old.Instance {
-		r.version++
+		r.recordChange()
 	}
 }
 
+func (r *Registrar) recordChange() {
+	r.changed = true
+	r.version++
+}
+
 // drop removes an entry or, shortly after an outage, marks it as dropped.
 func (r *Registrar) drop(now time.Time, id string) {
 	old, ok := r.known[id]
@@ -197,6 +211,9 @@
 		return
 	}
 	if now.Before(r.dropsDeferredUntil) {
+		if !old.dropped {
+			r.version++ // other daemons need the mark to drop the entry in time themselves
+		}
 		old.dropped = true
 		r.known[id] = old
 		return
@@ -207,7 +224,7 @@
 func (r *Registrar) remove(now time.Time, old entry) {
 	delete(r.known, old.ID)
 	r.tombstones[old.ID] = tombstone{old.Instance, now}
-	r.version++
+	r.recordChange()
 }
 
 // expire removes old tombstones, and the dropped entries whose servers did not
@@ -233,10 +250,29 @@
 	}
 }
 
+// List returns the list as another daemon needs it.
+func (r *Registrar) List(now time.Time) cowslipproxy.InstanceList {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := cowslipproxy.InstanceList{Instances: r.instances()}
+	for id, known := range r.known {
+		if known.dropped {
+			list.Deferred = append(list.Deferred, id)
+			list.DeferredFor = max(0, r.dropsDeferredUntil.Sub(now))
+		}
+	}
+	slices.Sort(list.Deferred)
+	return list
+}
+
 // Instances returns the known instances, sorted by ID.
 func (r *Registrar) Instances() []cowslipproxy.Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.instances()
+}
+
+func (r *Registrar) instances() []cowslipproxy.Instance {
 	all := make([]cowslipproxy.Instance, 0, len(r.known))
 	for _, known := range r.known {
 		all = append(all, known.Instance)
@@ -258,7 +294,7 @@
 }
 
 // Version returns a number that changes whenever an instance is added, removed
-// or changed.
+// or changed, or its removal is deferred.
 func (r *Registrar) Version() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -25,6 +25,10 @@
 	return changes
 }
 
+func list(instances ...cowslipproxy.Instance) cowslipproxy.InstanceList {
+	return cowslipproxy.InstanceList{Instances: instances}
+}
+
 func drop(id string) cowslipproxy.Changes[cowslipproxy.Instance] {
 	return cowslipproxy.Changes[cowslipproxy.Instance]{Items: []cowslipproxy.Record[cowslipproxy.Instance]{{Key: id, Deleted: true}}}
 }
@@ -64,10 +68,10 @@
 	var r registrar.Registrar
 	r.Apply(start, put(instance("a", 5, cowslipproxy.VMLeaving)))
 	r.Apply(start, put(instance("a", 4, cowslipproxy.VMLive)))
-	r.Replace(start, []cowslipproxy.Instance{instance("a", 9, cowslipproxy.VMLive)})
+	r.Replace(start, list(instance("a", 9, cowslipproxy.VMLive)))
 	require.Equal(t, cowslipproxy.VMLeaving, r.Instances()[0].State)
 	require.True(t, r.Apply(start, drop("a")))
-	r.Replace(start, []cowslipproxy.Instance{instance("a", 5, cowslipproxy.VMLive)})
+	r.Replace(start, list(instance("a", 5, cowslipproxy.VMLive)))
 	require.Empty(t, r.Instances(), "an outdated list restored a dropped entry")
 	restarted := instance("a", 1, cowslipproxy.VMLive)
 	restarted.StartedAt = start.Add(time.Second)
@@ -82,7 +86,7 @@
 	odd := instance("a", 6, cowslipproxy.VMLeaving)
 	odd.StartedAt = start.AddDate(1000, 0, 0)
 	require.False(t, r.Apply(start, put(odd)))
-	r.Replace(start, []cowslipproxy.Instance{odd})
+	r.Replace(start, list(odd))
 	require.Equal(t, cowslipproxy.VMLive, r.Instances()[0].State)
 }
 
--- a/reporter/events_relay.go
+++ b/reporter/events_relay.go
@@ -29,5 +29,6 @@
 	EventStoreRestored        = newEvent(923, slog.LevelWarn, "platform store restored from an older copy", "Records that the store had acknowledged are gone and their offsets are given out again. The daemon reads everything again, keeps the newest configuration that it has, and writes the records of the quarantine again that the copy lacks. The event has the positions before and after.")
 	EventUpstreamHeld         = newEvent(924, slog.LevelInfo, "upstream wants no request for some time", "An upstream refused a request and named a time. This daemon sends it no request until then.")
 	EventUpstreamLeaving      = newEvent(925, slog.LevelInfo, "upstream states that it is leaving", "An upstream stated in a reply that it is leaving, before the list did. It gets no new requests from this daemon.")
+	EventRemovalsDeferred     = newEvent(926, slog.LevelInfo, "removals of upstreams deferred", "The list has dropped upstreams after an outage in which entries of live servers may have expired. They stay in use for up to 2 s, unless they register again. The event has their number, the time since the list was last known to be current, and whether the store was restored from an older copy.")
 	EventReloaded             = newEvent(910, slog.LevelInfo, "settings reloaded", "The settings file changed or the daemon received SIGHUP.")
 )
