registrar: let an outage begin when the list was last confirmed

A follower whose own read had failed once, and whose reader had confirmed its list by shares without a change since, took the whole time since that failure as an outage when it read the store again, for instance because the reader had ended.

The start of the outage was recorded at the failure and ended only with a whole list. It now moves with each confirmation. TestOutageEndsWithConfirmationOfList fails without RecordCurrent's effect.

--- a/cowslipd/relay/apply.go
+++ b/cowslipd/relay/apply.go
@@ -67,6 +67,7 @@
 	if changes.Restored {
 		d.quarantine.recordRestored()
 	}
+	d.registrar.RecordCurrent(d.sharing.listCurrentAt())
 	deferred := d.registrar.Deferred()
 	changed := d.registrar.Apply(now, changes)
 	if after := d.registrar.Deferred(); after > deferred {
--- a/registrar/departures_test.go
+++ b/registrar/departures_test.go
@@ -61,6 +61,16 @@
 	require.Empty(t, r.Instances())
 }
 
+// Guards against a removed server that stays in use because of a failed read long ago, after which another daemon confirmed the list.
+func TestOutageEndsWithConfirmationOfList(t *testing.T) {
+	var r registrar.Registrar
+	r.Apply(start, put(instance("a", 1, cowslipproxy.VMLive)))
+	r.RecordReadFailure(start)
+	r.RecordCurrent(start.Add(time.Minute))
+	r.Apply(start.Add(time.Minute+time.Second), drop("a"))
+	require.Empty(t, r.Instances())
+}
+
 // Guards against a removed server that stays in use for good, because the daemon that deferred its
 // removal ended and the others follow the store from a later position.
 func TestDeferredRemovalOutlivesReader(t *testing.T) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -66,6 +66,16 @@
 	}
 }
 
+// RecordCurrent records that the list was known to be current at a time, so that an outage began
+// later.
+func (r *Registrar) RecordCurrent(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.lostSince.IsZero() && at.After(r.lostSince) {
+		r.lostSince = at
+	}
+}
+
 // Apply applies changes read from the list and reports whether any instance
 // changed. Entries that an outage of the list or an older copy dropped stay in use
 // until their servers have had time to register again.
