relay: let a reader that the store refuses ask other daemons for the list

Callers of a reader that the store refused alone got their requests sent to servers that had left, for as long as the refusal lasted; its followers did too once it could read again, since it took the refusal for an outage of the store and kept removed servers. Followers already asked others when their list was old; readers did not, as if the store were either there for all or for none.

--- a/cowslipd/relay/departures_test.go
+++ b/cowslipd/relay/departures_test.go
@@ -17,11 +17,13 @@
 	"github.com/cowslipproxy/cowslipproxy/standin/worker"
 )
 
-// failingReads is an address of the store at which a single read of the list can be made to fail.
+// failingReads is an address of the store at which single reads of the list, or all calls for some
+// time, can be made to fail.
 type failingReads struct {
-	address netip.AddrPort
-	failing atomic.Bool
-	failed  chan struct{}
+	address  netip.AddrPort
+	failing  atomic.Bool
+	failed   chan struct{}
+	refusing atomic.Bool // all calls fail
 }
 
 func (d *deployment) openFailingReads() *failingReads {
@@ -32,6 +34,10 @@
 			f.failed <- struct{}{}
 			return
 		}
+		if f.refusing.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		d.store.Handler().ServeHTTP(w, r)
 	}))
 	d.t.Cleanup(server.CloseClientConnections)
@@ -71,12 +77,7 @@
 		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
 			d := deploy(t, daemons)
 			reads := d.openFailingReads()
-			settings := d.settings()
-			settings.LinkMbps, settings.Store, settings.Seeds = 1000, reads.address, []netip.AddrPort{d.daemons[0].settings.Peers}
-			reader := d.startDaemon(settings)
-			d.awaitReady(reader)
-			time.Sleep(settleTime)
-			require.True(t, d.dump(reader).Reader)
+			d.startReader(reads)
 			reads.failNext()
 			leaving := d.fleet.Servers("ledger")[0]
 			leaving.Unlist()
@@ -86,6 +87,53 @@
 	}
 }
 
+// startReader starts a daemon that becomes the reader and calls the store at the given address.
+func (d *deployment) startReader(reads *failingReads) *daemon {
+	settings := d.settings()
+	settings.LinkMbps, settings.Store, settings.Seeds = 1000, reads.address, []netip.AddrPort{d.daemons[0].settings.Peers}
+	reader := d.startDaemon(settings)
+	d.awaitReady(reader)
+	time.Sleep(settleTime)
+	require.True(d.t, d.dump(reader).Reader)
+	return reader
+}
+
+// Guards against a reader that keeps sending requests to a removed server while the store refuses the reader alone.
+func TestRefusedReaderUsesNoRemovedServer(t *testing.T) {
+	for _, daemons := range deploymentSizes {
+		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
+			d := deploy(t, daemons)
+			reads := d.openFailingReads()
+			reader := d.startReader(reads)
+			reads.refusing.Store(true)
+			leaving := d.fleet.Servers("ledger")[0]
+			leaving.Unlist()
+			time.Sleep(drainBound)
+			require.Zero(t, d.countRunsOn(leaving, []*daemon{reader}, sharer.ShareInterval))
+		})
+	}
+}
+
+// Guards against a removed server that stays in use because the store had refused the reader alone for longer than entries live.
+func TestReaderThatWasRefusedKeepsNoRemovedServer(t *testing.T) {
+	const refusal = 4 * time.Second
+	for _, daemons := range deploymentSizes {
+		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
+			d := deploy(t, daemons)
+			reads := d.openFailingReads()
+			d.startReader(reads)
+			reads.refusing.Store(true)
+			time.Sleep(refusal)
+			reads.refusing.Store(false)
+			time.Sleep(sharer.ShareInterval)
+			leaving := d.fleet.Servers("ledger")[0]
+			leaving.Unlist()
+			time.Sleep(drainBound)
+			require.Zero(t, d.countRunsOn(leaving, d.daemons, sharer.ShareInterval))
+		})
+	}
+}
+
 // Guards against a daemon that is in no answer because its clock was set back before it started again at the same address.
 func TestDaemonWithEarlierClockIsNamedAgain(t *testing.T) {
 	for _, daemons := range deploymentSizes {
--- a/cowslipd/relay/poll.go
+++ b/cowslipd/relay/poll.go
@@ -4,19 +4,22 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/cowslipproxy/cowslipproxy/loader"
 	"github.com/cowslipproxy/cowslipproxy/sharer"
 )
 
 // pollPeers polls other daemons for the instance list and the configuration
 // while no shares arrive from the reader of this daemon's data centre, because
-// that reader does not know this daemon yet or is down.
+// that reader does not know this daemon yet or is down, and while this daemon is the
+// reader and cannot read the store, which may refuse single daemons.
 func (d *Daemon) pollPeers(ctx context.Context) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		if peer, ok := d.sharing.peerToPoll(d.Clock(), d.Settings.Centre, d.Settings.Seeds); ok && peer != d.Settings.Peers {
+		if peer, ok := d.sharing.peerToPoll(d.Clock(), d.Settings); ok {
 			d.pollPeer(ctx, peer)
 		}
 		select {
@@ -30,7 +33,7 @@
 // peerToPoll returns the daemon to poll: a reader or any daemon of the same data
 // centre, or a seed while no reader is known. It returns false while polling is not
 // needed or not possible.
-func (s *sharing) peerToPoll(now time.Time, centre string, seeds []netip.AddrPort) (netip.AddrPort, bool) {
+func (s *sharing) peerToPoll(now time.Time, settings loader.RelaySettings) (netip.AddrPort, bool) {
 	if s.listAge(now) < sharer.RequestAge {
 		return netip.AddrPort{}, false
 	}
@@ -40,23 +43,25 @@
 	for _, reader := range sharer.Readers(s.members) {
 		peers = append(peers, reader.Peer)
 	}
-	if near, ok := s.randomMember(centre); ok && len(peers) > 0 {
+	if near, ok := s.randomMember(settings); ok && len(peers) > 0 {
 		peers = append(peers, near)
 	}
 	if len(peers) == 0 && !s.readsAtStart {
-		peers = seeds
+		peers = settings.Seeds
 	}
-	if s.reader || len(peers) == 0 {
+	peers = slices.DeleteFunc(slices.Clone(peers), func(peer netip.AddrPort) bool { return peer == settings.Peers })
+	if len(peers) == 0 {
 		return netip.AddrPort{}, false
 	}
 	return peers[rand.IntN(len(peers))], true
 }
 
-// randomMember returns a random daemon of a data centre. The caller holds the lock.
-func (s *sharing) randomMember(centre string) (netip.AddrPort, bool) {
+// randomMember returns another random daemon of this daemon's data centre. The caller holds
+// the lock.
+func (s *sharing) randomMember(settings loader.RelaySettings) (netip.AddrPort, bool) {
 	var near []netip.AddrPort
 	for _, member := range s.members {
-		if member.Centre == centre {
+		if member.Centre == settings.Centre && member.Peer != settings.Peers {
 			near = append(near, member.Peer)
 		}
 	}
@@ -84,7 +89,7 @@
 		return
 	}
 	if len(reply.Instances) > 0 {
-		changed := d.registrar.Replace(now, reply.Instances)
+		changed := d.registrar.Replace(now, reply.InstanceList)
 		d.sharing.setList("", 0, reply.ListPosition)
 		d.updateInstances(changed)
 	}
