registrar: follow a server whose clock was set back before it started again

Callers had requests sent to a server that had said that it leaves: its entry had an earlier start than the former run's, so that it was ignored, and the former run's entry stayed in use for good.

Start times decided the order of runs, against late writes of a former run. Now a run that ended is remembered for 10 min instead, and an entry of another run replaces the known one if that run is not a former one. An entry that starts an hour or more before the known run is another writer's.

TestLateEntryOfFormerRunIsIgnored covers late writes with later and earlier starts, with and without a removal between. A daemon that started between two runs follows a late write of the first one until the next entry of the second.

--- a/registrar/departures_test.go
+++ b/registrar/departures_test.go
@@ -1,6 +1,7 @@
 package registrar_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -51,6 +52,37 @@
 	}
 }
 
+// Guards against a server that is in use in a former run, because the store applied a late write of that run.
+func TestLateEntryOfFormerRunIsIgnored(t *testing.T) {
+	for name, restartedAt := range map[string]time.Time{"later": start.Add(2 * time.Second), "earlier": start.Add(-2 * time.Second)} {
+		for _, isRemovedBetween := range []bool{false, true} {
+			t.Run(name+"/"+strconv.FormatBool(isRemovedBetween), func(t *testing.T) {
+				var r registrar.Registrar
+				r.Apply(start, put(instance("a", 50, cowslipproxy.VMLive)))
+				if isRemovedBetween {
+					r.Apply(start, drop("a"))
+				}
+				again := instance("a", 1, cowslipproxy.VMLeaving)
+				again.StartedAt = restartedAt
+				r.Apply(start.Add(time.Second), put(again))
+				r.Apply(start.Add(6*time.Second), put(instance("a", 51, cowslipproxy.VMLive)))
+				require.Len(t, r.Instances(), 1)
+				require.Equal(t, again, r.Instances()[0])
+			})
+		}
+	}
+}
+
+// Guards against an entry of another writer, with a start time long ago, that replaces that of a server.
+func TestEntryFromPastIsIgnored(t *testing.T) {
+	var r registrar.Registrar
+	r.Apply(start, put(instance("a", 5, cowslipproxy.VMLive)))
+	odd := instance("a", 6, cowslipproxy.VMLeaving)
+	odd.StartedAt = time.Unix(5, 0)
+	require.False(t, r.Apply(start, put(odd)))
+	require.Equal(t, cowslipproxy.VMLive, r.Instances()[0].State)
+}
+
 // Guards against a removed server that stays in use because of a failed read long ago, after which lists of another daemon arrived.
 func TestOutageEndsWithListOfAnotherDaemon(t *testing.T) {
 	var r registrar.Registrar
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -26,9 +26,13 @@
 	// leavingTTL is how long a run of a server is remembered as leaving after it was last known
 	// as such. Servers that leave may serve for many seconds.
 	leavingTTL = 10 * time.Minute
+	// formerTTL is how long an ended run of a server is remembered. The store may apply its last
+	// writes seconds late.
+	formerTTL = 10 * time.Minute
 	// maxClockDifference exceeds the differences and jumps of the clocks of servers and
 	// daemons. An entry that started later is not a server's: it would replace each entry of
-	// the server with that id until then.
+	// the server with that id until then. Nor does one that started that much before the known run
+	// replace it.
 	maxClockDifference = time.Hour
 )
 
@@ -39,6 +43,7 @@
 	known              map[string]entry
 	tombstones         map[string]tombstone
 	leaving            map[string]time.Time // when a run of a server was last known as leaving, by its incarnation
+	former             map[string]time.Time // when a run of a server was known to have ended, by its incarnation
 	lostSince          time.Time            // when the list was last known to be current; zero unless the last read failed
 	dropsDeferredUntil time.Time            // drops are deferred until this time
 	version            uint64
@@ -167,9 +172,9 @@
 // supersedes reports whether entry a may replace b, the known entry of the same
 // server: a must be at least as recent, and a server that is leaving does not
 // become live again in the same run.
-func supersedes(a, b cowslipproxy.Instance) bool {
+func (r *Registrar) supersedes(a, b cowslipproxy.Instance) bool {
 	if !a.StartedAt.Equal(b.StartedAt) {
-		return a.StartedAt.After(b.StartedAt)
+		return r.startsLater(a, b)
 	}
 	if b.State == cowslipproxy.VMLeaving && a.State != cowslipproxy.VMLeaving {
 		return false
@@ -177,6 +182,23 @@
 	return a.Heartbeats >= b.Heartbeats
 }
 
+// startsLater reports whether entry a is of a later run than b, which is another one. Clocks may be set back between two
+// runs, so that a run that was not known before is later even if it has an earlier start time.
+func (r *Registrar) startsLater(a, b cowslipproxy.Instance) bool {
+	if _, isFormer := r.former[a.Incarnation()]; isFormer {
+		return false
+	}
+	return b.StartedAt.Sub(a.StartedAt) < maxClockDifference
+}
+
+// recordFormer records that a run of a server has ended.
+func (r *Registrar) recordFormer(now time.Time, ended cowslipproxy.Instance) {
+	if r.former == nil {
+		r.former = map[string]time.Time{}
+	}
+	r.former[ended.Incarnation()] = now
+}
+
 // put adds or updates an entry, unless it is older than what is known of its
 // server.
 func (r *Registrar) put(now time.Time, instance cowslipproxy.Instance) {
@@ -193,15 +215,22 @@
 		r.known, r.tombstones = map[string]entry{}, map[string]tombstone{}
 	}
 	if tombstone, ok := r.tombstones[instance.ID]; ok {
-		if instance.StartedAt.Equal(tombstone.StartedAt) && instance.Heartbeats <= tombstone.Heartbeats || instance.StartedAt.Before(tombstone.StartedAt) {
+		sameRun := instance.StartedAt.Equal(tombstone.StartedAt)
+		if sameRun && instance.Heartbeats <= tombstone.Heartbeats || !sameRun && !r.startsLater(instance, tombstone.Instance) {
 			return
 		}
+		if !sameRun {
+			r.recordFormer(now, tombstone.Instance)
+		}
 		delete(r.tombstones, instance.ID)
 	}
 	old, ok := r.known[instance.ID]
-	if ok && !supersedes(instance, old.Instance) {
+	if ok && !r.supersedes(instance, old.Instance) {
 		return
 	}
+	if ok && !instance.StartedAt.Equal(old.StartedAt) {
+		r.recordFormer(now, old.Instance)
+	}
 	r.known[instance.ID] = entry{Instance: instance}
 	instance.Heartbeats, instance.WarmUp = old.Heartbeats, old.WarmUp // ignore fields that change with each heartbeat
 	if !ok || instance != old.Instance {
@@ -250,6 +279,11 @@
 			delete(r.leaving, incarnation)
 		}
 	}
+	for incarnation, endedAt := range r.former {
+		if now.Sub(endedAt) > formerTTL {
+			delete(r.former, incarnation)
+		}
+	}
 	if now.Before(r.dropsDeferredUntil) {
 		return
 	}
