allocator, relay: count dropped replies until they are released

Many callers of a service whose upstreams send bytes without end filled the memory of the VM, so that its process would be ended, and the requests of all its callers with it. With the settings of the smallest VM (136 MB) and one processor, the process with the receive buffers of its connections took up to 182 MB at 300 and 900 callers of plain services, and other services took up to 2.1 s for an answer (want 0.5 s). Streams stayed within 94 MB.

Cause: a reply that was dropped to make room counted as free at once, but its goroutine held it until it ran again; meanwhile others grew, were dropped, and so on. A wait for a reply that does not end is bounded by 0.5 s.

The announced size of a message has no effect any more.

--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,8 @@
 # Tests of whole daemons run on real clocks, so that few run at a time.
 test:
 	@sed -n 's/^Test/known red: &/p' KNOWN-RED.txt
-	go test -count 1 $(if $(CASES),-skip '$(CASES)') -run 'TestPartThatCrashesEnginesIsQuarantined|TestUpstreamLimitBindsAllDaemons|TestLargeConfigurationReachesEachDaemonInTime|TestEndlessBytesOfUpstreamAreBounded|TestListOfRestoredStoreIsFollowed|TestConfigurationOfRestoredStoreTakesEffect|TestOddEntriesDoNotStopDaemons' ./cowslipd/relay
-	go test -count 1 -run 'TestFailedReadOfReaderKeepsNoRemovedServer|TestDaemonWithEarlierClockIsNamedAgain' ./cowslipd/relay
+	go test -count 1 $(if $(CASES),-skip '$(CASES)') -run 'TestPartThatCrashesEnginesIsQuarantined|TestUpstreamLimitBindsAllDaemons|TestLargeConfigurationReachesEachDaemonInTime|TestEndlessBytesOfUpstreamAreBounded|TestProcessOutlivesEndlessBytesForManyCallers|TestListOfRestoredStoreIsFollowed|TestConfigurationOfRestoredStoreTakesEffect|TestOddEntriesDoNotStopDaemons' ./cowslipd/relay
+	go test -count 1 -run 'TestFailedReadOfReaderKeepsNoRemovedServer|TestRefusedReaderUsesNoRemovedServer|TestReaderThatWasRefusedKeepsNoRemovedServer|TestDaemonWithEarlierClockIsNamedAgain' ./cowslipd/relay
 	go test -count 1 -run 'TestForgottenDaemonIsNotListedAgain|TestAnswersOmitHalfOfFleetInTime|TestAnswersNameEightDaemons' ./gossiper
 	go test -race -p 3 -parallel 4 -timeout 20m -skip '^($(RED))$$$(if $(CASES),|$(CASES))' $(PACKAGES)
 
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -16,15 +17,21 @@
 // messages are bounded by the number of connections.
 const smallMessage = 16 << 10
 
+// maxDropWait bounds the wait for the memory of dropped messages. One whose event is being written
+// to a slow caller may hold it for longer.
+const maxDropWait = 500 * time.Millisecond
+
 // Allocator is the memory for messages. When it is exhausted, the largest message that
 // can be dropped makes room, so that messages without end do not displace others. It
 // is safe for concurrent use.
 type Allocator struct {
 	Limit int64 // bytes
 
-	mu   sync.Mutex
-	used int64
-	held map[*Allocation]struct{} // allocations that are counted
+	mu       sync.Mutex
+	released chan struct{} // closed when an allocation is released or dropped; nil if none waits
+	used     int64
+	dropping int64                    // part of used that dropped allocations hold until they are released
+	held     map[*Allocation]struct{} // allocations that are counted
 }
 
 // Allocation is the memory of one message. It must be released.
@@ -36,32 +43,35 @@
 }
 
 // Open returns an allocation without memory. The function drop ends the receipt of the
-// message when its memory is needed for others; nil means that the message must not be
-// dropped. It is called at most once.
+// message when its memory is needed for others, which wait until the allocation is released; nil
+// means that the message must not be dropped. It is called at most once.
 func (a *Allocator) Open(drop func()) *Allocation { return &Allocation{allocator: a, drop: drop} }
 
-// Resize changes the size of an allocation. After an error, the size is unchanged.
+// Resize changes the size of an allocation. It waits for the memory of messages that it drops.
+// After an error, the size is unchanged.
 func (l *Allocation) Resize(size int64) error {
-	var drops []func()
-	defer func() {
-		for _, drop := range drops {
-			drop()
-		}
-	}()
 	a := l.allocator
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if l.dropped {
-		return errors.WithStack(ErrExhausted)
-	}
-	for size > smallMessage && a.used-l.counted()+size > a.Limit {
+	var deadline <-chan time.Time
+	for !l.dropped && size > smallMessage && a.used-l.counted()+size > a.Limit {
+		if a.used-a.dropping-l.counted()+size <= a.Limit {
+			if deadline == nil {
+				deadline = time.After(maxDropWait)
+			}
+			if !a.wait(deadline) {
+				return errors.WithStack(ErrExhausted)
+			}
+			continue
+		}
 		victim := a.largest(size)
 		if victim == nil || victim == l {
 			return errors.WithStack(ErrExhausted)
 		}
-		a.remove(victim)
-		victim.dropped = true
-		drops = append(drops, victim.drop)
+		a.end(victim)
+	}
+	if l.dropped {
+		return errors.WithStack(ErrExhausted)
 	}
 	a.remove(l)
 	l.size = size
@@ -69,6 +79,41 @@
 	return nil
 }
 
+// wait waits until an allocation is released or dropped, and reports whether one was before the
+// deadline. The caller holds the lock.
+func (a *Allocator) wait(deadline <-chan time.Time) bool {
+	if a.released == nil {
+		a.released = make(chan struct{})
+	}
+	released := a.released
+	a.mu.Unlock()
+	defer a.mu.Lock()
+	select {
+	case <-released:
+		return true
+	case <-deadline:
+		return false
+	}
+}
+
+// signal ends the current waits. The caller holds the lock.
+func (a *Allocator) signal() {
+	if a.released != nil {
+		close(a.released)
+		a.released = nil
+	}
+}
+
+// end drops an allocation. The caller holds the lock, which is free while the receipt is ended.
+func (a *Allocator) end(victim *Allocation) {
+	victim.dropped = true
+	a.dropping += victim.counted()
+	a.signal()
+	a.mu.Unlock()
+	defer a.mu.Lock()
+	victim.drop()
+}
+
 // Keep excludes the message from being dropped. An earlier drop stays in effect.
 func (l *Allocation) Keep() {
 	l.allocator.mu.Lock()
@@ -80,8 +125,12 @@
 func (l *Allocation) Release() {
 	l.allocator.mu.Lock()
 	defer l.allocator.mu.Unlock()
+	if l.dropped {
+		l.allocator.dropping -= l.counted()
+	}
 	l.allocator.remove(l)
 	l.size, l.dropped = 0, true
+	l.allocator.signal()
 }
 
 // Used returns the number of bytes in use.
@@ -119,7 +168,7 @@
 // or nil if none is larger.
 func (a *Allocator) largest(size int64) (found *Allocation) {
 	for l := range a.held {
-		if l.drop != nil && l.size > size && (found == nil || l.size > found.size) {
+		if l.drop != nil && !l.dropped && l.size > size && (found == nil || l.size > found.size) {
 			found = l
 		}
 	}
--- a/cowslipd/relay/endless_test.go
+++ b/cowslipd/relay/endless_test.go
@@ -36,8 +36,8 @@
 	sent   atomic.Int64 // bytes
 }
 
-// start serves connections and registers the server in the store.
-func (s *endlessServer) start(d *deployment, service string) {
+// start serves connections, registers the server in the store and returns its port.
+func (s *endlessServer) start(d *deployment, service string) uint16 {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(d.t, err)
 	d.t.Cleanup(func() { listener.Close() })
@@ -57,6 +57,7 @@
 	})
 	require.NoError(d.t, err)
 	d.store.Put("keyed.servers", "i-endless", entry)
+	return uint16(listener.Addr().(*net.TCPAddr).Port)
 }
 
 func (s *endlessServer) serve(conn net.Conn) {
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -43,6 +43,10 @@
 	// maxReplyHeaderBytes bounds the head of a reply of an upstream or the store. Each
 	// connection may hold that much.
 	maxReplyHeaderBytes = 16 << 10
+	// receiveBuffer bounds the data of a connection that the process has not read yet, in bytes.
+	// The users' platform counts it as memory of the process. It is enough for 2 MB/s at a
+	// round-trip time of 10 ms.
+	receiveBuffer = 24 << 10
 	// minLocalDaemons is the number of daemons in the caller's data centre that
 	// suffices to omit the daemons of other data centres from an address answer.
 	minLocalDaemons = 2
@@ -91,8 +95,22 @@
 // connections if reuse is set.
 func Transport(reuse bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: 3}}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			err = tcp.SetReadBuffer(receiveBuffer)
+		}
+		if err != nil {
+			_ = conn.Close() // the connection is not used
+			return nil, err
+		}
+		return conn, nil
+	}
 	return &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, DisableKeepAlives: !reuse,
+		DialContext: dial, DisableCompression: true, DisableKeepAlives: !reuse,
 		MaxResponseHeaderBytes: maxReplyHeaderBytes, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10,
 	}
 }
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -181,7 +181,7 @@
 	}
 	stop := x.abortReads()
 	var err error
-	x.callerRequest.Body, err = x.bodyMemory.ReadAll(r.Body, r.ContentLength, limit)
+	x.callerRequest.Body, err = x.bodyMemory.ReadAll(r.Body, limit)
 	stop()
 	if x.isRejected() {
 		return refuseStopping()
--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -173,7 +173,7 @@
 		return last
 	}
 	defer last.reply.Body.Close()
-	if last.body, last.err = last.memory.ReadAll(last.reply.Body, last.reply.ContentLength, maxReplyBody); last.err == nil {
+	if last.body, last.err = last.memory.ReadAll(last.reply.Body, maxReplyBody); last.err == nil {
 		last.memory.Keep()
 		last.err = checkStreamEnd(last.reply, last.body)
 	} else if errors.Is(context.Cause(ctx), allocator.ErrExhausted) {
