relay: wait in a test of limits until daemons know the engines that it counts on

So the daemon knew two engines of that range only, and both were at their limits: the refusal was right. The test waited for engines that begin at layer 0, which those that hold no layers yet do as well.

--- a/cowslipd/relay/limit_test.go
+++ b/cowslipd/relay/limit_test.go
@@ -73,11 +73,24 @@
 	for range (limitedEngines + unlimitedEngines - 2) * layers / smallKindLayers {
 		d.startServer("scribe", "small")
 	}
-	require.Eventually(t, func() bool { return len(d.enginesAt(0)) >= limitedEngines+unlimitedEngines }, waitLimit, 100*time.Millisecond)
 	d.awaitSync()
+	for _, node := range d.daemons {
+		require.Eventually(t, func() bool { return d.knownEnginesAt(node, 0) >= limitedEngines+unlimitedEngines }, waitLimit, 100*time.Millisecond)
+	}
 	return d
 }
 
+// knownEnginesAt returns the number of engines whose layer range begins at the given layer, as
+// far as a daemon knows.
+func (d *deployment) knownEnginesAt(node *daemon, first int) (count int) {
+	for _, instance := range d.dump(node).Instances {
+		if instance.HasLayers() && instance.Range.First == first {
+			count++
+		}
+	}
+	return count
+}
+
 // Guards against a limit that each daemon keeps for itself, and needless refusals.
 func TestUpstreamLimitBindsAllDaemons(t *testing.T) {
 	forEachSize(t, func(t *testing.T, daemons int) {
--- a/cowslipd/relay/spread_test.go
+++ b/cowslipd/relay/spread_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/standin/keeper"
 )
 
@@ -79,6 +80,7 @@
 		Down, Starting, Stopping bool
 		Peer                     netip.AddrPort
 	}
+	Instances []cowslipproxy.Instance
 
 	Quarantine []struct {
 		Fingerprint, State string
