relay: take a list as current only when it is held

Callers had requests sent to servers that had left, for as long as a reader's shares without the list arrived and those with it failed, for instance because a list takes longer than the 0.5 s of a share on a slow link, or more than the 256 KiB of a message. Each share counted as a confirmation of the list, whether or not the receiver held the version that it named, so that it neither read the store nor asked others.

A share confirms the list if it has it, if it names the version that the receiver holds, or if it is not ahead of the receiver. TestLargeConfigurationReachesEachDaemonInTime, which bounds the calls to the store, passes at 10, 40 and 120 daemons.

--- a/cowslipd/relay/departures_test.go
+++ b/cowslipd/relay/departures_test.go
@@ -1,6 +1,9 @@
 package relay_test
 
 import (
+	"context"
+	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -11,10 +14,14 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/gossiper"
 	"github.com/cowslipproxy/cowslipproxy/sharer"
 	"github.com/cowslipproxy/cowslipproxy/standin/worker"
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 )
 
 // failingReads is an address of the store at which single reads of the list, or all calls for some
@@ -134,6 +141,54 @@
 	}
 }
 
+// startPartialReader starts a stand-in for a reader whose shares without the list arrive, while those
+// with it fail.
+func (d *deployment) startPartialReader() {
+	t := d.t
+	address := freeAddress(t)
+	listener, err := net.Listen("tcp", address.String())
+	require.NoError(t, err)
+	reader := &gossiper.Gossiper{
+		Self:     cowslipproxy.Owner{Name: "partial", Incarnation: 1},
+		Hello:    cowslipproxy.Hello{Caller: freeAddress(t), Peer: address, Centre: "a", LinkMbps: 1000},
+		Listener: listener, Logger: logger(),
+		OnShare: func([]byte) ([]byte, error) { return nil, errors.New("no list") },
+	}
+	reader.SetListed([]cowslipproxy.VM{{Name: "seed", Role: cowslipproxy.VMEntry, Address: d.daemons[0].settings.Peers, State: cowslipproxy.VMLive}})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { _ = reader.Run(ctx) }) // ends with the test
+	for _, node := range d.daemons {
+		group.Go(func() {
+			for number := uint64(1); waiter.Wait(ctx, sharer.ShareInterval/2); number++ {
+				share, err := json.Marshal(sharer.Share{From: "partial", ListVersion: number, ListPosition: 1 << 20, ConfigurationVersion: 1})
+				if err == nil {
+					_, _ = reader.SendShare(ctx, node.settings.Peers.String(), share) // daemons may not know this one yet
+				}
+			}
+		})
+	}
+	t.Cleanup(func() { cancel(); group.Wait() })
+}
+
+// Guards against daemons that keep an outdated list because they get shares without the list, but not those with it.
+func TestShareWithoutListKeepsNoRemovedServer(t *testing.T) {
+	for _, daemons := range deploymentSizes {
+		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
+			d := deploy(t, daemons)
+			d.startPartialReader()
+			for _, node := range d.daemons {
+				require.Eventually(t, func() bool { return d.membersOf(node) == daemons+1 }, waitLimit, 100*time.Millisecond)
+			}
+			time.Sleep(settleTime)
+			leaving := d.fleet.Servers("ledger")[0]
+			leaving.Unlist()
+			time.Sleep(drainBound)
+			require.Zero(t, d.countRunsOn(leaving, d.daemons, sharer.ShareInterval))
+		})
+	}
+}
+
 // Guards against a daemon that is in no answer because its clock was set back before it started again at the same address.
 func TestDaemonWithEarlierClockIsNamedAgain(t *testing.T) {
 	for _, daemons := range deploymentSizes {
--- a/cowslipd/relay/share.go
+++ b/cowslipd/relay/share.go
@@ -172,13 +172,16 @@
 // instance list replaces the one that this daemon holds. A list that was read earlier
 // does not. The caller holds the lock.
 func (s *sharing) accept(now time.Time, share sharer.Share, configurationVersion uint64) (newList bool) {
-	s.list.recordShare(now, share.Age)
+	sameList := share.From == s.listSource && share.ListVersion == s.listVersion
+	if sameList || share.Complete || share.ListPosition <= s.list.position {
+		s.list.recordShare(now, share.Age)
+	}
 	s.configuration.recordShare(now, share.ConfigurationAge)
 	s.setParent(share.From)
 	if share.ConfigurationVersion == configurationVersion {
 		s.configuration.position = max(s.configuration.position, share.ConfigurationPosition)
 	}
-	if share.From == s.listSource && share.ListVersion == s.listVersion {
+	if sameList {
 		s.list.position = max(s.list.position, share.ListPosition)
 	}
 	return share.Complete && (share.ListPosition == 0 || share.ListPosition >= s.list.position)
