relayer: release the memory of a failed reply at once

A reply that was dropped to make room counted towards the memory until its request had chosen the next upstream, which may wait 0.1 s for a grant, or ended. Others, which wait for this memory since, did so too. Found by reading.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -182,8 +182,9 @@
 	return a.Heartbeats >= b.Heartbeats
 }
 
-// startsLater reports whether entry a is of a later run than b, which is another one. Clocks may be set back between two
-// runs, so that a run that was not known before is later even if it has an earlier start time.
+// startsLater reports whether the run of entry a is later than that of b, which is another one.
+// Clocks may be set back between two runs, so that a run that was not known before is later even
+// if it has an earlier start time.
 func (r *Registrar) startsLater(a, b cowslipproxy.Instance) bool {
 	if _, isFormer := r.former[a.Incarnation()]; isFormer {
 		return false
--- a/relayer/unary.go
+++ b/relayer/unary.go
@@ -176,11 +176,14 @@
 	if last.body, last.err = last.memory.ReadAll(last.reply.Body, maxReplyBody); last.err == nil {
 		last.memory.Keep()
 		last.err = checkStreamEnd(last.reply, last.body)
-	} else if errors.Is(context.Cause(ctx), allocator.ErrExhausted) {
+		return last
+	}
+	last.memory.Release()
+	if errors.Is(context.Cause(ctx), allocator.ErrExhausted) {
 		last.err = errors.WithStack(allocator.ErrExhausted)
-	} else {
-		last.err = readError(ctx, last.err)
+		return last
 	}
+	last.err = readError(ctx, last.err)
 	return last
 }
 
