--- a/cowslipd/relay/endless_process_test.go
+++ b/cowslipd/relay/endless_process_test.go
@@ -97,8 +97,7 @@
 	return func() int64 { close(done); return <-result }
 }
 
-// Guards against a process that exceeds the memory of its VM, or delays the callers of another
-// service, because many callers meet upstreams that send bytes without end.
+// Guards against endless replies to many callers that exceed the VM's memory or delay another service.
 func TestProcessOutlivesEndlessBytesForManyCallers(t *testing.T) {
 	replies := map[string]struct{ head, filler string }{
 		"head line":        endlessReplies["head line"],
--- a/registrar/departures_test.go
+++ b/registrar/departures_test.go
@@ -103,8 +103,7 @@
 	require.Empty(t, r.Instances())
 }
 
-// Guards against a removed server that stays in use for good, because the daemon that deferred its
-// removal ended and the others follow the store from a later position.
+// Guards against a removed server that stays in use for good because the reader that deferred its removal ended.
 func TestDeferredRemovalOutlivesReader(t *testing.T) {
 	for _, daemons := range []int{4, 15, 126} {
 		var reader registrar.Registrar
