loader: accept every number that a deployment fills in

A retry ratio or floor of 0 allows no retries; before, package retrier took its default of 0.1 and 2 a second instead.

--- a/cowslipd/relay.go
+++ b/cowslipd/relay.go
@@ -24,13 +24,10 @@
 // instead of serving the API of cowslipproxy.
 const relayCommand = "relay"
 
-const (
-	megabyte = 1 << 20 // bytes
-	// heapPercent is the heap limit in percent of the memory setting. The rest is left for
-	// data in the receive buffers of sockets, which the users' platform counts as memory
-	// of the process.
-	heapPercent = 70
-)
+// heapPercent is the heap limit in percent of the memory setting. The rest is left for
+// data in the receive buffers of sockets, which the users' platform counts as memory
+// of the process.
+const heapPercent = 70
 
 // runRelay runs the relay daemon until a signal stops it.
 func runRelay(args []string) error {
@@ -46,7 +43,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	context.AfterFunc(ctx, stop) // a second signal terminates the process
-	debug.SetMemoryLimit(settings.Memory * megabyte * heapPercent / 100)
+	debug.SetMemoryLimit(settings.MemoryBytes() * heapPercent / 100)
 	logWriter := &reporter.Writer{Out: os.Stdout}
 	writerCtx, flush := context.WithCancel(context.Background())
 	writerDone := make(chan struct{})
--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -51,7 +51,7 @@
 		Dialect:    d.Platform.Dialect,
 		Engines:    d.Platform.Engines,
 		Transport:  Transport(false),
-		Memory:     &allocator.Allocator{Limit: d.Settings.Memory * megabyte * messagePercent / 100},
+		Memory:     &allocator.Allocator{Limit: d.Settings.MemoryBytes() * messagePercent / 100},
 		Quarantine: d.quarantine.Quarantiner,
 		Limits:     &d.limits,
 		Stopping:   d.stopping.Load,
@@ -63,12 +63,9 @@
 	}
 }
 
-const (
-	megabyte = 1 << 20 // bytes
-	// messagePercent is the memory for bodies of requests and replies, in percent of the
-	// memory setting. Garbage of the same size may exist beside it.
-	messagePercent = 15
-)
+// messagePercent is the memory for bodies of requests and replies, in percent of the
+// memory setting. Garbage of the same size may exist beside it.
+const messagePercent = 15
 
 // maxNameLength bounds the name of an entry daemon, in bytes.
 const maxNameLength = 64
--- a/cowslipd/relay/deployment_test.go
+++ b/cowslipd/relay/deployment_test.go
@@ -127,7 +127,7 @@
 	settings.Centre = "a"
 	settings.Callers, settings.Ready, settings.Directory, settings.Peers = freeAddress(d.t), freeAddress(d.t), freeAddress(d.t), freeAddress(d.t)
 	settings.Store = d.address
-	settings.Floor = d.floor
+	settings.Floor = float64(d.floor)
 	settings.Metrics = freeAddress(d.t).Port()
 	settings.Grace = cowslipproxy.Duration(grace)
 	return settings
--- a/cowslipd/relay/endless_process_test.go
+++ b/cowslipd/relay/endless_process_test.go
@@ -28,7 +28,7 @@
 	output, err := exec.Command("go", "build", "-o", program, "github.com/cowslipproxy/cowslipproxy/cowslipd").CombinedOutput()
 	require.NoError(t, err, string(output))
 	settings := d.settings()
-	settings.Memory = smallVM >> 20
+	settings.MemoryMB = smallVM >> 20
 	data, err := json.Marshal(settings)
 	require.NoError(t, err)
 	file := filepath.Join(t.TempDir(), "settings.yaml")
--- a/cowslipd/relay/pools.go
+++ b/cowslipd/relay/pools.go
@@ -104,11 +104,10 @@
 // retries that are allowed to all daemons.
 func (p *pools) Budget(service string) *retrier.Retrier {
 	return getOrCreate(p, &p.budgets, service, func() *retrier.Retrier {
-		window := time.Duration(p.settings.Window)
 		return &retrier.Retrier{
-			RetryRatio:   budgetMargin * p.settings.Retries,
-			MinPerSecond: p.minimumRate(),
-			Window:       window,
+			RetryRatio:   retrier.NoneIfZero(budgetMargin * p.settings.Retries),
+			MinPerSecond: retrier.NoneIfZero(p.minimumRate()),
+			Window:       p.settings.RetryWindow(),
 			MaxAttempts:  8, // not the effective limit; package relayer bounds the attempts of a request
 			Seed:         rand.Uint64(),
 		}
@@ -136,7 +135,7 @@
 	if daemons == 0 {
 		daemons = assumedDaemons
 	}
-	return budgetMargin * float64(p.settings.Floor) / time.Duration(p.settings.Window).Seconds() / float64(daemons)
+	return budgetMargin * p.settings.Floor / p.settings.RetryWindow().Seconds() / float64(daemons)
 }
 
 // applySettings replaces the settings and drops the retry budgets, which are
@@ -163,6 +162,6 @@
 	}
 	p.daemons, p.lastSeen = count, now
 	for _, budget := range p.budgets {
-		budget.SetMinPerSecond(now, p.minimumRate())
+		budget.SetMinPerSecond(now, retrier.NoneIfZero(p.minimumRate()))
 	}
 }
--- a/cowslipd/relay/retry_test.go
+++ b/cowslipd/relay/retry_test.go
@@ -93,7 +93,7 @@
 	}
 	group.Wait()
 	settings := d.daemons[0].settings
-	allowed := requests + int(settings.Retries*requests) + settings.Floor
+	allowed := requests + int(settings.Retries*requests) + int(settings.Floor)
 	require.LessOrEqual(t, len(d.fleet.Runs()), allowed)
 }
 
--- a/loader/relay.go
+++ b/loader/relay.go
@@ -22,13 +22,13 @@
 	Seeds     []netip.AddrPort      `json:"seeds"`
 	First     bool                  `json:"first"`   // the whole deployment starts for the first time
 	Metrics   uint16                `json:"metrics"` // port for operators on the IP address of Callers; 0 for none
-	Grace     cowslipproxy.Duration `json:"grace" validate:"gt=0"`
+	Grace     cowslipproxy.Duration `json:"grace" validate:"gte=0"`
 	Lifetime  cowslipproxy.Duration `json:"lifetime" validate:"gt=0"`
-	Window    cowslipproxy.Duration `json:"window" validate:"gt=0"`   // period over which retries are limited
+	Window    cowslipproxy.Duration `json:"window" validate:"gte=0"`  // period over which retries are limited; see RetryWindow
 	Retries   float64               `json:"retries" validate:"gte=0"` // retry budget of all daemons per window, as a ratio of retries to requests
-	Floor     int                   `json:"floor" validate:"gte=0"`   // further retries of all daemons per window, independent of the number of requests
+	Floor     float64               `json:"floor" validate:"gte=0"`   // further retries of all daemons per window, independent of the number of requests
 	LinkMbps  float64               `json:"link" validate:"gte=0"`    // speed of the VM's link, in megabits per second; 0 if unknown
-	Memory    int64                 `json:"memory" validate:"gte=16"` // memory limit of the process, in megabytes
+	MemoryMB  float64               `json:"memory" validate:"gte=0"`  // memory limit of the process; 0 if unknown; see MemoryBytes
 	Level     string                `json:"level" validate:"oneof=debug info warn error"`
 }
 
@@ -40,11 +40,37 @@
 		Window:   cowslipproxy.Duration(10 * time.Second),
 		Retries:  0.2,
 		Floor:    100,
-		Memory:   128,
+		MemoryMB: defaultMemoryMB,
 		Level:    "info",
 	}
 }
 
+const (
+	megabyte        = 1 << 20
+	defaultMemoryMB = 128
+	minMemoryMB     = 16
+	maxMemoryMB     = 1 << 30 // keeps products with the size in bytes far from overflowing
+)
+
+// MemoryBytes returns the memory limit of the process in bytes. An unknown limit is
+// taken as the default, and one that no daemon can keep as the smallest useful one.
+func (s RelaySettings) MemoryBytes() int64 {
+	size := s.MemoryMB
+	if size == 0 {
+		size = defaultMemoryMB
+	}
+	return int64(min(max(size, minMemoryMB), maxMemoryMB) * megabyte)
+}
+
+// minRetryWindow is the shortest period over which retries are limited. A longer period
+// than the one set is stricter, so the limit of the setting is kept too.
+const minRetryWindow = time.Second
+
+// RetryWindow returns the period over which retries are limited.
+func (s RelaySettings) RetryWindow() time.Duration {
+	return max(time.Duration(s.Window), minRetryWindow)
+}
+
 // LoadRelay reads the settings of a relay daemon from a YAML file.
 func LoadRelay(path string) (RelaySettings, error) {
 	settings := RelayDefaults()
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -15,8 +15,8 @@
 // set before the first use; a field that is 0 has its default value. It is safe
 // for concurrent use.
 type Retrier struct {
-	RetryRatio   float64       // retries per request; default 0.1
-	MinPerSecond float64       // retries per second that are always allowed, for low traffic; default 2
+	RetryRatio   float64       // retries per request; default 0.1; negative for none
+	MinPerSecond float64       // retries per second that are always allowed, for low traffic; default 2; negative for none
 	Window       time.Duration // time over which requests count towards the budget; default 10 s
 	MaxAttempts  int           // maximum number of attempts of a request, including the first; default 3
 	BaseDelay    time.Duration // delay before the first retry, doubled for each further one; default 25 ms
@@ -65,8 +65,17 @@
 	return value
 }
 
-func (r *Retrier) ratio() float64           { return orDefault(r.RetryRatio, 0.1) }
-func (r *Retrier) minPerSecond() float64    { return orDefault(r.MinPerSecond, 2) }
+// NoneIfZero returns a value for RetryRatio or MinPerSecond that allows no retries if the
+// number is 0, for callers that have no default.
+func NoneIfZero(number float64) float64 {
+	if number == 0 {
+		return -1
+	}
+	return number
+}
+
+func (r *Retrier) ratio() float64           { return max(orDefault(r.RetryRatio, 0.1), 0) }
+func (r *Retrier) minPerSecond() float64    { return max(orDefault(r.MinPerSecond, 2), 0) }
 func (r *Retrier) window() time.Duration    { return orDefault(r.Window, 10*time.Second) }
 func (r *Retrier) maxAttempts() int         { return orDefault(r.MaxAttempts, 3) }
 func (r *Retrier) baseDelay() time.Duration { return orDefault(r.BaseDelay, 25*time.Millisecond) }
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -120,3 +120,14 @@
 	}
 	require.LessOrEqual(t, retries, 20, "more than the initial tokens and one second at 10 per second")
 }
+
+// Guards against default budgets where a deployment allows no retries at all.
+func TestNoRetriesWithoutBudget(t *testing.T) {
+	r := &retrier.Retrier{RetryRatio: retrier.NoneIfZero(0), MinPerSecond: retrier.NoneIfZero(0)}
+	attempt := retrier.Attempt{Effect: cowslipproxy.EffectRepeat, Number: 1, Left: time.Minute}
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * time.Second)
+		r.RecordRequest(now)
+		require.False(t, r.Retry(now, attempt).Allowed)
+	}
+}
