pathfinder, relayer: avoid engines that keep refusing, and ask why

While the store is down, the list has engines that drain as live. An engine that refused twice and ran no work in between is asked for its state, which says that it is leaving, and is avoided for 0.6 s, then twice as long each time, up to 3 s. A refusal no longer shortens the time for which a dead engine is avoided.

--- a/cowslipd/relay/availability_test.go
+++ b/cowslipd/relay/availability_test.go
@@ -179,3 +179,38 @@
 		}
 	}
 }
+
+// Guards against requests that go round because an engine within their path refuses them while
+// the list has it as live, as during an outage of the store: the rejection does not state that
+// the engine is leaving.
+func TestLeavingEngineWithinPathGetsNoNewRequests(t *testing.T) {
+	t.Parallel()
+	for _, daemons := range []int{4, 15} {
+		t.Run(strconv.Itoa(daemons), func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, daemons)
+			leaving := d.enginesAt(smallKindLayers)[0]
+			leaving.AnnounceLeaving()
+			leaving.SetFault(worker.FaultFull)
+			d.sendLettersFor(2 * time.Second)
+			refused := leaving.RefusedPaths()
+			require.NotZero(t, refused, "the engine was on no path")
+			d.sendLettersFor(2 * time.Second)
+			require.Equal(t, refused, leaving.RefusedPaths(), "an engine that is leaving still gets requests")
+		})
+	}
+}
+
+// sendLettersFor sends requests for streams to all daemons for some time and checks that they
+// are served.
+func (d *deployment) sendLettersFor(duration time.Duration) {
+	var group sync.WaitGroup
+	for _, node := range d.daemons {
+		group.Go(func() {
+			for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(25 * time.Millisecond) {
+				require.Equal(d.t, http.StatusOK, d.send(node, call{path: lettersPath + "1", tokens: 2}).status)
+			}
+		})
+	}
+	group.Wait()
+}
--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -21,9 +21,10 @@
 	// memoryFullDuration is how long an engine that ran out of memory gets less
 	// new work.
 	memoryFullDuration = 300 * time.Millisecond
-	// refusalDuration is how long an engine that ran out of memory twice within
-	// memoryFullDuration gets no new work. It may be leaving or unloading layers
-	// before the list reports it.
+	// refusalDuration is how long an engine that refused work twice, and ran none in
+	// between, gets no new work. It doubles, up to suspectDuration, each time that the
+	// engine refuses again: it may be leaving or unloading layers before the list reports
+	// it, or be too full for any request.
 	refusalDuration = 600 * time.Millisecond
 	// memoryFullCost is the load added to an engine that ran out of memory.
 	memoryFullCost = 1.0
@@ -56,6 +57,7 @@
 	otherLoad    float64   // used by other daemons' requests, in tokens x layers
 	suspectUntil time.Time // gets no new work before this time
 	fullUntil    time.Time // gets less new work before this time
+	refusals     int       // refusals since it last ran work
 }
 
 // use returns the memory that requests are known to occupy, in tokens x layers.
@@ -292,14 +294,34 @@
 	f.updateEngine(address, func(e *engine) { e.suspectUntil = now.Add(suspectDuration) })
 }
 
-// ReportOutOfMemory records that an engine ran out of memory.
-func (f *Finder) ReportOutOfMemory(now time.Time, address netip.AddrPort) {
+// ReportRefusal records that an engine refused work, as it does when it is out of memory,
+// leaving, unloading layers or dead. It reports whether the engine keeps refusing and gets no
+// new work from now on.
+func (f *Finder) ReportRefusal(now time.Time, address netip.AddrPort) (suspected bool) {
 	f.updateEngine(address, func(e *engine) {
-		if now.Before(e.fullUntil) {
-			e.suspectUntil = now.Add(refusalDuration) // repeated refusals
-		}
 		e.fullUntil = now.Add(memoryFullDuration)
+		if now.Before(e.suspectUntil) {
+			return // the request was sent before
+		}
+		if e.refusals = min(e.refusals+1, maxRefusals); e.refusals > 1 {
+			e.suspectUntil = now.Add(min(refusalDuration<<(e.refusals-2), suspectDuration))
+			suspected = true
+		}
 	})
+	return suspected
+}
+
+// maxRefusals is the number of refusals in a row after which refusalDuration has reached
+// suspectDuration.
+const maxRefusals = 5
+
+// ReportAccepted records that the engines of a path run a request.
+func (f *Finder) ReportAccepted(path *Path) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range path.segments {
+		s.engine.refusals = 0
+	}
 }
 
 func (f *Finder) updateEngine(address netip.AddrPort, change func(e *engine)) {
--- a/pathfinder/finder_test.go
+++ b/pathfinder/finder_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -169,3 +170,54 @@
 		f.Set(profile, engines)
 	}
 }
+
+// Guards against a search for an engine that refuses all work, as one that is leaving does: each
+// request that is sent to it is refused and goes round.
+func TestRefusingEngineIsAvoidedLonger(t *testing.T) {
+	engines := chains("a", "b")
+	f := newFinder(engines)
+	refusing := engines[3]
+	suspected, refused := 0, 0
+	for elapsed := time.Duration(0); elapsed < 10*time.Second; elapsed += 200 * time.Millisecond { // requests of one daemon
+		now := start.Add(elapsed)
+		path, ok := f.Choose(now, need)
+		require.True(t, ok)
+		if !slices.ContainsFunc(path.Hops, func(hop cowslipproxy.Hop) bool { return hop.Instance == refusing.ID }) {
+			continue
+		}
+		refused++
+		for range 2 { // it is sent again at once, in the usual case to the same engine
+			if f.ReportRefusal(now, refusing.Address) {
+				suspected++
+			}
+		}
+	}
+	require.Positive(t, suspected)
+	require.LessOrEqual(t, refused, 7, "of 50 requests")
+	f.ReportFailure(start, refusing.Address)
+	f.ReportRefusal(start.Add(time.Millisecond), refusing.Address)
+	f.ReportRefusal(start.Add(2*time.Millisecond), refusing.Address)
+	for range 50 {
+		path, _ := f.Choose(start.Add(2*time.Second), need)
+		require.NotEqual(t, refusing.ID, path.Hops[3].Instance, "a refusal shortened the time for which a dead engine is avoided")
+	}
+}
+
+// Guards against an engine that was full for a moment and then gets no work for seconds.
+func TestEngineThatRunsWorkAgainIsNotAvoided(t *testing.T) {
+	engines := chains("a")
+	f := newFinder(engines)
+	path, ok := f.Choose(start, need)
+	require.True(t, ok)
+	for i := range 4 { // full, and full again each time that it is tried
+		now := start.Add(time.Duration(i) * 3 * time.Second)
+		f.ReportRefusal(now, engines[3].Address)
+		f.ReportRefusal(now, engines[3].Address)
+	}
+	f.ReportAccepted(path)
+	full := start.Add(time.Minute)
+	f.ReportRefusal(full, engines[3].Address)
+	f.ReportRefusal(full, engines[3].Address)
+	require.NotEmpty(t, f.Suspects(full.Add(500*time.Millisecond), path))
+	require.Empty(t, f.Suspects(full.Add(time.Second), path))
+}
--- a/relayer/state_cache.go
+++ b/relayer/state_cache.go
@@ -55,7 +55,9 @@
 				query.err = errors.WithStack(errAtLimit)
 				return
 			}
-			query.state, query.err = server.Engines.State(ctx, engine)
+			if query.state, query.err = server.Engines.State(ctx, engine); query.state.Leaving {
+				server.Limits.Leaving(engine.Incarnation())
+			}
 		}()
 	}
 	c.mu.Unlock()
--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -90,6 +90,7 @@
 	a.lastProgress = a.Clock()
 	if a.received++; a.received == 1 {
 		a.firstEventAt = a.lastProgress
+		a.finder.ReportAccepted(a.path)
 		if a.lastProgress.Sub(a.started) < a.route.Target {
 			a.finder.ReportOnTime(a.lastProgress, a.path)
 		}
@@ -229,9 +230,10 @@
 	return a.stateCache.state(a.ctx, a.Server, a.Clock(), firstEngine(path))
 }
 
-func firstEngine(path *pathfinder.Path) cowslipproxy.Instance {
-	first := path.First()
-	return cowslipproxy.Instance{ID: first.Instance, StartedAt: first.StartedAt, Address: first.Address}
+func firstEngine(path *pathfinder.Path) cowslipproxy.Instance { return instanceOf(path.First()) }
+
+func instanceOf(hop cowslipproxy.Hop) cowslipproxy.Instance {
+	return cowslipproxy.Instance{ID: hop.Instance, StartedAt: hop.StartedAt, Address: hop.Address}
 }
 
 // isFirstAlive reports whether the first engine of a path, which keeps the stream,
@@ -262,7 +264,7 @@
 		if !errors.As(err, &conflict) || !conflict.Address.IsValid() || try == maxRerouteTries {
 			return false
 		}
-		a.finder.ReportOutOfMemory(a.Clock(), conflict.Address)
+		a.finder.ReportRefusal(a.Clock(), conflict.Address)
 		failed = append(failed, conflict.Address)
 	}
 	reporter.Count(a.Metrics, reporter.MetricPathsReplaced)
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -279,7 +280,9 @@
 	case reply.StatusCode == http.StatusMisdirectedRequest:
 		a.finder.ReportFailure(a.Clock(), address)
 	case reply.NotExecuted:
-		a.finder.ReportOutOfMemory(a.Clock(), address)
+		if a.finder.ReportRefusal(a.Clock(), address) {
+			a.queryRefusing(address)
+		}
 	default:
 		a.countStarted(a.path.First())
 	}
@@ -289,6 +292,24 @@
 	return reply.NotExecuted, errors.Errorf("status %d from engine %s", reply.StatusCode, address)
 }
 
+// queryRefusing asks an engine of the path that keeps refusing work for its state, since the
+// rejection, which the first engine sends, does not state why: the engine may be leaving or
+// dead although the list has it as live.
+func (a *streamAttempt) queryRefusing(address netip.AddrPort) {
+	at := slices.IndexFunc(a.path.Hops, func(hop cowslipproxy.Hop) bool { return hop.Address == address })
+	if at <= 0 {
+		return // the first engine states in the rejection that it is leaving
+	}
+	ctx, engine := context.WithoutCancel(a.ctx), instanceOf(a.path.Hops[at])
+	go func() {
+		state, err := a.stateCache.state(ctx, a.Server, a.Clock(), engine)
+		hasLayers := a.path.Hops[at].Range.Len() == 0 || state.Range.First <= a.path.Hops[at].Range.First && state.Range.End >= a.path.Hops[at].Range.End
+		if err != nil && !errors.Is(err, errAtLimit) || err == nil && !hasLayers {
+			a.finder.ReportFailure(a.Clock(), address)
+		}
+	}()
+}
+
 // relayEvents forwards events to the caller as they arrive.
 func (a *streamAttempt) relayEvents(reply upstreamReply) error {
 	defer reply.Body.Close()
--- a/relays.go
+++ b/relays.go
@@ -96,6 +96,7 @@
 	Sequence int  // number of accepted orders
 	Range    LayerRange
 	Stalled  []Stall
+	Leaving  bool // the engine will stop soon and wants no new requests
 }
 
 // Stall is a request that waits for another engine of its path.
--- a/standin/worker/server.go
+++ b/standin/worker/server.go
@@ -43,6 +43,7 @@
 	state          string
 	heartbeats     int // sequence number of the last entry
 	acceptedOrders int
+	refusedPaths   int // requests that were refused because the engine, on their path, accepts no work
 	layers         layerRange
 	fault          Fault
 	paths          map[string][]stage           // by request id, for streams whose first stage is this engine
@@ -98,6 +99,14 @@
 	return s.leaving
 }
 
+// RefusedPaths returns how many requests were refused because the engine, on their path, accepts
+// no work.
+func (s *Server) RefusedPaths() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refusedPaths
+}
+
 // Drain sets the server's state to draining. The server continues to handle requests.
 func (s *Server) Drain() {
 	s.mu.Lock()
--- a/standin/worker/stream.go
+++ b/standin/worker/stream.go
@@ -110,7 +110,10 @@
 		}
 		other.mu.Lock()
 		holds := other.layers.First <= stage.layers.First && stage.layers.End <= other.layers.End
-		usable := !other.stopped && other.state == "ready"
+		usable := !other.stopped && other.state == "ready" && (i == 0 || other.fault != FaultFull)
+		if !usable {
+			other.refusedPaths++
+		}
 		other.mu.Unlock()
 		if !holds {
 			return http.StatusMisdirectedRequest, stage.address.String()
