pathfinder: plan flows without suspect engines if these interrupt many

Choose preferred any planned flow without a suspect engine to a detour, however full it was. The flows are planned anew without the suspects if these interrupt a third of them, at most once a second, and with them once none is suspect.

--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -45,6 +45,8 @@
 	engines        map[string]*engine
 	listed         []*engine // the same engines, in the order given to Set
 	flows          []flow
+	plannedAt      time.Time           // when Choose last planned the flows
+	plannedWithout []*engine           // suspect engines that Choose left out of the plan
 	plannedLinkUse map[link]float64    // planned use of each link, as a fraction of its bandwidth
 	links          map[link]*linkState // as observed by requests that crossed them
 }
@@ -103,7 +105,7 @@
 		f.engines[instance.ID] = e
 		f.listed = append(f.listed, e)
 	}
-	f.flows = f.planFlows(f.listed)
+	f.flows, f.plannedAt, f.plannedWithout = f.planFlows(f.listed), time.Time{}, nil
 }
 
 // KVCapacity returns the KV cache capacity, in tokens x layers, of an engine that
@@ -123,6 +125,7 @@
 func (f *Finder) Choose(now time.Time, need Need) (*Path, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.replan(now)
 	var best *flow
 	var lowest float64
 	start := 0
--- a/pathfinder/finder_test.go
+++ b/pathfinder/finder_test.go
@@ -162,6 +162,19 @@
 	}
 }
 
+// Measures the planning of the flows at the size of a large site.
+func BenchmarkSetLarge(b *testing.B) {
+	var centres []string
+	for range 5 {
+		centres = append(centres, "a", "b", "c", "d", "e")
+	}
+	engines := chains(centres...)
+	f := newFinder(engines)
+	for b.Loop() {
+		f.Set(profile, engines)
+	}
+}
+
 // Measures the planning of the flows at the size of a site.
 func BenchmarkSet(b *testing.B) {
 	engines := chains("a", "b", "c", "a", "b")
@@ -221,3 +234,38 @@
 	require.NotEmpty(t, f.Suspects(full.Add(500*time.Millisecond), path))
 	require.Empty(t, f.Suspects(full.Add(time.Second), path))
 }
+
+// Guards against load that all goes to the few flows that suspect engines leave, while the
+// engines of the other flows could still serve requests together.
+func TestLoadIsSpreadOverWhatSuspectsLeave(t *testing.T) {
+	engines := chains("a", "b", "c")
+	f := newFinder(engines)
+	f.ReportFailure(start, engines[2].Address)  // of the chain in a
+	f.ReportFailure(start, engines[12].Address) // another one of the chain in b
+	now := start.Add(100 * time.Millisecond)
+	entries := map[string]int{}
+	for range 60 {
+		path, ok := f.Choose(now, need)
+		require.True(t, ok)
+		f.Begin(path)
+		require.Empty(t, f.Suspects(now, path))
+		for _, hop := range path.Hops {
+			if hop.Range.First == 40 || hop.Range.First == 50 {
+				entries[hop.Instance]++
+			}
+		}
+	}
+	require.Len(t, entries, 5, "a trusted engine gets no work")
+	for name, count := range entries {
+		require.Less(t, count, 45, "%s of 60 requests", name)
+	}
+	later := start.Add(5 * time.Second)
+	returned := 0
+	for range 60 {
+		path, _ := f.Choose(later, need)
+		if slices.ContainsFunc(path.Hops, func(hop cowslipproxy.Hop) bool { return hop.Instance == engines[2].ID }) {
+			returned++
+		}
+	}
+	require.Positive(t, returned, "an engine that is no longer suspect gets no work")
+}
--- a/pathfinder/flows.go
+++ b/pathfinder/flows.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cowslipproxy/cowslipproxy"
 )
@@ -116,6 +117,48 @@
 	return flows
 }
 
+const (
+	// replanInterval is the shortest time between two plans because of suspect engines. A
+	// plan for 200 engines takes several milliseconds on a small VM.
+	replanInterval = time.Second
+	// replanLoss is the fraction of the flows that suspect engines may interrupt before the
+	// flows are planned without these. The load of the interrupted flows would go to the
+	// others, however full these are.
+	replanLoss = 1.0 / 3
+)
+
+// replan plans the flows without the suspect engines if these interrupt many flows, and with
+// all engines once none of those left out is suspect any more.
+func (f *Finder) replan(now time.Time) {
+	if now.Sub(f.plannedAt) < replanInterval {
+		return
+	}
+	interrupted := 0
+	for i := range f.flows {
+		if !usable(now, &f.flows[i], Need{}) {
+			interrupted++
+		}
+	}
+	isSuspect := func(e *engine) bool { return now.Before(e.suspectUntil) }
+	var trusted, suspects []*engine
+	for _, e := range f.listed {
+		if isSuspect(e) {
+			suspects = append(suspects, e)
+		} else {
+			trusted = append(trusted, e)
+		}
+	}
+	isInterrupted := float64(interrupted) > replanLoss*float64(len(f.flows))
+	hasRecovered := len(f.plannedWithout) > 0 && !slices.ContainsFunc(f.plannedWithout, isSuspect)
+	if !isInterrupted && !hasRecovered {
+		return
+	}
+	f.plannedAt = now
+	if flows := f.planFlows(trusted); flows != nil {
+		f.flows, f.plannedWithout = flows, suspects
+	}
+}
+
 // partialPath is the cheapest path over the layers before a boundary that ends
 // in a given data centre.
 type partialPath struct {
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -36,6 +36,9 @@
 	// resumePollInterval is the time between two checks whether the retry budget allows
 	// to resume a stream, and the longest delay after a refused resumption.
 	resumePollInterval = 200 * time.Millisecond
+	// fullMemory is the fraction of its memory above which an engine may refuse a request
+	// because it has no room for it.
+	fullMemory = 0.8
 	// verifyTimeout bounds the wait for the first event of an attempt that verifies the end of
 	// an answer. The caller may have the whole answer and waits only for its end.
 	verifyTimeout = time.Second
@@ -293,8 +296,9 @@
 }
 
 // queryRefusing asks an engine of the path that keeps refusing work for its state, since the
-// rejection, which the first engine sends, does not state why: the engine may be leaving or
-// dead although the list has it as live.
+// rejection, which the first engine sends, does not state why. Unless its memory is full, it
+// is dead, unloads layers or leaves although the list has it as live, and accepts nothing for
+// longer.
 func (a *streamAttempt) queryRefusing(address netip.AddrPort) {
 	at := slices.IndexFunc(a.path.Hops, func(hop cowslipproxy.Hop) bool { return hop.Address == address })
 	if at <= 0 {
@@ -303,10 +307,10 @@
 	ctx, engine := context.WithoutCancel(a.ctx), instanceOf(a.path.Hops[at])
 	go func() {
 		state, err := a.stateCache.state(ctx, a.Server, a.Clock(), engine)
-		hasLayers := a.path.Hops[at].Range.Len() == 0 || state.Range.First <= a.path.Hops[at].Range.First && state.Range.End >= a.path.Hops[at].Range.End
-		if err != nil && !errors.Is(err, errAtLimit) || err == nil && !hasLayers {
-			a.finder.ReportFailure(a.Clock(), address)
+		if errors.Is(err, errAtLimit) || err == nil && state.Memory > fullMemory {
+			return
 		}
+		a.finder.ReportFailure(a.Clock(), address)
 	}()
 }
 
--- a/relays.go
+++ b/relays.go
@@ -96,7 +96,8 @@
 	Sequence int  // number of accepted orders
 	Range    LayerRange
 	Stalled  []Stall
-	Leaving  bool // the engine will stop soon and wants no new requests
+	Leaving  bool    // the engine will stop soon and wants no new requests
+	Memory   float64 // fraction of the KV cache that can't be freed for other requests
 }
 
 // Stall is a request that waits for another engine of its path.
