--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -42,7 +42,7 @@
 
 	mu             sync.Mutex
 	profile        cowslipproxy.EngineProfile
-	daemons        int // that share the links; 0 for this one alone
+	daemons        int // that share the links between data centres; 0 for this one alone
 	engines        map[string]*engine
 	listed         []*engine // the same engines, in the order given to Set
 	flows          []flow
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -300,11 +300,14 @@
 // is dead, unloads layers or leaves although the list has it as live, and accepts nothing for
 // longer.
 func (a *streamAttempt) queryRefusing(address netip.AddrPort) {
-	at := slices.IndexFunc(a.path.Hops, func(hop cowslipproxy.Hop) bool { return hop.Address == address })
+	a.mu.Lock()
+	hops := a.path.Hops
+	a.mu.Unlock()
+	at := slices.IndexFunc(hops, func(hop cowslipproxy.Hop) bool { return hop.Address == address })
 	if at <= 0 {
 		return // the first engine states in the rejection that it is leaving
 	}
-	ctx, engine := context.WithoutCancel(a.ctx), instanceOf(a.path.Hops[at])
+	ctx, engine := context.WithoutCancel(a.ctx), instanceOf(hops[at])
 	go func() {
 		state, err := a.stateCache.state(ctx, a.Server, a.Clock(), engine)
 		if errors.Is(err, errAtLimit) || err == nil && state.Memory > fullMemory {
