pathfinder, relayer: let requests wait for room on links that they must cross

The rest of an answer goes on in any case. Detours with many crossings cost more, since each takes room from other requests.

--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -72,11 +72,15 @@
 	Avoid   []string // engines that failed the request
 	Entry   []string // engines that the path may start at; empty allows all
 	AtLimit []string // engines that the path may not start at, since they accept no request for now
+	// IsResumed is set if the caller waits for the rest of its answer, which goes before new
+	// requests.
+	IsResumed bool
 }
 
 // Path is a sequence of engines chosen for a request.
 type Path struct {
 	Hops     []cowslipproxy.Hop
+	Wait     time.Duration // time until the links of the path have room for the request; it may not be sent before
 	segments []segment
 	tokens   float64
 }
@@ -144,13 +148,13 @@
 		}
 	}
 	if best != nil {
-		return f.chargeLinks(now, newPath(best.segments, float64(need.Tokens))), true
+		return f.chargeLinks(now, need, newPath(best.segments, float64(need.Tokens))), true
 	}
 	segments := f.detour(now, need)
 	if segments == nil {
 		return nil, false
 	}
-	return f.chargeLinks(now, newPath(segments, float64(need.Tokens))), true
+	return f.chargeLinks(now, need, newPath(segments, float64(need.Tokens))), true
 }
 
 const (
@@ -232,7 +236,7 @@
 		}
 		return use
 	}
-	return load{memory: memory, linkUse: func(a, b string) float64 { return f.plannedLinkUse[linkBetween(a, b)] }, avoided: func(a, b string) bool { return f.isAvoided(now, a, b) }}
+	return load{memory: memory, linkUse: func(a, b string) float64 { return f.plannedLinkUse[linkBetween(a, b)] }, detour: func(a, b string) float64 { return f.detourCrossing(now, a, b) }}
 }
 
 func newPath(segments []segment, tokens float64) *Path {
--- a/pathfinder/flows.go
+++ b/pathfinder/flows.go
@@ -44,7 +44,7 @@
 type load struct {
 	memory  func(*engine) float64
 	linkUse func(a, b string) float64
-	avoided func(a, b string) bool // whether the link is avoided; nil if no link is
+	detour  func(a, b string) float64 // least cost of crossing a link in a detour; nil for planned flows
 }
 
 // costModel gives the costs that a search minimises, in milliseconds.
@@ -59,10 +59,11 @@
 	return costModel{
 		layer: func(e *engine) float64 { return f.layerCost(e, use.memory(e)) },
 		crossing: func(a, b string) float64 {
-			if use.avoided != nil && use.avoided(a, b) {
-				return avoidedLinkCost
+			cost := crossingCost * math.Exp(loadExponent*use.linkUse(a, b))
+			if use.detour != nil {
+				cost = max(cost, use.detour(a, b))
 			}
-			return crossingCost * math.Exp(loadExponent*use.linkUse(a, b))
+			return cost
 		},
 	}
 }
--- a/pathfinder/links.go
+++ b/pathfinder/links.go
@@ -23,10 +23,19 @@
 	// need all links.
 	otherSmoothing   = 0.2
 	maxOtherLateRate = 0.3
-	// linkShare is the fraction of a link's bandwidth that new requests of all daemons
-	// together may use. A link sends one prompt after another, so that the tokens of all
-	// streams that cross it wait behind a burst of them.
+	// linkShare is the fraction of a link's bandwidth that requests of all daemons together
+	// use before paths without the link are preferred. A link sends one prompt after another,
+	// so that the tokens of all streams that cross it wait behind a burst of them.
 	linkShare = 0.5
+	// maxLinkShare is the fraction that new requests may use if there is no other path. Above
+	// it, streams slow down until none is in time.
+	maxLinkShare = 0.9
+	// busyLinkCost is the cost of crossing a link without room, in milliseconds. The time
+	// until it has room is added, so that the load is spread over the links.
+	busyLinkCost = 100.0
+	// minDetourCrossing is the least cost of a crossing in the search for a detour, in
+	// milliseconds. Each crossing takes room from other requests.
+	minDetourCrossing = 60.0
 )
 
 // linkState holds what requests observed of a link between two data centres.
@@ -35,7 +44,8 @@
 	otherLateRate   float64       // fraction of recent requests that were late on paths that do not cross the link
 	avoidUntil      time.Time     // avoided before this time
 	avoidFor        time.Duration // duration of the last avoidance; 0 after a request was in time
-	freeAt          time.Time     // when this daemon may send the next request over the link
+	freeAt          time.Time     // when this daemon has used no more than its part of linkShare
+	openAt          time.Time     // the same for maxLinkShare
 }
 
 // recordLate counts a late request and reports whether the link is avoided from
@@ -77,7 +87,7 @@
 	}
 	state := f.links[linkBetween(a, b)]
 	if state == nil {
-		interval := f.linkTime(float64(f.profile.Prompt + f.profile.Answer))
+		interval := f.linkTime(float64(f.profile.Prompt+f.profile.Answer), linkShare)
 		state = &linkState{otherLateRate: 1, freeAt: now.Add(time.Duration(f.Random.Float64() * float64(interval)))}
 		f.links[linkBetween(a, b)] = state
 	}
@@ -92,28 +102,60 @@
 }
 
 // linkTime returns the time between two requests of this daemon over a link if all daemons
-// send as many and use linkShare of its bandwidth.
-func (f *Finder) linkTime(tokens float64) time.Duration {
+// send as many and use a part of its bandwidth.
+func (f *Finder) linkTime(tokens, part float64) time.Duration {
 	if f.profile.Pipe <= 0 {
 		return 0
 	}
 	const bitsPerMegabit, bitsPerByte = 1e6, 8
 	transfer := tokens * f.profile.Activation * bitsPerByte / (f.profile.Pipe * bitsPerMegabit) // seconds
-	return time.Duration(transfer * float64(max(f.daemons, 1)) / linkShare * float64(time.Second))
+	return time.Duration(transfer * float64(max(f.daemons, 1)) / part * float64(time.Second))
 }
 
-// chargeLinks records that a request is sent on a path.
-func (f *Finder) chargeLinks(now time.Time, path *Path) *Path {
-	interval := f.linkTime(path.tokens)
-	for _, state := range f.crossedLinks(now, path.segments) {
-		if state.freeAt.Before(now) {
-			state.freeAt = now
+// chargeLinks records that a request is sent on a path, or sets the time until the links of
+// the path have room for it. A request that is resumed is sent in any case.
+func (f *Finder) chargeLinks(now time.Time, need Need, path *Path) *Path {
+	interval, maxInterval := f.linkTime(path.tokens, linkShare), f.linkTime(path.tokens, maxLinkShare)
+	crossed := f.crossedLinks(now, path.segments)
+	for _, state := range crossed {
+		if wait := later(state.openAt, now).Sub(now) - linkBurst*maxInterval; wait > 0 && !need.IsResumed {
+			path.Wait = max(path.Wait, wait)
 		}
-		state.freeAt = state.freeAt.Add(interval)
+	}
+	if path.Wait > 0 {
+		return path
+	}
+	for _, state := range crossed {
+		state.freeAt = later(state.freeAt, now).Add(interval)
+		state.openAt = later(state.openAt, now).Add(maxInterval)
 	}
 	return path
 }
 
+// linkBurst is the number of requests that a daemon may send over a link ahead of its part.
+const linkBurst = 1
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// detourCrossing returns the cost of crossing a link in a detour, in milliseconds, if it is more
+// than that of decode steps.
+func (f *Finder) detourCrossing(now time.Time, a, b string) float64 {
+	state := f.linkState(now, a, b)
+	switch {
+	case now.Before(state.avoidUntil):
+		return avoidedLinkCost
+	case now.Before(state.freeAt):
+		return min(busyLinkCost+state.freeAt.Sub(now).Seconds()*1e3, avoidedLinkCost)
+	default:
+		return minDetourCrossing
+	}
+}
+
 // ReportLate records that an event of a request is late although all engines of
 // its path are alive. It reports whether the path crosses a link that is avoided
 // now, and returns the links whose avoidance starts now.
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -48,7 +48,10 @@
 	streamBufferSize = 2 << 10
 )
 
-var errNoPath = errors.New("some layers are held by no engine")
+var (
+	errNoPath = errors.New("some layers are held by no engine")
+	errNoRoom = errors.New("the links between data centres have no room")
+)
 
 // streamExchange relays a request to a path of engines, each of which runs some
 // layers of the model.
@@ -67,6 +70,7 @@
 	lastEventAt        time.Time        // time at which the last event was sent to the caller
 	place              *throttler.Place // held until the first event
 	serviceThrottler   *throttler.Throttler
+	linkWait           time.Duration // time until the links have room, if that is why there was no path
 }
 
 // run sends the request until a stream is complete or no further attempt is
@@ -142,7 +146,8 @@
 		if err == nil {
 			return path, nil
 		}
-		if !s.awaitsRest() && (errors.Is(err, errAtLimit) || s.Clock().After(limit)) {
+		isHopeless := errors.Is(err, errAtLimit) || errors.Is(err, errNoRoom) && s.Clock().Add(s.linkWait).After(limit)
+		if !s.awaitsRest() && (isHopeless || s.Clock().After(limit)) {
 			return nil, err
 		}
 		if !waiter.Wait(ctx, pathPollInterval) {
@@ -162,6 +167,9 @@
 			return nil, errors.WithStack(errAtLimit)
 		case !ok:
 			return nil, errors.WithStack(errNoPath)
+		case path.Wait > 0:
+			s.linkWait = path.Wait
+			return nil, errors.WithStack(errNoRoom)
 		case s.acquire(ctx, path.First().Incarnation()):
 			return path, nil
 		}
@@ -173,7 +181,7 @@
 // was sent to as many entry engines as its route allows, it resumes at one of
 // them.
 func (s *streamExchange) need() pathfinder.Need {
-	need := pathfinder.Need{Tokens: s.callerRequest.Prompt + s.expectedOutput(), Avoid: s.failedEntryEngines}
+	need := pathfinder.Need{Tokens: s.callerRequest.Prompt + s.expectedOutput(), Avoid: s.failedEntryEngines, IsResumed: s.eventsSent > 0 || s.callerRequest.LastEventID != ""}
 	if s.entryEngineCount >= s.route.Attempts {
 		need.Avoid, need.Entry = nil, s.entryEngines
 	}
@@ -221,6 +229,9 @@
 	if errors.Is(err, errAtLimit) {
 		return s.refuseAtLimit()
 	}
+	if errors.Is(err, errNoRoom) {
+		return s.throttled(s.linkWait)
+	}
 	return cowslipproxy.Refuse(cowslipproxy.ReasonNoChain, "no engine accepted the request: %v", err).After(overloadRetryAfter)
 }
 
