--- a/pathfinder/links.go
+++ b/pathfinder/links.go
@@ -29,7 +29,7 @@
 	linkShare = 0.5
 	// maxLinkShare is the fraction that new requests may use if there is no other path. Above
 	// it, streams slow down until none is in time.
-	maxLinkShare = 0.9
+	maxLinkShare = 0.8
 	// busyLinkCost is the cost of crossing a link without room, in milliseconds. The time
 	// until it has room is added, so that the load is spread over the links.
 	busyLinkCost = 100.0
