--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	@sed -n 's/^Test/known red: &/p' KNOWN-RED.txt
 	go test -count 1 $(if $(CASES),-skip '$(CASES)') -run 'TestPartThatCrashesEnginesIsQuarantined|TestUpstreamLimitBindsAllDaemons|TestLargeConfigurationReachesEachDaemonInTime|TestEndlessBytesOfUpstreamAreBounded|TestProcessOutlivesEndlessBytesForManyCallers|TestListOfRestoredStoreIsFollowed|TestConfigurationOfRestoredStoreTakesEffect|TestOddEntriesDoNotStopDaemons' ./cowslipd/relay
 	go test -count 1 -run 'TestFailedReadOfReaderKeepsNoRemovedServer|TestRefusedReaderUsesNoRemovedServer|TestReaderThatWasRefusedKeepsNoRemovedServer|TestShareWithoutListKeepsNoRemovedServer|TestDaemonWithEarlierClockIsNamedAgain' ./cowslipd/relay
+	go test -count 1 -run 'TestLeavingEngineWithinPathGetsNoNewRequests|TestRetriesOfOneDaemonUseSharedBudget' ./cowslipd/relay
 	go test -count 1 -run 'TestForgottenDaemonIsNotListedAgain|TestAnswersOmitHalfOfFleetInTime|TestAnswersNameEightDaemons' ./gossiper
 	go test -race -p 3 -parallel 4 -timeout 20m -skip '^($(RED))$$$(if $(CASES),|$(CASES))' $(PACKAGES)
 
