--- /dev/null
+++ b/review/probe/daemon.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"time"
+)
+
+const zone = "oyo-a"
+
+// daemon is a process of the relay, started as the deploy file says.
+type daemon struct {
+	name, callers, ready, directory, peers string
+	command                                *exec.Cmd
+	done                                   chan struct{}
+}
+
+func freeAddress(ip string) string {
+	listener, err := net.Listen("tcp", ip+":0")
+	check(err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+var placeholder = regexp.MustCompile(`\{\{([a-z_.]+)(\|json)?\}\}`)
+
+// render fills in a template of settings, as the platform does.
+func render(template string, fields map[string]any) string {
+	return placeholder.ReplaceAllStringFunc(template, func(text string) string {
+		found := placeholder.FindStringSubmatch(text)
+		value, ok := fields[found[1]]
+		if !ok {
+			check(fmt.Errorf("the template has %s, which is not known here", text))
+		}
+		if found[2] == "" {
+			return fmt.Sprint(value)
+		}
+		data, err := json.Marshal(value)
+		check(err)
+		return string(data)
+	})
+}
+
+// startDaemons starts daemons that have the given store addresses and awaits that they are ready.
+func startDaemons(root, folder string, ips []string, stores []string) (daemons []*daemon) {
+	template, err := os.ReadFile(filepath.Join(root, "deploy", "relay.yaml"))
+	check(err)
+	var seeds []string
+	for i, ip := range ips {
+		d := &daemon{name: fmt.Sprintf("front-%s-%d", zone, i+1), callers: freeAddress(ip), ready: freeAddress(ip), directory: freeAddress(ip), peers: freeAddress(ip), done: make(chan struct{})}
+		seeds = append(seeds, d.peers)
+		daemons = append(daemons, d)
+	}
+	for i, d := range daemons {
+		settings := render(string(template), map[string]any{
+			"node": d.name, "zone": zone, "listen.front": d.callers, "listen.ready": d.ready, "listen.directory": d.directory, "listen.control": d.peers,
+			"platform.address": stores[i], "seeds": seeds[:min(len(seeds), 3)], "bootstrap": true, "bounds.grace_s": graceSeconds, "bounds.budget_window_s": 10,
+			"bounds.retry_budget_ratio": 0.2, "bounds.budget_min_retries": 424, "limits.link_mbps": 700.0, "limits.memory_mb": 206,
+		})
+		file := filepath.Join(folder, d.name+".yaml")
+		check(os.WriteFile(file, []byte(settings), 0o600))
+		d.command = exec.Command("target/cowslipd", "relay")
+		d.command.Dir = root
+		d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + folder, "COWSLIPD_SETTINGS=" + file}
+		logFile, err := os.Create(filepath.Join(folder, d.name+".log"))
+		check(err)
+		d.command.Stdout, d.command.Stderr = logFile, logFile
+		check(d.command.Start())
+		go func() { _ = d.command.Wait(); close(d.done) }() // a killed process is an error here
+	}
+	for _, d := range daemons {
+		d.awaitReady()
+	}
+	return daemons
+}
+
+const graceSeconds = 8
+
+func (d *daemon) awaitReady() {
+	for begin := time.Now(); time.Since(begin) < 20*time.Second; time.Sleep(50 * time.Millisecond) {
+		response, err := http.Get("http://" + d.ready + names["ready"])
+		if err != nil {
+			continue
+		}
+		response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	check(fmt.Errorf("daemon %s is not ready after 20 s", d.name))
+}
+
+// kill ends the process if it still runs.
+func (d *daemon) kill() {
+	if d.command == nil || d.command.Process == nil {
+		return
+	}
+	_ = d.command.Process.Kill() // an error means that it has ended
+	<-d.done
+}
+
+// loopbacks returns loopback addresses for daemons, which all use the same port for operators.
+func loopbacks(count int) (ips []string) {
+	pid := os.Getpid()
+	for i := range count {
+		ips = append(ips, strings.Join([]string{"127", fmt.Sprint(1 + pid/250%250), fmt.Sprint(1 + pid%250), fmt.Sprint(2 + i)}, "."))
+	}
+	return ips
+}
