--- a/review/probe/client.go
+++ b/review/probe/client.go
@@ -18,6 +18,9 @@
 	body   string
 	close  bool // the daemon closes the connection
 	err    error
+
+	server  string // its signature
+	leaving bool   // it says that it leaves
 }
 
 func (a answer) String() string {
@@ -70,6 +73,7 @@
 		return got
 	}
 	got.status, got.body, got.close = response.StatusCode, string(data), response.Close
+	got.server, got.leaving = response.Header.Get(names["signature"]), response.Header.Get(leavingHeader) != ""
 	return got
 }
 
--- /dev/null
+++ b/review/probe/leaving.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+func init() { cases["leaving"] = runLeaving }
+
+const (
+	leavingDaemons = 12
+	leavingCallers = 32 // of each daemon
+	leavingServers = 8
+	leavingCount   = 2 // servers that leave at the same time
+	leavingWork    = 2 * time.Millisecond
+
+	drain         = 2 * time.Second // drain_ms
+	stayTime      = drain + 500*time.Millisecond
+	settleTime    = 600 * time.Millisecond
+	leavingLength = 95 * time.Second
+)
+
+// leaver is a server that says in its entry and in all its answers when it leaves.
+type leaver struct {
+	id      string
+	leaving atomic.Bool
+	ended   chan struct{}
+	stop    func()
+
+	mu   sync.Mutex
+	runs []string // ids of the requests that it ran after it began to leave
+}
+
+func (f *fleet) startLeaver(id string) *leaver {
+	l := &leaver{id: id, ended: make(chan struct{})}
+	var address string
+	address, l.stop = serveHTTP("127.0.0.1", http.HandlerFunc(l.serve))
+	go f.beat(l.ended, id, func() map[string]any {
+		state := "ready"
+		if l.leaving.Load() {
+			state = "draining"
+		}
+		return map[string]any{"service": "ledger", "address": address, "slots": serverSlots, "state": state}
+	})
+	return l
+}
+
+func (l *leaver) serve(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(names["instance"]) != l.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	request, isLeaving := r.Header.Get(names["id"]), l.leaving.Load()
+	if isLeaving {
+		l.mu.Lock()
+		l.runs = append(l.runs, request)
+		l.mu.Unlock()
+	}
+	time.Sleep(leavingWork)
+	w.Header().Set(names["id"], request)
+	w.Header().Set(names["signature"], l.id)
+	if isLeaving {
+		w.Header().Set(leavingHeader, "1")
+	}
+	_, _ = fmt.Fprintf(w, "done %s", request) // fails only if the daemon disconnected
+}
+
+const leavingHeader = "Server-Leaving"
+
+// passedOn holds what the callers of a daemon saw.
+type passedOn struct {
+	mu    sync.Mutex
+	sent  map[string]time.Time // by request
+	first map[string]time.Time // when an answer of a server said that it leaves, by its signature
+}
+
+func (o *passedOn) send(id string, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sent[id] = now
+}
+
+func (o *passedOn) receive(got answer, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.first[got.server]; got.leaving && !ok {
+		o.first[got.server] = now
+	}
+}
+
+// late returns the requests to a server that were sent later than drain_ms after the daemon had
+// passed on an answer that says that the server leaves.
+func (o *passedOn) late(l *leaver) (ids []string, after time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	first, ok := o.first[l.id]
+	if !ok {
+		return nil, 0
+	}
+	for _, id := range l.runs {
+		if sent, ours := o.sent[id]; ours && sent.Sub(first) > drain {
+			ids, after = append(ids, id), max(after, sent.Sub(first))
+		}
+	}
+	return ids, after
+}
+
+// runLeaving lets a quarter of the servers leave at the same time, again and again, and counts
+// the requests that a daemon sends to a leaving server later than drain_ms after it has passed
+// on an answer that says so. Without the disruption, no server leaves.
+func runLeaving(p *probe) (broken bool) {
+	s := newStore()
+	storeAddress, stopStore := s.serve("127.0.0.1")
+	p.onStop(stopStore)
+	f := &fleet{store: s}
+	started := 0
+	start := func() *leaver {
+		started++
+		return f.startLeaver(fmt.Sprintf("i-%d", started))
+	}
+	var servers []*leaver
+	for range leavingServers {
+		servers = append(servers, start())
+	}
+	routes := []route{{name: "fees", prefix: "/fees/", kind: "unsafe", service: "ledger"}}
+	s.put(names["op"], "config", configuration(1, routes, []string{"ledger"}, []tenant{{"clerks", []string{"key"}}}))
+	var stores []string
+	for range leavingDaemons {
+		stores = append(stores, storeAddress)
+	}
+	p.start(loopbacks(leavingDaemons), stores)
+	time.Sleep(4 * time.Second) // until the daemons know each other
+	ended := make(chan struct{})
+	var group sync.WaitGroup
+	var answered, failed atomic.Int64
+	seen := map[*daemon]*passedOn{}
+	for _, d := range p.daemons {
+		o := &passedOn{sent: map[string]time.Time{}, first: map[string]time.Time{}}
+		seen[d] = o
+		for range leavingCallers {
+			group.Go(func() { p.keepPosting(d, o, ended, &answered, &failed) })
+		}
+	}
+	late, rounds := 0, 0
+	for begin := time.Now(); time.Since(begin) < leavingLength; rounds++ {
+		time.Sleep(settleTime)
+		leaving := servers[:leavingCount]
+		if p.trouble {
+			for _, l := range leaving {
+				l.leaving.Store(true)
+			}
+		}
+		time.Sleep(stayTime)
+		for _, l := range leaving {
+			for d, o := range seen {
+				if ids, after := o.late(l); len(ids) > 0 {
+					late += len(ids)
+					p.logf("round %d: %s sent %d requests to the leaving server %s later than drain_ms after it had passed on an answer that says so, the last one %.3f s after; the first of them is %s",
+						rounds, d.name, len(ids), l.id, after.Seconds(), ids[0])
+				}
+			}
+		}
+		if p.trouble {
+			servers = append([]*leaver(nil), servers[leavingCount:]...)
+			for _, l := range leaving {
+				close(l.ended)
+				s.put(names["servers"], l.id, nil)
+				time.AfterFunc(stayTime, l.stop)
+				servers = append(servers, start())
+			}
+		}
+	}
+	close(ended)
+	group.Wait()
+	p.logf("%d rounds with %d daemons; %d requests were answered with success, %d were not; %d requests reached a leaving server too late",
+		rounds, leavingDaemons, answered.Load(), failed.Load(), late)
+	return late > 0
+}
+
+// keepPosting sends requests to a daemon, one after the other on one connection.
+func (p *probe) keepPosting(d *daemon, o *passedOn, ended <-chan struct{}, answered, failed *atomic.Int64) {
+	var c *client
+	for {
+		select {
+		case <-ended:
+			return
+		default:
+		}
+		if c == nil {
+			var err error
+			if c, err = dial(d.callers); err != nil {
+				c = nil
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
+		}
+		id := newID()
+		o.send(id, time.Now())
+		got := c.call(id, http.MethodPost, "/fees/1", "key", "post", time.Second)
+		o.receive(got, time.Now())
+		if got.status == http.StatusOK {
+			answered.Add(1)
+		} else {
+			failed.Add(1)
+		}
+		if got.err != nil || got.close {
+			_ = c.conn.Close() // an error has no effect
+			c = nil
+		}
+	}
+}
--- a/review/probe/server.go
+++ b/review/probe/server.go
@@ -42,7 +42,10 @@
 	born := time.Now().UnixMilli()
 	for sequence := 1; ; sequence++ {
 		entry := fields()
-		entry["zone"], entry["version"], entry["state"], entry["cold_remaining_ms"] = zone, "v1", "ready", 0
+		entry["zone"], entry["version"], entry["cold_remaining_ms"] = zone, "v1", 0
+		if entry["state"] == nil {
+			entry["state"] = "ready"
+		}
 		entry["sequence"], entry["born"] = sequence, born
 		data, err := json.Marshal(entry)
 		if err != nil {
