--- a/review/probe/daemon.go
+++ b/review/probe/daemon.go
@@ -48,11 +48,12 @@
 	})
 }
 
-// startDaemons starts daemons that have the given store addresses and awaits that they are ready.
-func startDaemons(root, folder string, ips []string, stores []string) (daemons []*daemon) {
-	template, err := os.ReadFile(filepath.Join(root, "deploy", "relay.yaml"))
+// start starts daemons that have the given store addresses and awaits that they are ready.
+func (p *probe) start(ips, stores []string) {
+	template, err := os.ReadFile(filepath.Join(p.root, "deploy", "relay.yaml"))
 	check(err)
 	var seeds []string
+	var daemons []*daemon
 	for i, ip := range ips {
 		d := &daemon{name: fmt.Sprintf("front-%s-%d", zone, i+1), callers: freeAddress(ip), ready: freeAddress(ip), directory: freeAddress(ip), peers: freeAddress(ip), done: make(chan struct{})}
 		seeds = append(seeds, d.peers)
@@ -64,21 +65,22 @@
 			"platform.address": stores[i], "seeds": seeds[:min(len(seeds), 3)], "bootstrap": true, "bounds.grace_s": graceSeconds, "bounds.budget_window_s": 10,
 			"bounds.retry_budget_ratio": 0.2, "bounds.budget_min_retries": 424, "limits.link_mbps": 700.0, "limits.memory_mb": 206,
 		})
-		file := filepath.Join(folder, d.name+".yaml")
+		file := filepath.Join(p.folder, d.name+".yaml")
 		check(os.WriteFile(file, []byte(settings), 0o600))
 		d.command = exec.Command("target/cowslipd", "relay")
-		d.command.Dir = root
-		d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + folder, "COWSLIPD_SETTINGS=" + file}
-		logFile, err := os.Create(filepath.Join(folder, d.name+".log"))
+		d.command.Dir = p.root
+		d.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + p.folder, "COWSLIPD_SETTINGS=" + file}
+		logFile, err := os.Create(filepath.Join(p.folder, d.name+".log"))
 		check(err)
 		d.command.Stdout, d.command.Stderr = logFile, logFile
 		check(d.command.Start())
+		p.daemons = append(p.daemons, d)
 		go func() { _ = d.command.Wait(); close(d.done) }() // a killed process is an error here
 	}
 	for _, d := range daemons {
 		d.awaitReady()
 	}
-	return daemons
+	p.logf("%d daemons are ready", len(p.daemons))
 }
 
 const graceSeconds = 8
--- a/review/probe/leaving.go
+++ b/review/probe/leaving.go
@@ -11,15 +11,15 @@
 func init() { cases["leaving"] = runLeaving }
 
 const (
-	leavingDaemons = 12
+	leavingDaemons = 16
 	leavingCallers = 32 // of each daemon
 	leavingServers = 8
 	leavingCount   = 2 // servers that leave at the same time
 	leavingWork    = 2 * time.Millisecond
 
 	drain         = 2 * time.Second // drain_ms
-	stayTime      = drain + 500*time.Millisecond
-	settleTime    = 600 * time.Millisecond
+	stayTime      = drain + 300*time.Millisecond
+	settleTime    = 400 * time.Millisecond
 	leavingLength = 95 * time.Second
 )
 
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -7,8 +7,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -62,11 +64,6 @@
 	_ = os.RemoveAll(p.folder) // what is left is in the system's temporary folder
 }
 
-func (p *probe) start(ips, stores []string) {
-	p.daemons = startDaemons(p.root, p.folder, ips, stores)
-	p.logf("%d daemons are ready", len(p.daemons))
-}
-
 type route struct {
 	name, prefix, kind, service string
 }
@@ -165,6 +162,13 @@
 	p.folder, err = os.MkdirTemp("", "probe")
 	check(err)
 	defer p.end()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		p.end()
+		os.Exit(exitFailed)
+	}()
 	if run(p) {
 		p.logf("RESULT: the rule is broken")
 		return exitBroken
