--- a/review/probe/leaving.go
+++ b/review/probe/leaving.go
@@ -11,11 +11,14 @@
 func init() { cases["leaving"] = runLeaving }
 
 const (
-	leavingDaemons = 16
+	leavingDaemons = 12
 	leavingCallers = 32 // of each daemon
 	leavingServers = 8
-	leavingCount   = 2 // servers that leave at the same time
-	leavingWork    = 2 * time.Millisecond
+	leavingCount   = 2   // servers that leave at the same time
+	otherServers   = 300 // of a service that gets no requests
+	// commitInterval is the time between two commits of a server. An answer waits for the commit
+	// of its request. Servers commit at full multiples of this time.
+	commitInterval = 15 * time.Millisecond
 
 	drain         = 2 * time.Second // drain_ms
 	stayTime      = drain + 300*time.Millisecond
@@ -59,7 +62,9 @@
 		l.runs = append(l.runs, request)
 		l.mu.Unlock()
 	}
-	time.Sleep(leavingWork)
+	now := time.Now()
+	time.Sleep(now.Truncate(commitInterval).Add(commitInterval).Sub(now))
+	isLeaving = l.leaving.Load()
 	w.Header().Set(names["id"], request)
 	w.Header().Set(names["signature"], l.id)
 	if isLeaving {
@@ -127,8 +132,14 @@
 	for range leavingServers {
 		servers = append(servers, start())
 	}
-	routes := []route{{name: "fees", prefix: "/fees/", kind: "unsafe", service: "ledger"}}
-	s.put(names["op"], "config", configuration(1, routes, []string{"ledger"}, []tenant{{"clerks", []string{"key"}}}))
+	for i := range otherServers {
+		p.onStop(f.start("127.0.0.1", "archive", fmt.Sprintf("a-%d", i)))
+	}
+	routes := []route{
+		{name: "archive", prefix: "/archive/", kind: "idempotent", service: "archive"},
+		{name: "fees", prefix: "/fees/", kind: "unsafe", service: "ledger"},
+	}
+	s.put(names["op"], "config", configuration(1, routes, []string{"archive", "ledger"}, []tenant{{"clerks", []string{"key"}}}))
 	var stores []string
 	for range leavingDaemons {
 		stores = append(stores, storeAddress)
