--- a/review/probe/daemon.go
+++ b/review/probe/daemon.go
@@ -22,11 +22,15 @@
 	done                                   chan struct{}
 }
 
-func freeAddress(ip string) string {
-	listener, err := net.Listen("tcp", ip+":0")
-	check(err)
-	defer listener.Close()
-	return listener.Addr().String()
+// freeAddresses returns free addresses with different ports.
+func freeAddresses(ip string, count int) (addresses []string) {
+	for range count {
+		listener, err := net.Listen("tcp", ip+":0")
+		check(err)
+		defer listener.Close() // only once all are known, so that no port is given twice
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
 }
 
 var placeholder = regexp.MustCompile(`\{\{([a-z_.]+)(\|json)?\}\}`)
@@ -55,7 +59,8 @@
 	var seeds []string
 	var daemons []*daemon
 	for i, ip := range ips {
-		d := &daemon{name: fmt.Sprintf("front-%s-%d", zone, i+1), callers: freeAddress(ip), ready: freeAddress(ip), directory: freeAddress(ip), peers: freeAddress(ip), done: make(chan struct{})}
+		free := freeAddresses(ip, 4)
+		d := &daemon{name: fmt.Sprintf("front-%s-%d", zone, i+1), callers: free[0], ready: free[1], directory: free[2], peers: free[3], done: make(chan struct{})}
 		seeds = append(seeds, d.peers)
 		daemons = append(daemons, d)
 	}
@@ -78,14 +83,19 @@
 		go func() { _ = d.command.Wait(); close(d.done) }() // a killed process is an error here
 	}
 	for _, d := range daemons {
-		d.awaitReady()
+		if !d.awaitReady() {
+			log, err := os.ReadFile(filepath.Join(p.folder, d.name+".log"))
+			check(err)
+			p.logf("%s is not ready; the end of its log: %s", d.name, log[max(0, len(log)-4000):])
+			check(fmt.Errorf("daemon %s is not ready after 20 s", d.name))
+		}
 	}
 	p.logf("%d daemons are ready", len(p.daemons))
 }
 
 const graceSeconds = 8
 
-func (d *daemon) awaitReady() {
+func (d *daemon) awaitReady() bool {
 	for begin := time.Now(); time.Since(begin) < 20*time.Second; time.Sleep(50 * time.Millisecond) {
 		response, err := http.Get("http://" + d.ready + names["ready"])
 		if err != nil {
@@ -93,10 +103,10 @@
 		}
 		response.Body.Close()
 		if response.StatusCode == http.StatusOK {
-			return
+			return true
 		}
 	}
-	check(fmt.Errorf("daemon %s is not ready after 20 s", d.name))
+	return false
 }
 
 // kill ends the process if it still runs.
