--- a/review/probe/client.go
+++ b/review/probe/client.go
@@ -48,16 +48,22 @@
 	return &client{conn, bufio.NewReader(conn)}, nil
 }
 
+// request is what a client sends.
+type request struct {
+	id, method, target, key, body string
+	budget                        time.Duration // time budget
+}
+
 // call sends a request and reads the whole answer.
-func (c *client) call(id, method, target, key, body string, budget time.Duration) answer {
+func (c *client) call(r request) answer {
 	var head strings.Builder
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, target, host, names["id"], id, names["deadline"], budget.Milliseconds())
-	if key != "" {
-		fmt.Fprintf(&head, "Authorization: Bearer %s\r\n", key)
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", r.method, r.target, host, names["id"], r.id, names["deadline"], r.budget.Milliseconds())
+	if r.key != "" {
+		fmt.Fprintf(&head, "Authorization: Bearer %s\r\n", r.key)
 	}
-	fmt.Fprintf(&head, "Content-Length: %d\r\n\r\n%s", len(body), body)
-	got := answer{id: id}
-	if got.err = c.conn.SetDeadline(time.Now().Add(budget + time.Second)); got.err != nil {
+	fmt.Fprintf(&head, "Content-Length: %d\r\n\r\n%s", len(r.body), r.body)
+	got := answer{id: r.id}
+	if got.err = c.conn.SetDeadline(time.Now().Add(r.budget + time.Second)); got.err != nil {
 		return got
 	}
 	if _, got.err = io.WriteString(c.conn, head.String()); got.err != nil {
@@ -78,11 +84,11 @@
 }
 
 // callOnce sends a request on a connection of its own.
-func callOnce(address, id, method, target, key, body string, budget time.Duration) answer {
+func callOnce(address string, r request) answer {
 	c, err := dial(address)
 	if err != nil {
-		return answer{id: id, err: err}
+		return answer{id: r.id, err: err}
 	}
 	defer c.conn.Close()
-	return c.call(id, method, target, key, body, budget)
+	return c.call(r)
 }
--- a/review/probe/leaving.go
+++ b/review/probe/leaving.go
@@ -115,25 +115,59 @@
 	return ids, after
 }
 
+// leavingCase is the state of runLeaving.
+type leavingCase struct {
+	*probe
+	fleet            *fleet
+	started          int // number of servers so far
+	servers          []*leaver
+	seen             map[*daemon]*passedOn
+	answered, failed atomic.Int64
+}
+
+func (c *leavingCase) start() {
+	c.started++
+	c.servers = append(c.servers, c.fleet.startLeaver(fmt.Sprintf("i-%d", c.started)))
+}
+
 // runLeaving lets a quarter of the servers leave at the same time, again and again, and counts
 // the requests that a daemon sends to a leaving server later than drain_ms after it has passed
 // on an answer that says so. Without the disruption, no server leaves.
 func runLeaving(p *probe) (broken bool) {
+	c := &leavingCase{probe: p, seen: map[*daemon]*passedOn{}}
+	c.deploy()
+	time.Sleep(4 * time.Second) // until the daemons know each other
+	ended := make(chan struct{})
+	var group sync.WaitGroup
+	for _, d := range p.daemons {
+		o := &passedOn{sent: map[string]time.Time{}, first: map[string]time.Time{}}
+		c.seen[d] = o
+		for range leavingCallers {
+			group.Go(func() { c.keepPosting(d, o, ended) })
+		}
+	}
+	late, rounds := 0, 0
+	for begin := time.Now(); time.Since(begin) < leavingLength; rounds++ {
+		late += c.round(rounds)
+	}
+	close(ended)
+	group.Wait()
+	p.logf("%d rounds with %d daemons; %d requests were answered with success, %d were not; %d requests reached a leaving server too late",
+		rounds, leavingDaemons, c.answered.Load(), c.failed.Load(), late)
+	return late > 0
+}
+
+// deploy starts the store, the servers and the daemons.
+func (c *leavingCase) deploy() {
 	s := newStore()
 	storeAddress, stopStore := s.serve("127.0.0.1")
-	p.onStop(stopStore)
-	f := &fleet{store: s}
-	started := 0
-	start := func() *leaver {
-		started++
-		return f.startLeaver(fmt.Sprintf("i-%d", started))
-	}
-	var servers []*leaver
+	c.onStop(stopStore)
+	c.fleet = &fleet{store: s}
 	for range leavingServers {
-		servers = append(servers, start())
+		c.start()
 	}
 	for i := range otherServers {
-		p.onStop(f.start("127.0.0.1", "archive", fmt.Sprintf("a-%d", i)))
+		c.onStop(c.fleet.start("127.0.0.1", "archive", fmt.Sprintf("a-%d", i)))
 	}
 	routes := []route{
 		{name: "archive", prefix: "/archive/", kind: "idempotent", service: "archive"},
@@ -144,84 +178,79 @@
 	for range leavingDaemons {
 		stores = append(stores, storeAddress)
 	}
-	p.start(loopbacks(leavingDaemons), stores)
-	time.Sleep(4 * time.Second) // until the daemons know each other
-	ended := make(chan struct{})
-	var group sync.WaitGroup
-	var answered, failed atomic.Int64
-	seen := map[*daemon]*passedOn{}
-	for _, d := range p.daemons {
-		o := &passedOn{sent: map[string]time.Time{}, first: map[string]time.Time{}}
-		seen[d] = o
-		for range leavingCallers {
-			group.Go(func() { p.keepPosting(d, o, ended, &answered, &failed) })
-		}
-	}
-	late, rounds := 0, 0
-	for begin := time.Now(); time.Since(begin) < leavingLength; rounds++ {
-		time.Sleep(settleTime)
-		leaving := servers[:leavingCount]
-		if p.trouble {
-			for _, l := range leaving {
-				l.leaving.Store(true)
-			}
-		}
-		time.Sleep(stayTime)
+	c.probe.start(loopbacks(leavingDaemons), stores)
+}
+
+// round lets servers leave and others take their place, and returns the number of requests that
+// reached a leaving server too late.
+func (c *leavingCase) round(number int) (late int) {
+	time.Sleep(settleTime)
+	leaving := c.servers[:leavingCount]
+	if c.trouble {
 		for _, l := range leaving {
-			for d, o := range seen {
-				if ids, after := o.late(l); len(ids) > 0 {
-					late += len(ids)
-					p.logf("round %d: %s sent %d requests to the leaving server %s later than drain_ms after it had passed on an answer that says so, the last one %.3f s after; the first of them is %s",
-						rounds, d.name, len(ids), l.id, after.Seconds(), ids[0])
-				}
-			}
+			l.leaving.Store(true)
 		}
-		if p.trouble {
-			servers = append([]*leaver(nil), servers[leavingCount:]...)
-			for _, l := range leaving {
-				close(l.ended)
-				s.put(names["servers"], l.id, nil)
-				time.AfterFunc(stayTime, l.stop)
-				servers = append(servers, start())
-			}
+	}
+	time.Sleep(stayTime)
+	for _, l := range leaving {
+		late += c.countLate(number, l)
+	}
+	if !c.trouble {
+		return late
+	}
+	c.servers = append([]*leaver(nil), c.servers[leavingCount:]...)
+	for _, l := range leaving {
+		close(l.ended)
+		c.fleet.store.put(names["servers"], l.id, nil)
+		time.AfterFunc(stayTime, l.stop)
+		c.start()
+	}
+	return late
+}
+
+// countLate returns the number of requests that reached a leaving server too late.
+func (c *leavingCase) countLate(round int, l *leaver) (late int) {
+	for d, o := range c.seen {
+		ids, after := o.late(l)
+		if len(ids) == 0 {
+			continue
 		}
+		late += len(ids)
+		c.logf("round %d: %s sent %d requests to the leaving server %s later than drain_ms after it had passed on an answer that says so, the last one %.3f s after; the first of them is %s",
+			round, d.name, len(ids), l.id, after.Seconds(), ids[0])
 	}
-	close(ended)
-	group.Wait()
-	p.logf("%d rounds with %d daemons; %d requests were answered with success, %d were not; %d requests reached a leaving server too late",
-		rounds, leavingDaemons, answered.Load(), failed.Load(), late)
-	return late > 0
+	return late
 }
 
 // keepPosting sends requests to a daemon, one after the other on one connection.
-func (p *probe) keepPosting(d *daemon, o *passedOn, ended <-chan struct{}, answered, failed *atomic.Int64) {
-	var c *client
+func (c *leavingCase) keepPosting(d *daemon, o *passedOn, ended <-chan struct{}) {
+	var channel *client
 	for {
 		select {
 		case <-ended:
 			return
 		default:
 		}
-		if c == nil {
+		if channel == nil {
 			var err error
-			if c, err = dial(d.callers); err != nil {
-				c = nil
+			if channel, err = dial(d.callers); err != nil {
+				channel = nil
 				time.Sleep(50 * time.Millisecond)
 				continue
 			}
 		}
 		id := newID()
 		o.send(id, time.Now())
-		got := c.call(id, http.MethodPost, "/fees/1", "key", "post", time.Second)
+		got := channel.call(request{id, http.MethodPost, "/fees/1", "key", "post", time.Second})
 		o.receive(got, time.Now())
 		if got.status == http.StatusOK {
-			answered.Add(1)
+			c.answered.Add(1)
 		} else {
-			failed.Add(1)
+			c.failed.Add(1)
 		}
 		if got.err != nil || got.close {
-			_ = c.conn.Close() // an error has no effect
-			c = nil
+			_ = channel.conn.Close() // an error has no effect
+			channel = nil
 		}
 	}
 }
--- a/review/probe/silent.go
+++ b/review/probe/silent.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -50,13 +51,7 @@
 	reader := findReader(proxies)
 	silent := time.Now()
 	if p.trouble {
-		process := p.daemons[reader].command.Process
-		check(process.Signal(syscall.SIGSTOP))
-		p.logf("%s, which reads the store for the others, is frozen for %v", p.daemons[reader].name, freezeTime)
-		time.AfterFunc(freezeTime, func() { _ = process.Signal(syscall.SIGCONT) })
-		for i, between := range proxies {
-			p.logf("%d open connections between %s and the store are silent from now on; new ones work", between.silence(), p.daemons[i].name)
-		}
+		p.freezeAndSilence(reader, proxies)
 	}
 	time.Sleep(500 * time.Millisecond)
 	publish(2, "key-kept")
@@ -67,32 +62,47 @@
 		due = inTouch
 	}
 	var group sync.WaitGroup
-	var mu sync.Mutex
-	late := 0
+	var late atomic.Int64
 	for i, d := range p.daemons {
 		if i == reader {
 			continue // it is not in touch
 		}
 		group.Go(func() {
 			for time.Since(acked) < 10*time.Second {
-				id, sent := newID(), time.Now()
-				got := callOnce(d.callers, id, "POST", "/fees/1", withdrawnKey, "post", time.Second)
-				runs := f.runsOf(id)
-				isLate := sent.After(due) && len(runs) > 0
-				p.logf("%s: request %s with the withdrawn key, sent %.3f s after the ack and %.3f s after the connections became silent: %v; runs %d, broken %v",
-					d.name, id, sent.Sub(acked).Seconds(), sent.Sub(silent).Seconds(), got, len(runs), isLate)
-				if isLate {
-					mu.Lock()
-					late++
-					mu.Unlock()
+				sent := time.Now()
+				ran := p.postWithdrawn(f, d, sent.Sub(acked), sent.Sub(silent))
+				if ran && sent.After(due) {
+					late.Add(1)
 				}
 				time.Sleep(100 * time.Millisecond)
 			}
 		})
 	}
 	group.Wait()
-	p.logf("%d requests with the withdrawn key ran that were sent to daemons in touch later than config_apply_ms after the ack", late)
-	return late > 0
+	p.logf("%d requests with the withdrawn key ran that were sent to daemons in touch later than config_apply_ms after the ack", late.Load())
+	return late.Load() > 0
+}
+
+// postWithdrawn sends a request with the withdrawn key, some time after the ack and after the
+// connections became silent, and reports whether it ran.
+func (p *probe) postWithdrawn(f *fleet, d *daemon, afterAck, afterSilence time.Duration) (ran bool) {
+	id := newID()
+	got := callOnce(d.callers, request{id, "POST", "/fees/1", withdrawnKey, "post", time.Second})
+	runs := f.runsOf(id)
+	p.logf("%s: request %s with the withdrawn key, sent %.3f s after the ack and %.3f s after the connections became silent: %v; runs %d",
+		d.name, id, afterAck.Seconds(), afterSilence.Seconds(), got, len(runs))
+	return len(runs) > 0
+}
+
+// freezeAndSilence freezes a daemon and makes the open connections to the store silent.
+func (p *probe) freezeAndSilence(reader int, proxies []*proxy) {
+	process := p.daemons[reader].command.Process
+	check(process.Signal(syscall.SIGSTOP))
+	p.logf("%s, which reads the store for the others, is frozen for %v", p.daemons[reader].name, freezeTime)
+	time.AfterFunc(freezeTime, func() { _ = process.Signal(syscall.SIGCONT) })
+	for i, between := range proxies {
+		p.logf("%d open connections between %s and the store are silent from now on; new ones work", between.silence(), p.daemons[i].name)
+	}
 }
 
 // findReader returns the index of the daemon that calls the store most.
--- a/review/probe/slashes.go
+++ b/review/probe/slashes.go
@@ -28,7 +28,7 @@
 	changed := 0
 	for _, target := range targets {
 		id := newID()
-		got := callOnce(p.daemons[0].callers, id, "POST", target, "key", "post", time.Second)
+		got := callOnce(p.daemons[0].callers, request{id, "POST", target, "key", "post", time.Second})
 		p.logf("sent %s: POST %s, Host %s: %v", id, target, host, got)
 		for _, r := range f.runsOf(id) {
 			isChanged := r.line != "POST "+target || r.host != host
--- a/review/probe/tenants.go
+++ b/review/probe/tenants.go
@@ -49,7 +49,7 @@
 // post sends a request to a daemon and reports whether it ran.
 func (p *probe) post(f *fleet, at int, key string) (ran bool) {
 	id := newID()
-	got := callOnce(p.daemons[at].callers, id, http.MethodPost, "/fees/1", key, "post", time.Second)
+	got := callOnce(p.daemons[at].callers, request{id, http.MethodPost, "/fees/1", key, "post", time.Second})
 	runs := f.runsOf(id)
 	p.logf("%s: request %s with the key %q: %v; runs %d", p.daemons[at].name, id, key, got, len(runs))
 	return len(runs) > 0
--- a/review/probe/terms.go
+++ b/review/probe/terms.go
@@ -96,7 +96,7 @@
 		return false, false
 	}
 	id, sent := newID(), time.Now()
-	got := c.client.call(id, "POST", "/letters/1", "key", "post", 20*time.Second)
+	got := c.client.call(request{id, "POST", "/letters/1", "key", "post", 20 * time.Second})
 	runs := c.fleet.runsOf(id)
 	if got.err != nil || got.status != http.StatusOK {
 		c.p.logf("request %s to %s, sent at %.3f: %v; runs %d", id, c.address, sent.Sub(c.p.begin).Seconds(), got, len(runs))
