estimator, pacer, pathfinder, relayer: avoid slow engines and limit the moves of streams

Cause: an engine that runs 12 times slower keeps its part of the requests, since a daemon sees only the time of whole paths; and all streams that lose an engine move at once, share the prefill of the substitutes, and most continue only after their callers have left. Change: late streams are evidence against the engines of their paths; those with the most evidence are asked for their state, whose pace decides. Slowdowns travel with the shares and are announced at once. Slow engines get no new work while the others suffice, and streams leave them if that saves time. Ruled out: one query at a time with a backoff (the last of 13 slow engines found after 7.3 s); counting requests on slow engines as load in the throttler.

--- a/cowslipd/relay/apply.go
+++ b/cowslipd/relay/apply.go
@@ -93,6 +93,7 @@
 	if m := d.matcher.Load(); m != nil {
 		d.pools.set(m.RelayConfiguration, instances)
 	}
+	d.speeds.retain(instances)
 	d.announceReady()
 }
 
--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -23,6 +23,7 @@
 	name := d.Settings.Name + "." + strconv.FormatUint(rand.Uint64()>>32, 36)
 	d.owner = cowslipproxy.Owner{Name: name[max(0, len(name)-maxNameLength):], Incarnation: uint64(start.UnixNano())}
 	d.limits.build(d)
+	d.speeds.build(d)
 	d.pools = pools{centre: d.Settings.Centre, settings: d.Settings}
 	d.gossiper = &gossiper.Gossiper{
 		Self:     d.owner,
@@ -54,6 +55,7 @@
 		Memory:     &allocator.Allocator{Limit: d.Settings.MemoryBytes() * messagePercent / 100},
 		Quarantine: d.quarantine.Quarantiner,
 		Limits:     &d.limits,
+		Speeds:     &d.speeds,
 		Stopping:   d.stopping.Load,
 		Rejecting:  d.rejecting,
 		Ending:     d.ending,
--- a/cowslipd/relay/members.go
+++ b/cowslipd/relay/members.go
@@ -67,6 +67,7 @@
 	}
 	d.sharing.setMembers(d.owner, d.Settings.Centre, live)
 	d.pools.setDaemons(now, len(live))
+	d.speeds.SetDaemons(len(live))
 	var keys []string
 	for _, member := range live {
 		keys = append(keys, member.Key())
--- a/cowslipd/relay/pools.go
+++ b/cowslipd/relay/pools.go
@@ -10,6 +10,7 @@
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/loader"
+	"github.com/cowslipproxy/cowslipproxy/pacer"
 	"github.com/cowslipproxy/cowslipproxy/pathfinder"
 	"github.com/cowslipproxy/cowslipproxy/picker"
 	"github.com/cowslipproxy/cowslipproxy/retrier"
@@ -29,6 +30,7 @@
 	finders    map[string]*pathfinder.Finder
 	budgets    map[string]*retrier.Retrier
 	throttlers map[string]*throttler.Throttler
+	pacers     map[string]*pacer.Pacer
 }
 
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
@@ -78,6 +80,13 @@
 	}
 }
 
+// setSlowdowns sets the factors by which engines run slower than their profile, by incarnation.
+func (p *pools) setSlowdowns(slowdowns map[string]float64) {
+	for _, finder := range p.allFinders() {
+		finder.SetSlowdowns(slowdowns)
+	}
+}
+
 // allFinders returns the finders of all services.
 func (p *pools) allFinders() []*pathfinder.Finder {
 	p.mu.Lock()
@@ -106,6 +115,11 @@
 	return getOrCreate(p, &p.throttlers, service, func() *throttler.Throttler { return &throttler.Throttler{} })
 }
 
+// Pacer implements relayer.Upstreams.
+func (p *pools) Pacer(service string) *pacer.Pacer {
+	return getOrCreate(p, &p.pacers, service, func() *pacer.Pacer { return &pacer.Pacer{} })
+}
+
 // Budget implements relayer.Upstreams. Each daemon may make retries in proportion to its
 // own requests. Those that are allowed at any load are shared, see limits.Retry.
 func (p *pools) Budget(service string) *retrier.Retrier {
--- a/cowslipd/relay/share.go
+++ b/cowslipd/relay/share.go
@@ -64,7 +64,7 @@
 	s := &d.sharing
 	listVersion := d.registrar.Version()
 	share := sharer.Share{
-		From: d.owner.Name, Age: now.Sub(s.list.knownAt()), ListPosition: s.list.position, ListVersion: listVersion, Loads: loads,
+		From: d.owner.Name, Age: now.Sub(s.list.knownAt()), ListPosition: s.list.position, ListVersion: listVersion, Loads: loads, Speeds: d.speeds.Speeds(now),
 		ConfigurationVersion: d.configurationVersion(), ConfigurationAge: now.Sub(s.configuration.knownAt()), ConfigurationPosition: s.configuration.position,
 	}
 	if heldListVersion, ok := s.heldListVersion[member.Name]; member.Centre == d.Settings.Centre && ok && heldListVersion != listVersion {
@@ -93,6 +93,7 @@
 		return false
 	}
 	s.loads.Put(d.Clock(), member.Name, reply.Loads)
+	d.speeds.merge(d.Clock(), reply.Speeds)
 	s.heldListVersion[member.Name] = 0
 	if reply.Reader == d.owner.Name {
 		s.heldListVersion[member.Name] = reply.ListVersion
@@ -145,7 +146,7 @@
 		d.updateInstances(changed)
 	}
 	s.mu.Lock()
-	reply := sharer.Reply{Reader: s.listSource, ListVersion: s.listVersion, ListPosition: s.list.position, ConfigurationVersion: d.configurationVersion()}
+	reply := sharer.Reply{Speeds: d.speeds.Speeds(now), Reader: s.listSource, ListVersion: s.listVersion, ListPosition: s.list.position, ConfigurationVersion: d.configurationVersion()}
 	s.mu.Unlock()
 	if share.RequestList {
 		reply.Age, reply.ConfigurationAge = s.ages(now)
@@ -158,7 +159,7 @@
 		d.pools.setOtherLoads(s.loads.Sum(now, d.owner.Name))
 		reply.Loads = s.loads.Sum(now, share.From)
 	}
-	if accepted {
+	if d.speeds.merge(now, share.Speeds) || accepted {
 		d.share(context.Background())
 	}
 	if sender.Peer.IsValid() && d.recordAnnouncement(share.ConfigurationVersion, sender.Peer) {
--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -47,7 +47,10 @@
 	listed         []*engine // the same engines, in the order given to Set
 	flows          []flow
 	plannedAt      time.Time           // when Choose last planned the flows
-	plannedWithout []*engine           // suspect engines that Choose left out of the plan
+	plannedWithout []*engine           // suspect and slow engines that Choose left out of the plan
+	slowdowns      map[string]float64  // of slow engines, by incarnation
+	speedsChanged  bool                // since the flows were planned
+	needsSlow      bool                // the other engines do not suffice, so that slow ones get work too
 	plannedLinkUse map[link]float64    // planned use of each link, as a fraction of its bandwidth
 	links          map[link]*linkState // as observed by requests that crossed them
 }
@@ -61,6 +64,7 @@
 	suspectUntil time.Time // gets no new work before this time
 	fullUntil    time.Time // gets less new work before this time
 	refusals     int       // refusals since it last ran work
+	slowdown     float64   // factor by which it runs slower than its profile; 0 if not known to be slow
 }
 
 // use returns the memory that requests are known to occupy, in tokens x layers.
@@ -110,7 +114,9 @@
 		f.engines[instance.ID] = e
 		f.listed = append(f.listed, e)
 	}
+	f.applySlowdowns()
 	f.flows, f.plannedAt, f.plannedWithout = f.planFlows(f.listed), time.Time{}, nil
+	f.speedsChanged = len(f.slowdowns) > 0 // the plan has all engines, at their speeds
 }
 
 // KVCapacity returns the KV cache capacity, in tokens x layers, of an engine that
@@ -139,7 +145,7 @@
 	}
 	for i, found := 0, 0; i < len(f.flows) && found < maxCandidates; i++ {
 		candidate := &f.flows[(start+i*flowStride)%len(f.flows)]
-		if !usable(now, candidate, need) || f.crossesAvoided(now, candidate.segments) || !need.mayStartAt(candidate.segments[0].engine) {
+		if !f.usable(now, candidate, need) || f.crossesAvoided(now, candidate.segments) || !need.mayStartAt(candidate.segments[0].engine) {
 			continue
 		}
 		found++
@@ -171,9 +177,9 @@
 	return (len(n.Entry) == 0 || slices.Contains(n.Entry, e.ID)) && !slices.Contains(n.AtLimit, e.ID)
 }
 
-func usable(now time.Time, candidate *flow, need Need) bool {
+func (f *Finder) usable(now time.Time, candidate *flow, need Need) bool {
 	for _, segment := range candidate.segments {
-		if now.Before(segment.engine.suspectUntil) || slices.Contains(need.Avoid, segment.engine.ID) {
+		if f.isAvoidedEngine(now, segment.engine) || slices.Contains(need.Avoid, segment.engine.ID) {
 			return false
 		}
 	}
@@ -206,6 +212,7 @@
 // avoided, unless there are engines that accept requests again soon.
 func (f *Finder) detour(now time.Time, need Need) []segment {
 	for _, accept := range []func(e *engine) bool{
+		func(e *engine) bool { return !f.isAvoidedEngine(now, e) && !slices.Contains(need.Avoid, e.ID) },
 		func(e *engine) bool { return !now.Before(e.suspectUntil) && !slices.Contains(need.Avoid, e.ID) },
 		func(e *engine) bool { return !slices.Contains(need.Avoid, e.ID) },
 		func(*engine) bool { return true },
--- a/pathfinder/flows.go
+++ b/pathfinder/flows.go
@@ -136,25 +136,24 @@
 	}
 	interrupted := 0
 	for i := range f.flows {
-		if !usable(now, &f.flows[i], Need{}) {
+		if !f.usable(now, &f.flows[i], Need{}) {
 			interrupted++
 		}
 	}
-	isSuspect := func(e *engine) bool { return now.Before(e.suspectUntil) }
 	var trusted, suspects []*engine
 	for _, e := range f.listed {
-		if isSuspect(e) {
+		if f.isAvoidedEngine(now, e) {
 			suspects = append(suspects, e)
 		} else {
 			trusted = append(trusted, e)
 		}
 	}
 	isInterrupted := float64(interrupted) > replanLoss*float64(len(f.flows))
-	hasRecovered := len(f.plannedWithout) > 0 && !slices.ContainsFunc(f.plannedWithout, isSuspect)
-	if !isInterrupted && !hasRecovered {
+	hasRecovered := len(f.plannedWithout) > 0 && !slices.ContainsFunc(f.plannedWithout, func(e *engine) bool { return f.isAvoidedEngine(now, e) })
+	if !isInterrupted && !hasRecovered && !f.speedsChanged {
 		return
 	}
-	f.plannedAt = now
+	f.plannedAt, f.speedsChanged = now, false
 	if flows := f.planFlows(trusted); flows != nil {
 		f.flows, f.plannedWithout = flows, suspects
 	}
@@ -228,13 +227,17 @@
 // layerCost returns the cost of running one layer on an engine, in
 // milliseconds.
 func (f *Finder) layerCost(e *engine, load float64) float64 {
+	requestShare := float64(f.profile.Prompt+f.profile.Answer+1) / e.memory // fraction of e.memory that a layer of a typical request uses
+	return f.decodeTime(e) + memoryCost*requestShare*math.Exp(loadExponent*load)
+}
+
+// decodeTime returns the time of a decode step through one layer of an engine, in milliseconds.
+func (f *Finder) decodeTime(e *engine) float64 {
 	pace := f.profile.Kinds[e.Kind].Pace
 	if pace <= 0 {
 		pace = 1
 	}
-	decode := pace * float64(f.profile.Step.Microseconds()) / 1000 / float64(f.profile.Layers)
-	requestShare := float64(f.profile.Prompt+f.profile.Answer+1) / e.memory // fraction of e.memory that a layer of a typical request uses
-	return decode + memoryCost*requestShare*math.Exp(loadExponent*load)
+	return max(e.slowdown, 1) * pace * float64(f.profile.Step.Microseconds()) / 1000 / float64(f.profile.Layers)
 }
 
 // searchGrid holds the axes of the search table and the costs between data
--- a/pathfinder/reroute.go
+++ b/pathfinder/reroute.go
@@ -22,8 +22,8 @@
 		return nil, false
 	}
 	for _, accept := range []func(e *engine) bool{
-		func(e *engine) bool { return !now.Before(e.suspectUntil) && !now.Before(e.fullUntil) },
-		func(e *engine) bool { return !now.Before(e.suspectUntil) },
+		func(e *engine) bool { return !f.isAvoidedEngine(now, e) && !now.Before(e.fullUntil) },
+		func(e *engine) bool { return !f.isAvoidedEngine(now, e) },
 	} {
 		var usable []*engine
 		for _, e := range f.listed {
@@ -101,5 +101,6 @@
 	kind := f.profile.Kinds[e.Kind]
 	steps := math.Ceil(tokens/float64(max(f.profile.Chunk, 1))) * float64(max(f.profile.Stride, 1))
 	stepTime := float64(f.profile.Step.Microseconds()) / second
-	return (second*tokens*kind.Read/max(f.profile.Reading, 1) + steps*stepTime*kind.Pace) / float64(max(f.profile.Layers, 1))
+	slowdown := max(e.slowdown, 1)
+	return slowdown * (second*tokens*kind.Read/max(f.profile.Reading, 1) + steps*stepTime*kind.Pace) / float64(max(f.profile.Layers, 1))
 }
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -20,6 +20,7 @@
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/allocator"
 	"github.com/cowslipproxy/cowslipproxy/matcher"
+	"github.com/cowslipproxy/cowslipproxy/pacer"
 	"github.com/cowslipproxy/cowslipproxy/pathfinder"
 	"github.com/cowslipproxy/cowslipproxy/picker"
 	"github.com/cowslipproxy/cowslipproxy/quarantiner"
@@ -51,6 +52,17 @@
 	Finder(service string) *pathfinder.Finder
 	Budget(service string) *retrier.Retrier
 	Throttler(service string) *throttler.Throttler
+	Pacer(service string) *pacer.Pacer
+}
+
+// Speeds records what streams and reports show of the speed of engines.
+type Speeds interface {
+	// RecordLate records that an event of a stream on the path is late.
+	RecordLate(ctx context.Context, now time.Time, path []cowslipproxy.Hop)
+	// RecordInTime records that the events of a stream on the path are in time.
+	RecordInTime(now time.Time, path []cowslipproxy.Hop)
+	// RecordReport records what an engine reported to this daemon.
+	RecordReport(ctx context.Context, now time.Time, incarnation string, state cowslipproxy.EngineState)
 }
 
 // Server relays requests. Its exported fields are set before the first use.
@@ -63,6 +75,7 @@
 	Memory     *allocator.Allocator // for the bodies of requests and replies
 	Quarantine *quarantiner.Quarantiner
 	Limits     Limits
+	Speeds     Speeds
 	Stopping   func() bool     // whether to close connections after the reply, so that callers connect elsewhere
 	Rejecting  context.Context // done when requests that no upstream has got are refused
 	Ending     context.Context // done when requests in flight get their final answer, because the daemon ends
--- a/relayer/state_cache.go
+++ b/relayer/state_cache.go
@@ -58,6 +58,9 @@
 			if query.state, query.err = server.Engines.State(ctx, engine); query.state.Leaving {
 				server.Limits.Leaving(engine.Incarnation())
 			}
+			if query.err == nil {
+				server.Speeds.RecordReport(ctx, server.Clock(), engine.Incarnation(), query.state)
+			}
 		}()
 	}
 	c.mu.Unlock()
--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -4,12 +4,14 @@
 	"context"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/pacer"
 	"github.com/cowslipproxy/cowslipproxy/pathfinder"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
@@ -23,6 +25,8 @@
 	// stallTimeout is the longest time without an event before an attempt is
 	// aborted. Callers disconnect after 2 s.
 	stallTimeout = 1400 * time.Millisecond
+	// callerPatience is the time without an event after which callers disconnect, at the shortest.
+	callerPatience = 2 * time.Second
 	// maxRerouteTries bounds how often a path is rerouted before the request is
 	// sent again. Each time, another engine of the path may refuse the new path.
 	maxRerouteTries = 3
@@ -32,8 +36,9 @@
 )
 
 var (
-	errStalled  = errors.New("no event received before the stall timeout")
-	errSlowLink = errors.New("no event received in time over a slow link")
+	errStalled    = errors.New("no event received before the stall timeout")
+	errSlowEngine = errors.New("no event received in time from a slow engine")
+	errSlowLink   = errors.New("no event received in time over a slow link")
 )
 
 // streamAttempt is one attempt to run a streamed request on a path of engines.
@@ -54,6 +59,7 @@
 	stalled      bool      // another engine of the path failed
 	timer        *time.Timer
 	ended        bool
+	move         *pacer.Move // of the stream to other engines; nil unless engines of its path failed
 
 	verifyTimer *time.Timer // ends an attempt that should verify the end of the answer and gets no event; else nil
 }
@@ -80,6 +86,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ended = true
+	if a.move != nil {
+		a.pacer().Leave(a.Clock(), a.move)
+	}
 	a.finder.End(a.path)
 }
 
@@ -87,7 +96,12 @@
 func (a *streamAttempt) recordEvent() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.lastProgress = a.Clock()
+	now, previous := a.Clock(), a.lastProgress
+	if a.move != nil {
+		a.pacer().Continued(now, a.move)
+		a.move = nil
+	}
+	a.lastProgress = now
 	if a.received++; a.received == 1 {
 		a.firstEventAt = a.lastProgress
 		a.finder.ReportAccepted(a.path)
@@ -95,6 +109,9 @@
 			a.finder.ReportOnTime(a.lastProgress, a.path)
 		}
 	}
+	if a.received%inTimeInterval == 1 && now.Sub(previous) < a.lateAfter() {
+		a.Speeds.RecordInTime(now, a.path.Hops)
+	}
 	if !a.survived && a.lastProgress.Sub(a.firstEventAt) >= survivalTime {
 		a.survived = true
 		a.Quarantine.Survived(a.lastProgress, a.fingerprints)
@@ -102,6 +119,18 @@
 	a.timer.Reset(a.stallCheckDelay(a.received))
 }
 
+// inTimeInterval is the number of events between two records of a stream in time.
+const inTimeInterval = 8
+
+// lateAfter returns the time after which the event that was received last is late. The caller holds
+// the lock.
+func (a *streamAttempt) lateAfter() time.Duration {
+	if a.received == 1 {
+		return a.route.Target
+	}
+	return a.route.Pause
+}
+
 // stallCheckDelay returns the time without an event after which the first
 // engine is asked whether the request is stalled.
 func (a *streamAttempt) stallCheckDelay(received int) time.Duration {
@@ -132,6 +161,10 @@
 			a.finder.ReportFailure(now, engine)
 		}
 		a.recordStall(path, failedEngines)
+		if idle < stallTimeout && !a.mayMove(now) {
+			a.rearm(lastProgress, stallTimeout-idle)
+			return
+		}
 		if a.reroutePath(path, failedEngines) {
 			return
 		}
@@ -144,6 +177,9 @@
 		a.abort(lastProgress, errStalled)
 	case idle >= stallTimeout:
 		a.abort(lastProgress, errStalled)
+	case a.leaveSlowEngines(now, path):
+	case received == 0 && a.isFirstSlow(path):
+		a.abort(lastProgress, errSlowEngine)
 	case a.recordLate(now, path) && received == 0:
 		a.abort(lastProgress, errSlowLink)
 	default:
@@ -151,6 +187,24 @@
 	}
 }
 
+// mayMove reports whether the stream may be moved to other engines now. If not, checkStall runs
+// again when it may.
+func (a *streamAttempt) mayMove(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		return false
+	}
+	if a.move != nil {
+		return a.pacer().IsAdmitted(a.move)
+	}
+	var admitted bool
+	a.move, admitted = a.pacer().Enter(now, max(a.priority, 0), a.lastProgress.Add(callerPatience), func() { a.timer.Reset(0) })
+	return admitted
+}
+
+func (a *streamAttempt) pacer() *pacer.Pacer { return a.Upstreams.Pacer(a.service.Name) }
+
 // abort ends the attempt if the request may be sent again. Otherwise it keeps
 // waiting, since a silent engine may still continue the stream, while a
 // cancelled stream is lost.
@@ -178,9 +232,30 @@
 	return a.retryGranted && !a.ended
 }
 
+// leaveSlowEngines replaces the slow engines of the path if the rest of the answer takes longer on
+// them than the move, and reports whether the request continues on the new path.
+func (a *streamAttempt) leaveSlowEngines(now time.Time, path *pathfinder.Path) bool {
+	slow := a.finder.EnginesToLeave(path, a.expectedOutput()-a.eventsSent)
+	if len(slow) == 0 {
+		return false
+	}
+	a.serviceThrottler.Exclude(a.place)
+	return a.mayMove(now) && a.reroutePath(path, slow)
+}
+
+// isFirstSlow reports whether the first engine of a path, which can't be replaced, is slow.
+func (a *streamAttempt) isFirstSlow(path *pathfinder.Path) bool {
+	return slices.Contains(a.finder.SlowEngines(path), path.First().Address)
+}
+
 // recordLate records that no event arrived in time although all engines of the
 // path are alive, and reports whether a link on the path is now avoided.
 func (a *streamAttempt) recordLate(now time.Time, path *pathfinder.Path) bool {
+	if len(a.finder.SlowEngines(path)) > 0 {
+		a.serviceThrottler.Exclude(a.place)
+		return false // which explains the delay without the links
+	}
+	a.Speeds.RecordLate(a.ctx, now, path.Hops)
 	avoided, newlyAvoided := a.finder.ReportLate(now, path)
 	for _, link := range newlyAvoided {
 		reporter.EventLinkAvoided.Log(a.ctx, a.Logger, slog.String("request", a.callerRequest.ID), slog.Any("centres", link.Centres),
--- a/relays.go
+++ b/relays.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // RelayRequest is a caller's request that is relayed to an upstream as a whole.
@@ -98,6 +100,22 @@
 	Stalled  []Stall
 	Leaving  bool    // the engine will stop soon and wants no new requests
 	Memory   float64 // fraction of the KV cache that can't be freed for other requests
+	Slowdown float64 // factor by which the engine runs slower than its profile; 0 if it reports none
+}
+
+// EngineSpeed is the slowdown that an engine reported.
+type EngineSpeed struct {
+	Incarnation string        `json:"engine"`
+	Slowdown    float64       `json:"slowdown"`
+	Age         time.Duration `json:"age"` // of the report
+}
+
+// Check reports the first invalid field.
+func (s EngineSpeed) Check() error {
+	if s.Incarnation == "" || s.Age < 0 || !(s.Slowdown > 0) {
+		return errors.Errorf("engine %q, slowdown %v, age %v: want an engine, a slowdown above 0 and an age of at least 0", s.Incarnation, s.Slowdown, s.Age)
+	}
+	return nil
 }
 
 // Stall is a request that waits for another engine of its path.
--- a/reporter/events_relay.go
+++ b/reporter/events_relay.go
@@ -30,5 +30,6 @@
 	EventUpstreamHeld         = newEvent(924, slog.LevelInfo, "upstream wants no request for some time", "An upstream refused a request and named a time. This daemon sends it no request until then.")
 	EventUpstreamLeaving      = newEvent(925, slog.LevelInfo, "upstream states that it is leaving", "An upstream stated in a reply that it is leaving, before the list did. It gets no new requests from this daemon.")
 	EventRemovalsDeferred     = newEvent(926, slog.LevelInfo, "removals of upstreams deferred", "The list has dropped upstreams after an outage in which entries of live servers may have expired. They stay in use for up to 2 s, unless they register again. The event has their number, the time since the list was last known to be current, and whether the store was restored from an older copy.")
+	EventEngineSpeedChanged   = newEvent(934, slog.LevelWarn, "speed of an engine changed", "An engine reported that it runs slower than its kind by the factor in the event, or at its usual speed again. A slow engine gets no new work while the others suffice. The event has the age of the report and the number of late streams that led to it on this daemon, decayed; 0 if another daemon queried the engine.")
 	EventReloaded             = newEvent(910, slog.LevelInfo, "settings reloaded", "The settings file changed or the daemon received SIGHUP.")
 )
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -54,6 +54,7 @@
 	admitted bool
 	started  time.Time // when it was first sent to an engine
 	ended    bool
+	excluded bool
 }
 
 // Bounds are the latency limits that a route sets for its requests.
@@ -106,6 +107,14 @@
 	}
 }
 
+// Exclude excludes a request from the estimate of the load, since its time to the first event has a
+// known cause other than load.
+func (t *Throttler) Exclude(place *Place) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	place.excluded = true
+}
+
 // FirstEvent records the first event of a request.
 func (t *Throttler) FirstEvent(now time.Time, bounds Bounds, place *Place) {
 	t.mu.Lock()
@@ -113,6 +122,10 @@
 	if !t.end(place) {
 		return
 	}
+	if place.excluded {
+		t.admitQueued()
+		return
+	}
 	elapsed := now.Sub(place.started)
 	if t.meanFirstEvent == 0 {
 		t.meanFirstEvent = elapsed.Seconds()
@@ -139,7 +152,7 @@
 	if !t.end(place) {
 		return
 	}
-	if !place.started.IsZero() && now.Sub(place.started) > bounds.FirstEventTarget {
+	if !place.excluded && !place.started.IsZero() && now.Sub(place.started) > bounds.FirstEventTarget {
 		t.lowerLimit(now, bounds)
 	}
 	t.admitQueued()
