relay: reject OPTIONS * instead of answering it

Cause: http.Server answers "OPTIONS *" with 200 before its handler, so that a caller got a success that no upstream gave.

Change: the general options handler of net/http is disabled; the dialect rejects the target with 400, as it does with other methods.

Measured: go test ./cowslipd/relay -run TestTargetWithoutPathIsRejected.

--- a/cowslipd/relay/forwarding_test.go
+++ b/cowslipd/relay/forwarding_test.go
@@ -115,6 +115,24 @@
 	require.Equal(t, http.StatusOK, d.send(d.daemons[0], call{path: feesPath + "1"}).status)
 }
 
+// Guards against a success that no upstream gave: net/http answers "OPTIONS *" by default.
+func TestTargetWithoutPathIsRejected(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	for _, method := range []string{http.MethodOptions, http.MethodGet} {
+		conn, err := net.Dial("tcp", d.daemons[0].settings.Callers.String())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, method+" * HTTP/1.1\r\nHost: "+host+"\r\nX-Request-Id: asterisk\r\nConnection: close\r\nAuthorization: Bearer "+apiKey+"\r\n\r\n")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		response.Body.Close()
+		conn.Close()
+		require.Equal(t, http.StatusBadRequest, response.StatusCode, method)
+	}
+	require.Empty(t, d.fleet.RunsOf("asterisk"))
+}
+
 // Guards against a connection reset instead of a refusal, due to an unread body.
 func TestRefusalsReachCallersThatCloseTheirConnections(t *testing.T) {
 	t.Parallel()
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -232,7 +232,8 @@
 func (d *Daemon) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: resetter.Handler(handler), ConnContext: resetter.SaveConn, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(d.Logger.Handler(), slog.LevelDebug),
+		DisableGeneralOptionsHandler: true, // it would answer "OPTIONS *" with 200 without the handler
+		ErrorLog:                     slog.NewLogLogger(d.Logger.Handler(), slog.LevelDebug),
 	}
 }
 
