cowslipd: complete a stop regardless of further signals

Cause: signal handling was reset with the first SIGTERM, so that a second one ended the process and cut off the requests that it was completing. The daemon without subcommand did not catch SIGHUP at all.

Change: the process catches SIGTERM, SIGINT and SIGHUP until it exits, and only the first one that stops it has an effect.

--- a/cowslipd/main.go
+++ b/cowslipd/main.go
@@ -2,12 +2,10 @@
 package main
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
 	"syscall"
 	"time"
 
@@ -39,9 +37,8 @@
 		fmt.Fprintln(os.Stderr, "cowslipd: settings:", err)
 		os.Exit(exitUsage)
 	}
-	// The first signal starts a planned stop; the second one terminates the process.
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	context.AfterFunc(ctx, stop)
+	// SIGHUP is caught too, since it would terminate the process during a planned stop.
+	ctx := untilSignal(os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	daemon := &router.Router{
 		Settings: settings,
 		Clock:    time.Now,
--- a/cowslipd/relay.go
+++ b/cowslipd/relay.go
@@ -41,8 +41,9 @@
 	if settings, err = loader.LoadRelay(*file); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	context.AfterFunc(ctx, stop) // a second signal terminates the process
+	ctx := untilSignal(os.Interrupt, syscall.SIGTERM)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	debug.SetMemoryLimit(settings.MemoryBytes() * heapPercent / 100)
 	logWriter := &reporter.Writer{Out: os.Stdout}
 	writerCtx, flush := context.WithCancel(context.Background())
@@ -55,8 +56,6 @@
 		flush()
 		<-writerDone
 	}()
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
 	daemon := &relay.Daemon{
 		SettingsFile: *file,
 		Hangup:       hangup,
