relay: do not reload settings during a stop

Cause: SIGHUP, or a change of the settings file, put a shorter grace time in force during a stop, which then ended requests before the grace time with which it began.

Change: reloading ends when a stop begins. The stop is recorded before its first phase is logged.

Measured: go test ./cowslipd -run TestHangupDoesNotShortenStopOfRelay. On the code before it fails for this cause alone (the process ended after 154 ms, 3 s expected, with event 910 after the phase "leaving"); now it passes. go test ./cowslipd/relay -run Stop passes.

--- a/cowslipd/relay/reload.go
+++ b/cowslipd/relay/reload.go
@@ -24,7 +24,8 @@
 	return d.Settings
 }
 
-// reload reloads the settings file when it changes or on a signal.
+// reload reloads the settings file when it changes or on a signal. It ends with the start of a
+// stop, which a shorter grace time would cut off.
 func (d *Daemon) reload(ctx context.Context) {
 	if d.SettingsFile == "" {
 		return
@@ -41,6 +42,9 @@
 			signalled = true
 		case <-ticker.C:
 		}
+		if d.stopping.Load() {
+			return
+		}
 		modified := modTime(d.SettingsFile)
 		if !signalled && modified.Equal(lastModified) {
 			continue
--- a/cowslipd/relay/stop.go
+++ b/cowslipd/relay/stop.go
@@ -38,8 +38,8 @@
 		return
 	}
 	begin := d.Clock()
-	d.logPhase("leaving")
 	d.stopping.Store(true)
+	d.logPhase("leaving")
 	if err := d.gossiper.PublishStopping(); err != nil {
 		reporter.EventExchangeFailed.Log(workCtx, d.Logger, slog.Any("error", err))
 	}
--- a/cowslipd/signals_test.go
+++ b/cowslipd/signals_test.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// Guards against a SIGHUP during a stop of the relay that shortens the stop, because the settings file names a shorter grace time by then.
+func TestHangupDoesNotShortenStopOfRelay(t *testing.T) {
+	settings := relaySettings(t)
+	p := start(t, build(t), settings, "relay")
+	begin := time.Now()
+	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
+	p.await(`"leaving"`)
+	require.NoError(t, os.WriteFile(p.settings, []byte(strings.Replace(settings, "grace: 8s", "grace: 600ms", 1)), 0o600))
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	require.NoError(t, <-p.ended, p.output())
+	require.Greater(t, time.Since(begin), 2900*time.Millisecond, p.output())
+}
+
 // relaySettings returns settings with which a stop without requests takes 3 s.
 func relaySettings(t *testing.T) string {
 	return fmt.Sprintf("name: vm\ncentre: a\nlifetime: 1s\ngrace: 8s\ncallers: %v\nready: %v\ndirectory: %v\npeers: %v\nstore: %v\n", addresses(t, 5)...)
