matcher: require a key when the list of customers is empty

Cause: an empty list of customers was taken as an absent one, so that the withdrawal of the last customer admitted requests with any key and with none.

Change: only a configuration without the list requires no key. The other lists were checked: without routes nothing matches, and a route to an undeclared service or without a service is rejected.

Measured: go test ./matcher ./platform.

--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -57,10 +57,10 @@
 }
 
 // Customer returns the customer that owns an API key. It reports false if the
-// route requires a key and no customer owns this one. Without configured
-// customers, no key is required.
+// route requires a key and no customer owns this one. No key is required if the
+// configuration has no list of customers. An empty list has no valid key.
 func (m *Matcher) Customer(route cowslipproxy.Route, key string) (cowslipproxy.RelayCustomer, bool) {
-	if len(m.RelayConfiguration.Customers) == 0 {
+	if m.RelayConfiguration.Customers == nil {
 		return cowslipproxy.RelayCustomer{}, true
 	}
 	customer, ok := m.customers[key]
--- a/matcher/matcher_test.go
+++ b/matcher/matcher_test.go
@@ -51,6 +51,24 @@
 	require.Equal(t, 3, m.Priority(public, customer))
 }
 
+// Guards against requests that are admitted without a customer's key when the last customer or key is removed.
+func TestListWithoutKeysAdmitsNobody(t *testing.T) {
+	lists := map[string][]cowslipproxy.RelayCustomer{
+		"no customer": {}, "no list of keys": {{Name: "c"}}, "no key": {{Name: "c", Keys: []string{}}},
+	}
+	for name, customers := range lists {
+		m := matcher.New(cowslipproxy.RelayConfiguration{Customers: customers})
+		for _, key := range []string{"", "k1"} {
+			_, ok := m.Customer(cowslipproxy.Route{}, key)
+			require.False(t, ok, "%s, key %q", name, key)
+			_, ok = m.Customer(cowslipproxy.Route{Public: true}, key)
+			require.True(t, ok, "%s, key %q", name, key)
+		}
+	}
+	_, ok := matcher.New(cowslipproxy.RelayConfiguration{}).Customer(cowslipproxy.Route{}, "")
+	require.True(t, ok, "without the list, no key is required")
+}
+
 // Guards against a distribution of requests over services that does not follow the
 // weights of the route.
 func TestService(t *testing.T) {
--- a/routes.go
+++ b/routes.go
@@ -12,7 +12,7 @@
 	Version   uint64
 	Routes    []Route
 	Services  []RelayService
-	Customers []RelayCustomer // empty if requests carry no key
+	Customers []RelayCustomer // nil if requests carry no key; an empty list admits nobody to routes that are not public
 	Limits    CallerLimits
 }
 
