matcher: ignore empty keys of customers

Cause: a request without a key has the empty key, and an empty string in a customer's list of keys matched it.

Change: empty keys are not indexed. The rest of the configuration takes effect.

Measured: go test ./matcher -run TestEmptyKeyAdmitsNobody. On the code before it fails for this cause alone; now it passes.

--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -36,7 +36,9 @@
 	}
 	for _, customer := range configuration.Customers {
 		for _, key := range customer.Keys {
-			m.customers[key] = customer
+			if key != "" { // the key of requests without one
+				m.customers[key] = customer
+			}
 		}
 	}
 	for _, service := range configuration.Services {
--- a/matcher/matcher_test.go
+++ b/matcher/matcher_test.go
@@ -69,6 +69,18 @@
 	require.True(t, ok, "without the list, no key is required")
 }
 
+// Guards against requests without a key that are admitted as those of a customer with an empty key.
+func TestEmptyKeyAdmitsNobody(t *testing.T) {
+	m := matcher.New(cowslipproxy.RelayConfiguration{Customers: []cowslipproxy.RelayCustomer{{Name: "c", Keys: []string{"", "k1"}}}})
+	_, ok := m.Customer(cowslipproxy.Route{}, "")
+	require.False(t, ok)
+	customer, ok := m.Customer(cowslipproxy.Route{Public: true}, "")
+	require.True(t, ok)
+	require.Empty(t, customer.Name)
+	_, ok = m.Customer(cowslipproxy.Route{}, "k1")
+	require.True(t, ok)
+}
+
 // Guards against a distribution of requests over services that does not follow the
 // weights of the route.
 func TestService(t *testing.T) {
