cowslipd: start test daemons on ports that no connection takes

Cause: the tests of signals chose ports of the ephemeral range, which another process may get before the daemon starts.

Change: the addresses come from binder, and a failed wait prints the output.

--- a/cowslipd/signals_test.go
+++ b/cowslipd/signals_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cowslipproxy/cowslipproxy/standin/binder"
 )
 
 // process is a daemon in a process of its own.
@@ -26,10 +27,9 @@
 // addresses returns loopback addresses at which nothing listens.
 func addresses(t *testing.T, count int) (free []any) {
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := binder.FreeAddress()
 		require.NoError(t, err)
-		defer listener.Close()
-		free = append(free, listener.Addr())
+		free = append(free, address)
 	}
 	return free
 }
@@ -60,7 +60,9 @@
 }
 
 func (p *process) await(text string) {
-	require.Eventually(p.t, func() bool { return strings.Contains(p.output(), text) }, 20*time.Second, 5*time.Millisecond, text)
+	for begin := time.Now(); !strings.Contains(p.output(), text); time.Sleep(5 * time.Millisecond) {
+		require.Less(p.t, time.Since(begin), 20*time.Second, "%s is not in %s", text, p.output())
+	}
 }
 
 func (p *process) output() string {
