relay: set the upstreams in one order

Cause: updateInstances and apply copied the instance list and then set it in the pools, without a lock over both, in the goroutines of requests, shares and reads. If the older copy was set last, a leaving server stayed in use; later replies did not repair it.

Change: refresher.Refresher is the only caller of pools.set. It holds a lock from the copy to its use, and calls that wait for the same copy share it.

--- a/cowslipd/relay/apply.go
+++ b/cowslipd/relay/apply.go
@@ -52,7 +52,7 @@
 	lag := d.announced.lag(d.Clock(), d.configurationVersion())
 	d.matcher.Store(matcher.New(configuration))
 	reporter.EventRelayConfigActivated.Log(context.Background(), d.Logger, slog.Uint64("version", configuration.Version), slog.String("source", source), slog.Duration("lag", lag))
-	d.pools.set(configuration, d.registrar.Instances())
+	d.upstreams.Refresh()
 	d.limits.setRetryRates(configuration.Services)
 	d.announceReady()
 	d.share(context.Background())
@@ -90,12 +90,26 @@
 	live := countLive(instances)
 	reporter.EventUpstreamsChanged.Log(context.Background(), d.Logger, slog.Int("live", live), slog.Int("leaving", len(instances)-live),
 		slog.Int("deferred", d.registrar.Deferred()), d.sharing.listAttributes(d.Clock()))
-	if m := d.matcher.Load(); m != nil {
-		d.pools.set(m.RelayConfiguration, instances)
-	}
+	d.upstreams.Refresh()
 	d.announceReady()
 }
 
+// upstreams is what the load balancing state of all services is set from.
+type upstreams struct {
+	matcher   *matcher.Matcher // nil until a configuration is known
+	instances []cowslipproxy.Instance
+}
+
+func (d *Daemon) takeUpstreams() upstreams {
+	return upstreams{d.matcher.Load(), d.registrar.Instances()}
+}
+
+func (d *Daemon) setUpstreams(current upstreams) {
+	if current.matcher != nil {
+		d.pools.set(current.matcher.RelayConfiguration, current.instances)
+	}
+}
+
 func countLive(instances []cowslipproxy.Instance) (live int) {
 	for _, instance := range instances {
 		if instance.State == cowslipproxy.VMLive {
--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -24,6 +24,7 @@
 	d.owner = cowslipproxy.Owner{Name: name[max(0, len(name)-maxNameLength):], Incarnation: uint64(start.UnixNano())}
 	d.limits.build(d)
 	d.pools = pools{centre: d.Settings.Centre, settings: d.Settings}
+	d.upstreams.Take, d.upstreams.Set = d.takeUpstreams, d.setUpstreams
 	d.gossiper = &gossiper.Gossiper{
 		Self:     d.owner,
 		Hello:    cowslipproxy.Hello{Caller: d.Settings.Callers, Peer: d.Settings.Peers, Centre: d.Settings.Centre, LinkMbps: d.Settings.LinkMbps, Starting: true},
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/cowslipproxy/cowslipproxy/holder"
 	"github.com/cowslipproxy/cowslipproxy/loader"
 	"github.com/cowslipproxy/cowslipproxy/matcher"
+	"github.com/cowslipproxy/cowslipproxy/refresher"
 	"github.com/cowslipproxy/cowslipproxy/registrar"
 	"github.com/cowslipproxy/cowslipproxy/relayer"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
@@ -84,6 +85,7 @@
 	ending           context.Context // done when requests in flight get their final answer
 	endRequests      context.CancelFunc
 	pools            pools
+	upstreams        refresher.Refresher[upstreams] // the only caller of pools.set
 	gossiper         *gossiper.Gossiper
 	lease            *holder.Holder
 	server           *relayer.Server
