relay: detect silent connections to the store in each daemon

Cause: a daemon that lost its shares read the configuration on a connection that had been idle for up to 2 minutes. If it was silent, the read was abandoned after 3.5 s, 2 s of them for the long poll, and repeated 0.7 s later, perhaps on another silent connection.

Change: idle connections to the store are kept for 1 s, more than the interval of a reader, so that none of a daemon's is left when its shares cease. Long polls wait 0.6 s in all daemons but those in the first 2 s after their start. The first read of an outage that times out is repeated at once.

--- a/cowslipd/relay/apply.go
+++ b/cowslipd/relay/apply.go
@@ -11,20 +11,20 @@
 )
 
 const (
-	// maxConfigurationWait bounds a long poll for a newer configuration. It is shorter
-	// than the store allows, because a connection to the store may stall unnoticed.
-	maxConfigurationWait = 2 * time.Second
-	// readerConfigurationWait is the bound for a reader. Other daemons detect by the age
-	// of its last read that it stalled.
-	readerConfigurationWait = 600 * time.Millisecond
+	// startConfigurationWait bounds a long poll for a newer configuration in the first seconds
+	// of a daemon, which then gets shares.
+	startConfigurationWait = 2 * time.Second
+	// configurationWait is the bound after that. A connection to the store may stall unnoticed, and
+	// others detect by the age of a reader's last read that the reader stalled.
+	configurationWait = 600 * time.Millisecond
 )
 
 // configurationWait returns how long a read of the configuration waits for a change.
 func (d *Daemon) configurationWait() time.Duration {
-	if d.sharing.isReader() {
-		return readerConfigurationWait
+	if !d.sharing.isReader() && d.Clock().Sub(d.sharing.started) < bootTime {
+		return startConfigurationWait
 	}
-	return maxConfigurationWait
+	return configurationWait
 }
 
 // handleConfigurations applies configurations read from the store.
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -38,6 +38,10 @@
 	// idleTimeout exceeds the time that callers keep an idle connection for reuse,
 	// which is at most the idle time of the configuration.
 	idleTimeout = 2 * time.Minute
+	// storeIdleTimeout is how long an idle connection to the store is kept. It exceeds the time
+	// between two reads of a reader. A connection may go silent without being closed, so that a
+	// daemon which has not read the store for longer uses a new one.
+	storeIdleTimeout = time.Second
 	// headerTimeout bounds the header of a request. Callers send it within 3 s.
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10 // configurations allow 16 KiB
@@ -94,7 +98,7 @@
 }
 
 // Transport returns an HTTP transport with limits on its connections. It reuses
-// connections if reuse is set.
+// connections, which are those to the store, if reuse is set.
 func Transport(reuse bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: 3}}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -113,7 +117,7 @@
 	}
 	return &http.Transport{
 		DialContext: dial, DisableCompression: true, DisableKeepAlives: !reuse,
-		MaxResponseHeaderBytes: maxReplyHeaderBytes, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10,
+		MaxResponseHeaderBytes: maxReplyHeaderBytes, MaxIdleConnsPerHost: 4, IdleConnTimeout: storeIdleTimeout, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10,
 	}
 }
 
--- a/cowslipd/relay/sharing.go
+++ b/cowslipd/relay/sharing.go
@@ -28,7 +28,7 @@
 	maxLag = 800 * time.Millisecond
 	// maxConfigurationAge is how long ago the daemon that reads the store may have read
 	// the configuration. Its reads and its shares each have their interval.
-	maxConfigurationAge = readerConfigurationWait + sharer.ShareInterval + 200*time.Millisecond
+	maxConfigurationAge = configurationWait + sharer.ShareInterval + 200*time.Millisecond
 )
 
 // feedState is what a daemon knows of a feed of the store.
--- a/cowslipd/relay/spread_test.go
+++ b/cowslipd/relay/spread_test.go
@@ -75,6 +75,7 @@
 
 // dump is the part of a daemon's dump that tests use.
 type dump struct {
+	Version uint64 // of the configuration
 	Reader  bool
 	Members []struct {
 		Down, Starting, Stopping bool
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -56,14 +56,14 @@
 		if w.standby {
 			w.position, w.standby = w.Position(), false
 		}
-		delay := w.Interval
+		delay, start := w.Interval, w.Clock()
 		changes, err := w.Feed.Read(ctx, w.position, w.wait())
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
+			delay = w.delayAfterFailure(w.Clock().Sub(start))
 			w.handleError(ctx, err)
-			delay = w.retryDelay
 			if w.retryDelay = min(2*w.retryDelay, maxRetryDelay); w.IsReader() {
 				w.retryDelay = minRetryDelay
 			}
@@ -84,6 +84,15 @@
 	return w.Wait()
 }
 
+// delayAfterFailure returns the delay after a failed read. The first read of an outage that took
+// longer is repeated at once, because its connection may have been silent while new ones work.
+func (w *Watcher[T]) delayAfterFailure(took time.Duration) time.Duration {
+	if w.lostSince.IsZero() {
+		return max(0, w.retryDelay-took)
+	}
+	return w.retryDelay
+}
+
 func (w *Watcher[T]) handleError(ctx context.Context, err error) {
 	if w.lostSince.IsZero() {
 		w.lostSince = w.Clock()
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -7,9 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/waiter"
 	"github.com/cowslipproxy/cowslipproxy/watcher"
 )
 
@@ -46,3 +48,27 @@
 		require.Equal(t, want, <-reads.positions)
 	}
 }
+
+// silentFeed fails after a time-out and records when it is read.
+type silentFeed struct{ reads chan time.Time }
+
+func (f silentFeed) Read(ctx context.Context, _ uint64, _ time.Duration) (cowslipproxy.Changes[int], error) {
+	f.reads <- time.Now()
+	waiter.Wait(ctx, time.Second)
+	return cowslipproxy.Changes[int]{}, errors.New("time-out")
+}
+
+// Guards against a daemon that detects a silent connection and then waits, and against one that repeats each time-out at once.
+func TestFirstTimeoutIsRepeatedAtOnce(t *testing.T) {
+	feed := silentFeed{make(chan time.Time)}
+	w := watcher.Watcher[int]{
+		Name: "test", Feed: feed, Position: func() uint64 { return 0 }, Skip: func(time.Time) bool { return false },
+		IsReader: func() bool { return true }, Clock: time.Now, Logger: slog.New(slog.DiscardHandler),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx)
+	first, second, third := <-feed.reads, <-feed.reads, <-feed.reads
+	require.Less(t, second.Sub(first), 1300*time.Millisecond)
+	require.Greater(t, third.Sub(second), 1600*time.Millisecond)
+}
