relayer: read the number of attempts before the stall timer starts

Cause: the stall timer of an attempt that has ended reads streamExchange.sends, refusedResumes and retryGranted without synchronization while the next attempt changes them.

Change: the attempt notes at its start whether another one is allowed, and retryGranted is read only while the attempt has not ended.

--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -43,6 +43,9 @@
 	finder *pathfinder.Finder
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// hasRetryLeft is set if the number of attempts allows another one after this one. The stall
+	// timer may run when the next attempt has begun, and must not read that number itself.
+	hasRetryLeft bool
 
 	mu           sync.Mutex
 	path         *pathfinder.Path
@@ -59,7 +62,7 @@
 }
 
 func (s *streamExchange) startAttempt(ctx context.Context, finder *pathfinder.Finder, path *pathfinder.Path) *streamAttempt {
-	a := &streamAttempt{streamExchange: s, finder: finder, path: path, started: s.Clock()}
+	a := &streamAttempt{streamExchange: s, finder: finder, path: path, started: s.Clock(), hasRetryLeft: s.hasSendsLeft()}
 	a.lastProgress = a.started
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	finder.Begin(path)
@@ -169,13 +172,13 @@
 	a.mu.Lock()
 	isDecided, isResumed := a.ended || a.retryGranted, a.received > 0
 	a.mu.Unlock()
-	isGranted := !isDecided && a.canRetry(a.ctx, false, isResumed) // may ask another daemon
+	isGranted := !isDecided && a.hasRetryLeft && a.chargeRetry(a.ctx, false, isResumed, 0) // may ask another daemon
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if isGranted && !a.ended {
 		a.retryGranted = true
 	}
-	return a.retryGranted && !a.ended
+	return !a.ended && a.retryGranted
 }
 
 // recordLate records that no event arrived in time although all engines of the
