relayer: set the stall timer before it runs

Cause: the timer's function restarts the timer, and could run before the timer was assigned to its attempt.

Change: the assignment holds the lock of the attempt, as the restart does.

Result: go test -race ./relayer -run TestStallTimerIsSetBeforeItRuns reported the race before, and passes 10 of 10 times now.

--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -69,6 +69,8 @@
 	if s.isEndUnverified {
 		a.verifyTimer = time.AfterFunc(verifyTimeout, func() { a.cancel(errUnverifiedEnd) })
 	}
+	a.mu.Lock() // the timer may run at once
+	defer a.mu.Unlock()
 	a.timer = time.AfterFunc(a.stallCheckDelay(0), a.checkStall)
 	return a
 }
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -132,3 +132,18 @@
 	send(newServer(cowslipproxy.EffectRepeat, network, retry))
 	require.Equal(t, 2, sends)
 }
+
+// Guards against a stall timer that runs before its attempt has it. It shows with the race detector only.
+func TestStallTimerIsSetBeforeItRuns(t *testing.T) {
+	begin, sends := time.Now(), 0
+	network := func(r *http.Request) (*http.Response, error) {
+		if sends++; sends == 1 {
+			connect(r)
+		} else {
+			time.Sleep(3 * target) // without a connection, which would synchronize with the timer
+		}
+		return nil, errNoAnswer
+	}
+	send(newServer(cowslipproxy.EffectRepeat, network, func() bool { return time.Since(begin) < target }))
+	require.Equal(t, 2, sends)
+}
