relayer: check the effect of a request that arrives during an abort

Cause: a retry of a late stream without a connection was granted without a check of the route's effect. If the connection was established before the attempt was cancelled, the upstream had the request, and it was sent again.

Change: such a grant holds only if there is still no connection when the attempt has ended. Otherwise the retry is decided as for any request that upstreams may have executed.

--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -174,11 +174,12 @@
 	a.mu.Lock()
 	isDecided, isResumed := a.ended || a.retryGranted, a.received > 0
 	a.mu.Unlock()
+	isUnsent := a.arrivals.Load() == 0
 	isGranted := !isDecided && a.hasRetryLeft && a.chargeRetry(a.ctx, false, isResumed, 0) // may ask another daemon
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if isGranted && !a.ended {
-		a.retryGranted = true
+		a.retryGranted, a.grantedUnsent = true, isUnsent
 	}
 	return !a.ended && a.retryGranted
 }
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -61,7 +61,10 @@
 	refusedResumes int // number of these that were not executed, after the first event was sent to the caller
 	// retryGranted is set if the retry was charged to the retry budget before the
 	// attempt was aborted. The attempt's mutex guards it until the attempt ends.
-	retryGranted       bool
+	retryGranted bool
+	// grantedUnsent is set if no connection to an upstream had been established before that, so
+	// that the effect of the request was not checked.
+	grantedUnsent      bool
 	lastEventID        string           // id of the last event sent to the caller
 	isEndUnverified    bool             // the last events came without a length or chunks and ended between two events
 	entryEngineCount   int              // number of entry engines (first engines of a path) that may have started the request
@@ -99,7 +102,7 @@
 		if notExecuted && s.awaitsRest() {
 			s.refusedResumes++
 		}
-		if ctx.Err() != nil || s.isQuarantined() || s.isEndUnverified && s.verifications == maxVerifications || !s.retryGranted && !s.awaitRetry(ctx, notExecuted) {
+		if ctx.Err() != nil || s.isQuarantined() || s.isEndUnverified && s.verifications == maxVerifications || !s.isRetryGranted() && !s.awaitRetry(ctx, notExecuted) {
 			break
 		}
 		if notExecuted && !waiter.Wait(ctx, s.backoff()) {
@@ -109,6 +112,12 @@
 	return s.finalFailure(ctx, err)
 }
 
+// isRetryGranted reports whether the retry was granted before the attempt was aborted. A
+// connection that was established in between may have carried the request.
+func (s *streamExchange) isRetryGranted() bool {
+	return s.retryGranted && !(s.grantedUnsent && s.arrivals.Load() > 0)
+}
+
 // awaitsRest reports whether the caller has got events and certainly not all of them.
 func (s *streamExchange) awaitsRest() bool { return s.eventsSent > 0 && !s.isEndUnverified }
 
--- a/relayer/stream_test.go
+++ b/relayer/stream_test.go
@@ -147,3 +147,26 @@
 	send(newServer(cowslipproxy.EffectRepeat, network, func() bool { return time.Since(begin) < target }))
 	require.Equal(t, 2, sends)
 }
+
+// Guards against a second execution of a request whose connection is established after the retry was granted, and against a retry that is not made although none was.
+func TestRequestThatArrivesDuringAbortIsNotSentAgain(t *testing.T) {
+	for _, arrives := range []bool{true, false} {
+		sends := 0
+		network := func(r *http.Request) (*http.Response, error) {
+			if sends++; sends > 1 {
+				return nil, errNoAnswer
+			}
+			<-r.Context().Done() // the stall timer has granted the retry
+			if arrives {
+				connect(r)
+			}
+			return nil, r.Context().Err()
+		}
+		send(newServer(cowslipproxy.EffectOnce, network, func() bool { return true }))
+		if arrives {
+			require.Equal(t, 1, sends)
+		} else {
+			require.Greater(t, sends, 1)
+		}
+	}
+}
