relayer: require two empty resumptions to verify the end of a stream

Cause: a resumption without an event, a length or chunks verified the end of a stream if its engine answered a query for its state. The connection of the resumption may have been cut as well.

--- a/cowslipd/relay/framing_test.go
+++ b/cowslipd/relay/framing_test.go
@@ -122,6 +122,26 @@
 	}
 }
 
+// Guards against a part of an answer that looks complete because its first resumption is cut before the first event as well.
+func TestCutResumptionDoesNotVerifyEnd(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	cut := map[string]bool{} // requests whose first resumption was cut
+	next := func(id string, _ int) string {
+		mu.Lock()
+		defer mu.Unlock()
+		if cut[id] {
+			return ""
+		}
+		cut[id] = true
+		return unframedStream(id, 1, 0)
+	}
+	for _, got := range sendScripted(t, 4, func(id string) string { return unframedStream(id, 1, 3) }, next) {
+		require.NoError(t, got.err)
+		require.Equal(t, streamBody(got.id, 1, scriptedEvents), got.body)
+	}
+}
+
 // Guards against complete answers without length or chunks that callers get as broken.
 func TestCompleteUnframedStreamEndsRegularly(t *testing.T) {
 	t.Parallel()
--- a/relayer/events.go
+++ b/relayer/events.go
@@ -4,10 +4,14 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/allocator"
+	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
 
 // maxEventSize bounds an event of a stream, in bytes.
@@ -82,3 +86,44 @@
 func endsWithinEvent(stream []byte) bool {
 	return len(stream) > 0 && !bytes.HasSuffix(stream, []byte("\n\n")) && !bytes.HasSuffix(stream, []byte("\n\r\n"))
 }
+
+// recordDelivery records the time at which an event was sent to the caller.
+func (s *streamExchange) recordDelivery(now time.Time) {
+	if s.eventsSent == 0 {
+		s.serviceThrottler.FirstEvent(now, s.bounds(), s.place)
+		s.timeToFirst = now.Sub(s.callerRequest.Arrived)
+		reporter.DurationHistogram(s.Metrics, reporter.MetricTimeToFirst).Update(int64(s.timeToFirst))
+	} else {
+		s.longestPause = max(s.longestPause, now.Sub(s.lastEventAt))
+	}
+	s.eventsSent++
+	s.lastEventAt = now
+}
+
+// writeEvent sends one event to the caller, preceded by the header for the first
+// one.
+func (s *streamExchange) writeEvent(reply upstreamReply, next event) error {
+	if s.status == 0 {
+		s.copyHeader(reply.Header)
+		s.w.Header().Del("Content-Length")
+		s.status, s.framed = reply.StatusCode, reply.isFramed()
+		if !s.framed {
+			cowslipproxy.KeepUnframed(s.w.Header())
+		}
+		s.w.WriteHeader(s.status)
+	}
+	if len(next.data) == 0 {
+		return nil
+	}
+	if _, err := s.w.Write(next.data); err != nil {
+		return errors.Wrap(err, "write event to caller")
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		return errors.Wrap(err, "flush event to caller")
+	}
+	s.recordDelivery(s.Clock())
+	if next.id != "" {
+		s.lastEventID = next.id
+	}
+	return nil
+}
--- a/relayer/resumption.go
+++ b/relayer/resumption.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"io"
 	"mime"
 	"strconv"
 
@@ -54,11 +55,45 @@
 	return nil
 }
 
+// endStream processes a regular end of the upstream's stream.
+func (a *streamAttempt) endStream(reply upstreamReply, isResumption bool) error {
+	isEmpty := a.received == 0
+	switch {
+	case isEmpty && a.isEndUnverified && reply.isFramed(): // another attempt has no further event either
+	case isEmpty && a.isEndUnverified && a.isFirstAlive(a.path):
+		if a.confirmations++; a.confirmations < minConfirmations {
+			return errors.WithStack(errUnverifiedEnd)
+		}
+	case isEmpty && a.isEndUnverified:
+		return readError(a.ctx, io.EOF)
+	case isEmpty && isResumption:
+		return errors.Wrap(errInvalidReply, "the resumption has no event")
+	case reply.isFramed():
+	case isEmpty && a.lastEventID == "":
+		return readError(a.ctx, io.EOF)
+	default:
+		a.isEndUnverified = true
+		return errors.WithStack(errUnverifiedEnd)
+	}
+	end := endStated
+	if a.isEndUnverified {
+		end = endVerified
+	}
+	a.isEndUnverified = false
+	a.recordEvent()
+	if err := a.writeEvent(reply, event{}); err != nil {
+		return err
+	}
+	a.answerEnd = end
+	a.recordCompletion(reply)
+	return nil
+}
+
 // recordContinuation records that at least one more event follows those that the caller has.
 func (a *streamAttempt) recordContinuation() {
 	if !a.isEndUnverified {
 		return
 	}
-	a.isEndUnverified = false
+	a.isEndUnverified, a.confirmations = false, 0
 	a.verifyTimer.Stop()
 }
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -42,7 +42,10 @@
 	// verifyTimeout bounds the wait for the first event of an attempt that verifies the end of
 	// an answer. The caller may have the whole answer and waits only for its end.
 	verifyTimeout = time.Second
-	// maxVerifications bounds these attempts.
+	// minConfirmations is how many resumptions without an event verify the end of an answer, unless
+	// one of them has a length or chunks. A cut connection ends a resumption in the same way.
+	minConfirmations = 2
+	// maxVerifications bounds the attempts that should verify the end and do not.
 	maxVerifications = 2
 	// streamBufferSize is the read buffer of a stream in bytes; it holds a few events.
 	streamBufferSize = 2 << 10
@@ -67,6 +70,7 @@
 	grantedUnsent      bool
 	lastEventID        string           // id of the last event sent to the caller
 	isEndUnverified    bool             // the last events came without a length or chunks and ended between two events
+	confirmations      int              // number of resumptions without a length or chunks that had no further event
 	entryEngineCount   int              // number of entry engines (first engines of a path) that may have started the request
 	entryEngines       []string         // ids of these engines
 	failedEntryEngines []string         // ids of entry engines whose attempt failed
@@ -102,7 +106,7 @@
 		if notExecuted && s.awaitsRest() {
 			s.refusedResumes++
 		}
-		if ctx.Err() != nil || s.isQuarantined() || s.isEndUnverified && s.verifications == maxVerifications || !s.isRetryGranted() && !s.awaitRetry(ctx, notExecuted) {
+		if ctx.Err() != nil || s.isQuarantined() || s.isEndUnverified && s.verifications-s.confirmations == maxVerifications || !s.isRetryGranted() && !s.awaitRetry(ctx, notExecuted) {
 			break
 		}
 		if notExecuted && !waiter.Wait(ctx, s.backoff()) {
@@ -368,74 +372,3 @@
 		}
 	}
 }
-
-// endStream processes a regular end of the upstream's stream.
-func (a *streamAttempt) endStream(reply upstreamReply, isResumption bool) error {
-	isEmpty := a.received == 0
-	switch {
-	case isEmpty && a.isEndUnverified && (reply.isFramed() || a.isFirstAlive(a.path)): // another attempt has no further event either
-	case isEmpty && a.isEndUnverified:
-		return readError(a.ctx, io.EOF)
-	case isEmpty && isResumption:
-		return errors.Wrap(errInvalidReply, "the resumption has no event")
-	case reply.isFramed():
-	case isEmpty && a.lastEventID == "":
-		return readError(a.ctx, io.EOF)
-	default:
-		a.isEndUnverified = true
-		return errors.WithStack(errUnverifiedEnd)
-	}
-	end := endStated
-	if a.isEndUnverified {
-		end = endVerified
-	}
-	a.isEndUnverified = false
-	a.recordEvent()
-	if err := a.writeEvent(reply, event{}); err != nil {
-		return err
-	}
-	a.answerEnd = end
-	a.recordCompletion(reply)
-	return nil
-}
-
-// recordDelivery records the time at which an event was sent to the caller.
-func (s *streamExchange) recordDelivery(now time.Time) {
-	if s.eventsSent == 0 {
-		s.serviceThrottler.FirstEvent(now, s.bounds(), s.place)
-		s.timeToFirst = now.Sub(s.callerRequest.Arrived)
-		reporter.DurationHistogram(s.Metrics, reporter.MetricTimeToFirst).Update(int64(s.timeToFirst))
-	} else {
-		s.longestPause = max(s.longestPause, now.Sub(s.lastEventAt))
-	}
-	s.eventsSent++
-	s.lastEventAt = now
-}
-
-// writeEvent sends one event to the caller, preceded by the header for the first
-// one.
-func (s *streamExchange) writeEvent(reply upstreamReply, next event) error {
-	if s.status == 0 {
-		s.copyHeader(reply.Header)
-		s.w.Header().Del("Content-Length")
-		s.status, s.framed = reply.StatusCode, reply.isFramed()
-		if !s.framed {
-			cowslipproxy.KeepUnframed(s.w.Header())
-		}
-		s.w.WriteHeader(s.status)
-	}
-	if len(next.data) == 0 {
-		return nil
-	}
-	if _, err := s.w.Write(next.data); err != nil {
-		return errors.Wrap(err, "write event to caller")
-	}
-	if err := http.NewResponseController(s.w).Flush(); err != nil {
-		return errors.Wrap(err, "flush event to caller")
-	}
-	s.recordDelivery(s.Clock())
-	if next.id != "" {
-		s.lastEventID = next.id
-	}
-	return nil
-}
