--- a/cowslipd/relay/apply.go
+++ b/cowslipd/relay/apply.go
@@ -11,20 +11,20 @@
 )
 
 const (
-	// maxConfigurationWait bounds a long poll for a newer configuration. It is shorter
-	// than the store allows, because a connection to the store may stall unnoticed.
-	maxConfigurationWait = 2 * time.Second
-	// readerConfigurationWait is the bound for a reader. Other daemons detect by the age
-	// of its last read that it stalled.
-	readerConfigurationWait = 600 * time.Millisecond
+	// startConfigurationWait bounds a long poll for a newer configuration in the first seconds
+	// of a daemon, which then gets shares.
+	startConfigurationWait = 2 * time.Second
+	// configurationWait is the bound after that. A connection to the store may stall unnoticed, and
+	// others detect by the age of a reader's last read that the reader stalled.
+	configurationWait = 600 * time.Millisecond
 )
 
 // configurationWait returns how long a read of the configuration waits for a change.
 func (d *Daemon) configurationWait() time.Duration {
-	if d.sharing.isReader() {
-		return readerConfigurationWait
+	if !d.sharing.isReader() && d.Clock().Sub(d.sharing.started) < bootTime {
+		return startConfigurationWait
 	}
-	return maxConfigurationWait
+	return configurationWait
 }
 
 // handleConfigurations applies configurations read from the store.
@@ -52,7 +52,7 @@
 	lag := d.announced.lag(d.Clock(), d.configurationVersion())
 	d.matcher.Store(matcher.New(configuration))
 	reporter.EventRelayConfigActivated.Log(context.Background(), d.Logger, slog.Uint64("version", configuration.Version), slog.String("source", source), slog.Duration("lag", lag))
-	d.pools.set(configuration, d.registrar.Instances())
+	d.upstreams.Refresh()
 	d.limits.setRetryRates(configuration.Services)
 	d.announceReady()
 	d.share(context.Background())
@@ -90,13 +90,27 @@
 	live := countLive(instances)
 	reporter.EventUpstreamsChanged.Log(context.Background(), d.Logger, slog.Int("live", live), slog.Int("leaving", len(instances)-live),
 		slog.Int("deferred", d.registrar.Deferred()), d.sharing.listAttributes(d.Clock()))
-	if m := d.matcher.Load(); m != nil {
-		d.pools.set(m.RelayConfiguration, instances)
-	}
+	d.upstreams.Refresh()
 	d.speeds.retain(instances)
 	d.announceReady()
 }
 
+// upstreams is what the load balancing state of all services is set from.
+type upstreams struct {
+	matcher   *matcher.Matcher // nil until a configuration is known
+	instances []cowslipproxy.Instance
+}
+
+func (d *Daemon) takeUpstreams() upstreams {
+	return upstreams{d.matcher.Load(), d.registrar.Instances()}
+}
+
+func (d *Daemon) setUpstreams(current upstreams) {
+	if current.matcher != nil {
+		d.pools.set(current.matcher.RelayConfiguration, current.instances)
+	}
+}
+
 func countLive(instances []cowslipproxy.Instance) (live int) {
 	for _, instance := range instances {
 		if instance.State == cowslipproxy.VMLive {
--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -25,6 +25,7 @@
 	d.limits.build(d)
 	d.speeds.build(d)
 	d.pools = pools{centre: d.Settings.Centre, settings: d.Settings}
+	d.upstreams.Take, d.upstreams.Set = d.takeUpstreams, d.setUpstreams
 	d.gossiper = &gossiper.Gossiper{
 		Self:     d.owner,
 		Hello:    cowslipproxy.Hello{Caller: d.Settings.Callers, Peer: d.Settings.Peers, Centre: d.Settings.Centre, LinkMbps: d.Settings.LinkMbps, Starting: true},
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/cowslipproxy/cowslipproxy/holder"
 	"github.com/cowslipproxy/cowslipproxy/loader"
 	"github.com/cowslipproxy/cowslipproxy/matcher"
+	"github.com/cowslipproxy/cowslipproxy/refresher"
 	"github.com/cowslipproxy/cowslipproxy/registrar"
 	"github.com/cowslipproxy/cowslipproxy/relayer"
 	"github.com/cowslipproxy/cowslipproxy/reporter"
@@ -37,6 +38,10 @@
 	// idleTimeout exceeds the time that callers keep an idle connection for reuse,
 	// which is at most the idle time of the configuration.
 	idleTimeout = 2 * time.Minute
+	// storeIdleTimeout is how long an idle connection to the store is kept. It exceeds the time
+	// between two reads of a reader. A connection may go silent without being closed, so that a
+	// daemon which has not read the store for longer uses a new one.
+	storeIdleTimeout = time.Second
 	// headerTimeout bounds the header of a request. Callers send it within 3 s.
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10 // configurations allow 16 KiB
@@ -84,6 +89,7 @@
 	ending           context.Context // done when requests in flight get their final answer
 	endRequests      context.CancelFunc
 	pools            pools
+	upstreams        refresher.Refresher[upstreams] // the only caller of pools.set
 	gossiper         *gossiper.Gossiper
 	lease            *holder.Holder
 	server           *relayer.Server
@@ -93,7 +99,7 @@
 }
 
 // Transport returns an HTTP transport with limits on its connections. It reuses
-// connections if reuse is set.
+// connections, which are those to the store, if reuse is set.
 func Transport(reuse bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: 3}}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -112,7 +118,7 @@
 	}
 	return &http.Transport{
 		DialContext: dial, DisableCompression: true, DisableKeepAlives: !reuse,
-		MaxResponseHeaderBytes: maxReplyHeaderBytes, MaxIdleConnsPerHost: 4, IdleConnTimeout: idleTimeout, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10,
+		MaxResponseHeaderBytes: maxReplyHeaderBytes, MaxIdleConnsPerHost: 4, IdleConnTimeout: storeIdleTimeout, ReadBufferSize: 2 << 10, WriteBufferSize: 2 << 10,
 	}
 }
 
--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -48,6 +48,9 @@
 	finder *pathfinder.Finder
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// hasRetryLeft is set if the number of attempts allows another one after this one. The stall
+	// timer may run when the next attempt has begun, and must not read that number itself.
+	hasRetryLeft bool
 
 	mu           sync.Mutex
 	path         *pathfinder.Path
@@ -68,7 +71,7 @@
 }
 
 func (s *streamExchange) startAttempt(ctx context.Context, finder *pathfinder.Finder, path *pathfinder.Path) *streamAttempt {
-	a := &streamAttempt{streamExchange: s, finder: finder, path: path, started: s.Clock()}
+	a := &streamAttempt{streamExchange: s, finder: finder, path: path, started: s.Clock(), hasRetryLeft: s.hasSendsLeft()}
 	a.lastProgress, a.waitsSince = a.started, s.callerRequest.Arrived
 	if s.eventsSent > 0 {
 		a.waitsSince = s.lastEventAt
@@ -79,6 +82,8 @@
 	if s.isEndUnverified {
 		a.verifyTimer = time.AfterFunc(verifyTimeout, func() { a.cancel(errUnverifiedEnd) })
 	}
+	a.mu.Lock() // the timer may run at once
+	defer a.mu.Unlock()
 	a.timer = time.AfterFunc(a.stallCheckDelay(0), a.checkStall)
 	return a
 }
@@ -193,40 +198,6 @@
 	}
 }
 
-// mayMove reports whether the stream may be moved to other engines now. If not, checkStall runs
-// again when it may, or after the given time.
-func (a *streamAttempt) mayMove(now time.Time, wait time.Duration) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.ended {
-		return false
-	}
-	a.timer.Reset(wait) // before the move may be admitted, which resets it again
-	if a.move != nil {
-		return a.pacer().IsAdmitted(a.move)
-	}
-	var admitted bool
-	a.move, admitted = a.pacer().Enter(now, max(a.priority, 0), a.waitsSince.Add(callerPatience), func() { a.timer.Reset(0) })
-	return admitted
-}
-
-// abandonMove ends a move for which no engines were found.
-func (a *streamAttempt) abandonMove(now time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.endMove(now)
-}
-
-// endMove ends the move, if there is one. The caller holds the lock.
-func (a *streamAttempt) endMove(now time.Time) {
-	if a.move != nil {
-		a.pacer().Leave(now, a.move)
-		a.move, a.isMoved = nil, false
-	}
-}
-
-func (a *streamAttempt) pacer() *pacer.Pacer { return a.Upstreams.Pacer(a.service.Name) }
-
 // abort ends the attempt if the request may be sent again. Otherwise it keeps
 // waiting, since a silent engine may still continue the stream, while a
 // cancelled stream is lost.
@@ -245,39 +216,14 @@
 	a.mu.Lock()
 	isDecided, isResumed := a.ended || a.retryGranted, a.received > 0
 	a.mu.Unlock()
-	isGranted := !isDecided && a.canRetry(a.ctx, false, isResumed) // may ask another daemon
+	isUnsent := a.arrivals.Load() == 0
+	isGranted := !isDecided && a.hasRetryLeft && a.chargeRetry(a.ctx, false, isResumed, 0) // may ask another daemon
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if isGranted && !a.ended {
-		a.retryGranted = true
-	}
-	return a.retryGranted && !a.ended
-}
-
-// leaveSlowEngines replaces the slow engines of the path if the rest of the answer takes longer on
-// them than the move, and reports whether the request is moved now or waits for that.
-func (a *streamAttempt) leaveSlowEngines(now time.Time, path *pathfinder.Path) bool {
-	a.mu.Lock()
-	left := a.expectedOutput() - a.sent - a.received
-	a.mu.Unlock()
-	slow := a.finder.EnginesToLeave(path, left)
-	if len(slow) == 0 {
-		return false
-	}
-	a.serviceThrottler.Exclude(a.place)
-	if !a.mayMove(now, stallCheckInterval) {
-		return true // it continues on the slow engines until then
-	}
-	if !a.reroutePath(path, slow) {
-		a.abandonMove(now)
-		return false
+		a.retryGranted, a.grantedUnsent = true, isUnsent
 	}
-	return true
-}
-
-// isFirstSlow reports whether the first engine of a path, which can't be replaced, is slow.
-func (a *streamAttempt) isFirstSlow(path *pathfinder.Path) bool {
-	return slices.Contains(a.finder.SlowEngines(path), path.First().Address)
+	return !a.ended && a.retryGranted
 }
 
 // recordLate records that no event arrived in time although all engines of the
