relay: test a process with clients that ignore the limits

Cause: memory is bounded per connection and connections are not bounded, so that clients can take all memory and descriptors of a process.

Change: a test starts cowslipd with 64 MB and 500 descriptors and lets 600 clients of one address send heads, bodies and requests without end. It requires that the process lives with a resident set below 64 MB and below 450 descriptors, and that one ordinary request is answered while the clients are connected. The Makefile runs it by itself. The start of a built daemon and the sampling of its memory become functions that both process tests use.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	go test -count 1 -run 'TestFailedReadOfReaderKeepsNoRemovedServer|TestRefusedReaderUsesNoRemovedServer|TestReaderThatWasRefusedKeepsNoRemovedServer|TestShareWithoutListKeepsNoRemovedServer|TestDaemonWithEarlierClockIsNamedAgain' ./cowslipd/relay
 	go test -count 1 -run 'TestLeavingEngineWithinPathGetsNoNewRequests|TestRetriesOfOneDaemonUseSharedBudget' ./cowslipd/relay
 	go test -count 1 -run 'TestForgottenDaemonIsNotListedAgain|TestAnswersOmitHalfOfFleetInTime|TestAnswersNameEightDaemons' ./gossiper
+	go test -count 1 -run 'TestProcessOutlivesClientsThatIgnoreLimits' ./cowslipd/relay
 	go test -race -p 3 -parallel 4 -timeout 20m -skip '^($(RED))$$$(if $(CASES),|$(CASES))' $(PACKAGES)
 
 tools:
--- a/cowslipd/relay/endless_process_test.go
+++ b/cowslipd/relay/endless_process_test.go
@@ -23,17 +23,31 @@
 // startProgram starts a built daemon with the settings of the smallest VM and one processor, and
 // returns its process ID.
 func (d *deployment) startProgram() (node *daemon, pid int) {
-	t := d.t
+	return d.startLimited(buildProgram(d.t), smallVM>>20, "unlimited")
+}
+
+// buildProgram builds cowslipd and returns its path.
+func buildProgram(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "cowslipd")
 	output, err := exec.Command("go", "build", "-o", program, "github.com/cowslipproxy/cowslipproxy/cowslipd").CombinedOutput()
 	require.NoError(t, err, string(output))
+	return program
+}
+
+// startLimited starts a built daemon with a memory setting, one processor and a limit of open
+// descriptors, and returns its process ID.
+func (d *deployment) startLimited(program string, memoryMB float64, descriptors string) (node *daemon, pid int) {
+	t := d.t
 	settings := d.settings()
-	settings.MemoryMB = smallVM >> 20
+	settings.MemoryMB = memoryMB
 	data, err := json.Marshal(settings)
 	require.NoError(t, err)
 	file := filepath.Join(t.TempDir(), "settings.yaml")
 	require.NoError(t, os.WriteFile(file, data, 0o600))
 	command := exec.Command(program, "relay", "-settings", file)
+	if descriptors != "unlimited" {
+		command = exec.Command("sh", "-c", `ulimit -n "$0" && exec "$@"`, descriptors, program, "relay", "-settings", file)
+	}
 	command.Env = append(os.Environ(), "GOMAXPROCS=1")
 	require.NoError(t, command.Start())
 	t.Cleanup(func() {
@@ -81,11 +95,16 @@
 // peakMemory samples the memory of a process and of its connections to a port until stop is
 // called, and returns the largest sum in bytes.
 func peakMemory(pid int, port uint16) (stop func() int64) {
+	return peakOf(func() int64 { return residentMemory(pid) + receiveBuffers(port) })
+}
+
+// peakOf samples a value until stop is called, and returns the largest one.
+func peakOf(sample func() int64) (stop func() int64) {
 	done, result := make(chan struct{}), make(chan int64)
 	go func() {
 		var peak int64
 		for {
-			peak = max(peak, residentMemory(pid)+receiveBuffers(port))
+			peak = max(peak, sample())
 			select {
 			case <-done:
 				result <- peak
