loader: add the setting descriptors

Cause: the relay daemon does not know how many sockets its process may open. Change: the setting holds the descriptors of the VM, 200 of which are not for sockets. 2,870, the smallest VM, is the default; a smaller limit of the process holds instead. The template of the settings fills it in. Result: go test ./loader passes; TestSocketsKeepDescriptorLimits is new.

--- a/loader/relay_test.go
+++ b/loader/relay_test.go
@@ -23,7 +23,7 @@
 	"listen.front": "10.0.0.1:1", "listen.ready": "10.0.0.1:2", "listen.directory": "10.0.0.1:3", "listen.control": "10.0.0.1:4",
 	"platform.address": "10.0.0.2:1",
 	"bounds.grace_s":   "8", "bounds.budget_window_s": "10", "bounds.budget_min_retries": "424", "bounds.retry_budget_ratio": "0.2",
-	"limits.link_mbps": "700.0", "limits.memory_mb": "206",
+	"limits.link_mbps": "700.0", "limits.memory_mb": "206", "limits.max_fds": "8192",
 }
 
 // loadFilledIn loads the template of the deployment's settings with one value replaced.
@@ -57,6 +57,8 @@
 			require.GreaterOrEqual(t, time.Duration(settings.Grace), time.Duration(0), "%s: %s", name, value)
 			require.GreaterOrEqual(t, settings.MemoryBytes(), int64(16<<20), "%s: %s", name, value)
 			require.LessOrEqual(t, settings.MemoryBytes(), int64(1<<50), "%s: %s", name, value)
+			require.GreaterOrEqual(t, settings.Sockets(1<<40), 64, "%s: %s", name, value)
+			require.LessOrEqual(t, settings.Sockets(1<<40), 1<<20, "%s: %s", name, value)
 		}
 		for _, value := range []string{"-1", "x", ".nan", "-.inf", "[1]"} {
 			_, err := loadFilledIn(t, name, value)
@@ -82,3 +84,15 @@
 		require.Equal(t, want<<20, settings.MemoryBytes(), fmt.Sprint("memory ", value))
 	}
 }
+
+// Guards against more sockets than the VM or the operating system allows, and against none.
+func TestSocketsKeepDescriptorLimits(t *testing.T) {
+	for value, want := range map[string]int{"0": 2670, "2870": 2670, "10250": 10050, "3000.9": 2800, "100": 64} {
+		settings, err := loadFilledIn(t, "limits.max_fds", value)
+		require.NoError(t, err)
+		require.Equal(t, want, settings.Sockets(1<<40), "descriptors %s", value)
+		require.Equal(t, min(want, 1800), settings.Sockets(2000), "descriptors %s", value)
+	}
+	defaults := loader.RelayDefaults()
+	require.Equal(t, 2670, defaults.Sockets(1<<40))
+}
