platform: decode the limit of request heads

Cause: max_header_bytes of the configuration has no effect; heads of 64 KiB are accepted. Change: CallerLimits gets the limit.

--- a/routes.go
+++ b/routes.go
@@ -92,6 +92,7 @@
 // CallerLimits limits the size of callers' requests.
 type CallerLimits struct {
 	Body int64 // bytes
+	Head int64 // bytes of the request line and the header; 0 if none is declared
 }
 
 // EngineProfile describes the performance of a service's engines.
