relay: bound the connections and heads of clients

Cause: clients that ignore the limits take all memory and descriptors of a daemon, so that it answers no one else. Change: the listeners of a daemon share a pool of memory for request heads, which counts the bodies too, and each has a part of the sockets. The head limit of the configuration holds. Receive buffers of clients are bounded as those of upstreams are. Calls of other daemons have heads of at most 16 KiB, and their connections smaller buffers.

--- a/cowslipd/relay/build.go
+++ b/cowslipd/relay/build.go
@@ -61,6 +61,7 @@
 		Logger:     d.Logger,
 		Metrics:    d.Metrics,
 	}
+	d.buildClients()
 }
 
 // messagePercent is the memory for bodies of requests and replies, in percent of the
--- a/cowslipd/relay/forwarding_test.go
+++ b/cowslipd/relay/forwarding_test.go
@@ -115,6 +115,17 @@
 	require.Equal(t, http.StatusOK, d.send(d.daemons[0], call{path: feesPath + "1"}).status)
 }
 
+// Guards against heads over the configured limit, and against the rejection of heads within it.
+func TestConfiguredHeadLimitIsKept(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	send := func(size int) int {
+		return d.send(d.daemons[0], call{path: feesPath + "1", header: http.Header{"X-Filler": {strings.Repeat("x", size)}}}).status
+	}
+	require.Equal(t, http.StatusOK, send(15<<10))
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, send(24<<10))
+}
+
 // Guards against a connection reset instead of a refusal, due to an unread body.
 func TestRefusalsReachCallersThatCloseTheirConnections(t *testing.T) {
 	t.Parallel()
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -18,6 +18,7 @@
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/advertiser"
+	"github.com/cowslipproxy/cowslipproxy/evictor"
 	"github.com/cowslipproxy/cowslipproxy/gossiper"
 	"github.com/cowslipproxy/cowslipproxy/holder"
 	"github.com/cowslipproxy/cowslipproxy/loader"
@@ -39,7 +40,7 @@
 	idleTimeout = 2 * time.Minute
 	// headerTimeout bounds the header of a request. Callers send it within 3 s.
 	headerTimeout  = 10 * time.Second
-	maxHeaderBytes = 64 << 10 // configurations allow 16 KiB
+	maxHeaderBytes = 64 << 10 // configurations allow 16 KiB; see defaultMaxHead
 	// maxReplyHeaderBytes bounds the head of a reply of an upstream or the store. Each
 	// connection may hold that much.
 	maxReplyHeaderBytes = 16 << 10
@@ -87,6 +88,7 @@
 	gossiper         *gossiper.Gossiper
 	lease            *holder.Holder
 	server           *relayer.Server
+	clients          *evictor.Pool
 	quarantine       quarantine
 	limits           limits
 }
@@ -156,8 +158,13 @@
 func (d *Daemon) openPeerNetwork() error {
 	var err error
 	if d.PeerNetwork == nil {
-		d.gossiper.Listener, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(d.Settings.Peers))
-		return errors.WithStack(err)
+		listener, err := d.listen("peers", d.Settings.Peers, peerSocketsDivisor)
+		if err != nil {
+			return err
+		}
+		listener.IsPeer = true
+		d.gossiper.Listener = listener
+		return nil
 	}
 	d.gossiper.Dial = func(ctx context.Context, address string) (net.Conn, error) {
 		var peer netip.AddrPort
@@ -202,23 +209,28 @@
 		}
 	}()
 	endpoints := []struct {
+		name    string
+		divisor float64
 		address netip.AddrPort
 		handler http.Handler
 	}{
-		{d.Settings.Ready, d.Platform.Ready(d.isReady)},
-		{d.Settings.Directory, d.Platform.Directory(d.addresses)},
-		{d.Settings.Callers, d.server},
-		{netip.AddrPortFrom(d.Settings.Callers.Addr(), d.Settings.Metrics), d.operatorHandler()},
+		{"ready", readySocketsDivisor, d.Settings.Ready, d.Platform.Ready(d.isReady)},
+		{"directory", directorySocketsDivisor, d.Settings.Directory, d.Platform.Directory(d.addresses)},
+		{"callers", callerSocketsDivisor, d.Settings.Callers, d.server},
+		{"metrics", operatorSocketsDivisor, netip.AddrPortFrom(d.Settings.Callers.Addr(), d.Settings.Metrics), d.operatorHandler()},
 	}
 	for _, endpoint := range endpoints {
 		if endpoint.address.Port() == 0 {
 			continue // no operator address is set
 		}
-		var listener net.Listener
-		if listener, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(endpoint.address)); err != nil {
-			return servers, errors.WithStack(err)
+		var listener *evictor.Listener
+		if listener, err = d.listen(endpoint.name, endpoint.address, endpoint.divisor); err != nil {
+			return servers, err
 		}
 		servers = append(servers, httpServer{d.newServer(endpoint.handler), listener})
+		if err = limitReceiveBuffers(listener); err != nil {
+			return servers, err
+		}
 	}
 	return servers, nil
 }
@@ -231,7 +243,7 @@
 
 func (d *Daemon) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: resetter.Handler(handler), ConnContext: resetter.SaveConn, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: evictor.Handler(resetter.Handler(handler)), ConnContext: saveConn, ConnState: evictor.SetState, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(d.Logger.Handler(), slog.LevelDebug),
 	}
 }
--- a/gossiper/service.go
+++ b/gossiper/service.go
@@ -26,7 +26,10 @@
 	pingTimeout  = 5 * time.Second
 	windowSize   = 128 << 10 // static, so that grpc-go sends no pings to estimate the bandwidth
 	maxStreams   = 1024
-	maxConns     = 4096 // room for each of 1,900 daemons to forward requests to this one
+	// maxHeaderList bounds the decoded head of a call; the default of grpc-go is 16 MB.
+	maxHeaderList = 16 << 10
+	connBuffer    = 8 << 10 // bytes; idle connections hold it too
+	maxConns      = 4096    // room for each of 1,900 daemons to forward requests to this one
 )
 
 // SnapshotRequest asks for the configuration snapshot.
@@ -97,6 +100,8 @@
 	return []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.MaxHeaderListSize(maxHeaderList),
+		grpc.ReadBufferSize(connBuffer),
 		grpc.StaticStreamWindowSize(windowSize),
 		grpc.StaticConnWindowSize(8 * windowSize),
 		grpc.ConnectionTimeout(5 * time.Second),
