evictor: bound incomplete messages of other daemons

Cause: each call of another daemon may hold 256 KiB of an incomplete message, and a connection 1,024 calls. Connections that were closed for others keep their memory until their goroutines run, and bulk data of others delays these by a time slice of 10 ms for each connection; pipelined requests do the same. Change: data of other daemons counts until its message is complete, in a pool of 5 % of the memory setting. Memory of a closed connection counts until its owner has closed it, and receivers wait for it up to 500 ms; data is counted once there is room. A connection yields the processor after each answer and each full read. The process test gets the form of incomplete calls; its bounds and the number of clients are unchanged.

--- a/cowslipd/relay/client_process_test.go
+++ b/cowslipd/relay/client_process_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -41,10 +42,32 @@
 	authorized  = requestLine + "Authorization: Bearer " + apiKey + "\r\n"
 	chunked     = "POST /others/1 HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer " + apiKey + "\r\nTransfer-Encoding: chunked\r\n\r\n"
 	metricsLine = "GET /metrics HTTP/1.1\r\nHost: " + host + "\r\n\r\n"
-	// preface begins an HTTP/2 connection: the magic bytes and an empty SETTINGS frame.
-	preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00"
 )
 
+// frame returns an HTTP/2 frame.
+func frame(kind, flags byte, stream uint32, payload string) string {
+	head := binary.BigEndian.AppendUint32(nil, uint32(len(payload))<<8|uint32(kind))
+	return string(binary.BigEndian.AppendUint32(append(head, flags), stream)) + payload
+}
+
+// preface begins an HTTP/2 connection.
+var preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(4, 0, 0, "")
+
+// incompleteCalls returns calls of another daemon, most of whose messages is missing.
+func incompleteCalls(count int) string {
+	field := func(prefix, value string) string { return prefix + string(rune(len(value))) + value }
+	head := "\x83\x86" + field("\x04", "/cowslip.Peers/Share") + field("\x01", "a") + field("\x0f\x10", "application/grpc+cbor") + field("\x00\x02te", "trailers")
+	var text strings.Builder
+	for i := range count {
+		stream := uint32(2*i + 1)
+		text.WriteString(frame(1, 4, stream, head) + frame(0, 0, stream, "\x00\x00\x03\x00\x00"))
+		for range 7 {
+			text.WriteString(frame(0, 0, stream, strings.Repeat("a", 16<<10)))
+		}
+	}
+	return text.String()
+}
+
 // shortFields returns distinct short fields of about the given total size.
 func shortFields(size int) string {
 	var text strings.Builder
@@ -71,8 +94,9 @@
 	"silent":                  {},
 	"expect without body":     {begin: "POST /others/1 HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer " + apiKey + "\r\nExpect: 100-continue\r\nContent-Length: 60000\r\n\r\n"},
 	"HTTP/2 preface":          {only: "peers", begin: preface},
-	"HTTP/2 endless head":     {only: "peers", begin: preface + "\x00\x00\x00\x01\x00\x00\x00\x00\x01", part: "\x00\x04\x00\x09\x00\x00\x00\x00\x01" + strings.Repeat("\x88", 1024)},
-	"HTTP/2 endless settings": {only: "peers", begin: preface, part: strings.Repeat("\x00\x00\x00\x04\x00\x00\x00\x00\x00", 100), unread: true},
+	"HTTP/2 endless head":     {only: "peers", begin: preface + frame(1, 0, 1, ""), part: frame(9, 0, 1, strings.Repeat("\x88", 1024))},
+	"HTTP/2 incomplete calls": {only: "peers", begin: preface + incompleteCalls(20)},
+	"HTTP/2 endless settings": {only: "peers", begin: preface, part: strings.Repeat(frame(4, 0, 0, ""), 100), unread: true},
 }
 
 // run connects again and again until ctx is done.
--- a/cowslipd/relay/clients.go
+++ b/cowslipd/relay/clients.go
@@ -28,6 +28,9 @@
 	// in percent of the memory setting. The bodies alone may take messagePercent of it, so that
 	// the difference remains for heads.
 	headPercent = 25
+	// peerPercent is the memory for incomplete messages of other daemons. They produce garbage at
+	// several times this size.
+	peerPercent = 5
 	// connPercent is the memory for connections of clients without heads and bodies.
 	connPercent = 20
 	// clientPart is the part of the sockets that connections of clients may take.
@@ -49,6 +52,11 @@
 		},
 		Clock: d.Clock, Logger: d.Logger, Metrics: d.Metrics,
 	}
+	d.peers = &evictor.Pool{
+		Limit:    d.Settings.MemoryBytes() * peerPercent / 100,
+		Messages: func() int64 { return 0 },
+		Clock:    d.Clock, Logger: d.Logger, Metrics: d.Metrics,
+	}
 }
 
 // sockets returns the number of sockets that the process may open with its descriptors and memory.
@@ -61,13 +69,13 @@
 	return min(d.Settings.Sockets(uint64(limit.Cur)), byMemory)
 }
 
-// listen opens a listener whose connections are counted with those of all clients.
-func (d *Daemon) listen(name string, address netip.AddrPort, divisor float64) (*evictor.Listener, error) {
+// listen opens a listener whose connections are counted in a pool.
+func (d *Daemon) listen(pool *evictor.Pool, name string, address netip.AddrPort, divisor float64) (*evictor.Listener, error) {
 	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return &evictor.Listener{Listener: listener, Name: name, Pool: d.clients, MaxConns: int(float64(d.sockets()) / divisor)}, nil
+	return &evictor.Listener{Listener: listener, Name: name, Pool: pool, MaxConns: int(float64(d.sockets()) / divisor)}, nil
 }
 
 // limitReceiveBuffers bounds the data that each connection of a listener holds unread. Connections
--- a/cowslipd/relay/relay.go
+++ b/cowslipd/relay/relay.go
@@ -88,7 +88,8 @@
 	gossiper         *gossiper.Gossiper
 	lease            *holder.Holder
 	server           *relayer.Server
-	clients          *evictor.Pool
+	clients          *evictor.Pool // connections of callers and operators
+	peers            *evictor.Pool // connections of other daemons
 	quarantine       quarantine
 	limits           limits
 }
@@ -158,12 +159,12 @@
 func (d *Daemon) openPeerNetwork() error {
 	var err error
 	if d.PeerNetwork == nil {
-		listener, err := d.listen("peers", d.Settings.Peers, peerSocketsDivisor)
+		listener, err := d.listen(d.peers, "peers", d.Settings.Peers, peerSocketsDivisor)
 		if err != nil {
 			return err
 		}
 		listener.IsPeer = true
-		d.gossiper.Listener = listener
+		d.gossiper.Listener, d.gossiper.Calls = listener, evictor.Calls{Pool: d.peers}
 		return nil
 	}
 	d.gossiper.Dial = func(ctx context.Context, address string) (net.Conn, error) {
@@ -224,7 +225,7 @@
 			continue // no operator address is set
 		}
 		var listener *evictor.Listener
-		if listener, err = d.listen(endpoint.name, endpoint.address, endpoint.divisor); err != nil {
+		if listener, err = d.listen(d.clients, endpoint.name, endpoint.address, endpoint.divisor); err != nil {
 			return servers, err
 		}
 		servers = append(servers, httpServer{d.newServer(endpoint.handler), listener})
--- a/evictor/conn.go
+++ b/evictor/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"time"
 )
 
@@ -42,7 +43,9 @@
 	since     time.Time // begin of the phase, or of the last receipt from another daemon
 	served    bool      // a request was answered
 	headBytes int64     // received in the current phase
-	cost      int64     // memory of the head in bytes
+	cost      int64     // memory of the head, or of incomplete messages of another daemon, in bytes
+	evicted   bool      // its descriptor was closed for others
+	calls     int       // of another daemon, in progress
 	writing   time.Time // begin of the write in progress; zero if there is none
 }
 
@@ -66,9 +69,8 @@
 	if n == 0 {
 		return n, err
 	}
-	if c.listener.IsPeer {
-		c.listener.recordPeer(c)
-		return n, err
+	if n == len(data) {
+		runtime.Gosched() // bulk data must not delay the end of calls of closed connections, which hold memory
 	}
 	switch c.listener.Pool.receive(c, data[:n]) {
 	case "":
@@ -116,7 +118,7 @@
 func (c *Conn) Close() error {
 	pool := c.listener.Pool
 	pool.mu.Lock()
-	pool.remove(c)
+	pool.release(c)
 	pool.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -127,6 +129,13 @@
 	if !ok {
 		return
 	}
+	c.setState(state)
+	if state == http.StateIdle {
+		runtime.Gosched() // many pipelined requests at once must not delay others by a time slice each
+	}
+}
+
+func (c *Conn) setState(state http.ConnState) {
 	pool, now := c.listener.Pool, c.listener.Pool.Clock()
 	pool.mu.Lock()
 	defer pool.mu.Unlock()
--- a/evictor/listener.go
+++ b/evictor/listener.go
@@ -28,7 +28,7 @@
 	Name     string // of the address, for metrics and the log
 	Pool     *Pool
 	MaxConns int
-	IsPeer   bool // other daemons connect here; their messages are not counted by the pool
+	IsPeer   bool // other daemons connect here, with gRPC; see Calls
 
 	open    int // guarded by the lock of the pool
 	wanted  int // as above; number of connections to close after their next answers
@@ -105,14 +105,6 @@
 	return oldest[1]
 }
 
-// recordPeer records that another daemon sent data.
-func (l *Listener) recordPeer(c *Conn) {
-	now := l.Pool.Clock()
-	l.Pool.mu.Lock()
-	defer l.Pool.mu.Unlock()
-	c.since = now
-}
-
 func (l *Listener) signal() {
 	select {
 	case l.changed <- struct{}{}:
--- a/evictor/pool.go
+++ b/evictor/pool.go
@@ -23,6 +23,8 @@
 	smallHead = 16 << 10
 	// headSlack is the number of bytes that net/http may read beyond the end of a head.
 	headSlack = 4 << 10
+	// maxCloseWait bounds the wait for the memory of connections that were closed.
+	maxCloseWait = 500 * time.Millisecond
 	// logInterval bounds the number of log lines, since clients connect again at once.
 	logInterval = 10 * time.Second
 )
@@ -38,7 +40,8 @@
 // buffers. It is bounded by the number of connections and not counted by Pool.
 const ConnBytes = 16 << 10
 
-// Pool is the memory of the request heads of all listeners of a process. Its exported fields are set
+// Pool is the memory of the request heads of all listeners of a process, and of messages of other
+// daemons that are not complete. Its exported fields are set
 // before its first use. It is safe for concurrent use.
 type Pool struct {
 	Limit     int64        // bytes, of heads and messages together
@@ -50,6 +53,8 @@
 
 	mu       sync.Mutex
 	used     int64
+	closing  int64         // part of used that evicted connections take until they have ended
+	released chan struct{} // closed when a connection has ended; nil if none waits
 	conns    map[*Conn]struct{}
 	loggedAt time.Time
 	unlogged map[string]int // closed connections since the last log line, by address and reason
@@ -70,20 +75,31 @@
 	c.listener.open++
 }
 
-// remove ends the accounting of a connection, and reports whether it was counted.
-func (p *Pool) remove(c *Conn) bool {
+// remove ends the accounting of a connection whose descriptor is closed.
+func (p *Pool) remove(c *Conn) {
 	if _, counted := p.conns[c]; !counted {
-		return false
+		return
 	}
 	delete(p.conns, c)
 	c.listener.open--
 	c.listener.signal()
+}
+
+// release ends the accounting of the memory of a connection that has ended.
+func (p *Pool) release(c *Conn) {
+	p.remove(c)
 	p.setCost(c, 0)
-	return true
+	if p.released != nil {
+		close(p.released)
+		p.released = nil
+	}
 }
 
 func (p *Pool) setCost(c *Conn, cost int64) {
 	p.used += cost - c.cost
+	if c.evicted {
+		p.closing += cost - c.cost
+	}
 	c.cost = cost
 }
 
@@ -95,6 +111,10 @@
 	if _, counted := p.conns[c]; !counted {
 		return reasonMemory // closed for another connection, which was logged
 	}
+	if c.listener.IsPeer {
+		c.since = now
+		return p.charge(c, int64(len(data)), now)
+	}
 	if c.phase == phaseIdle {
 		c.enter(phaseHead, now)
 	}
@@ -106,27 +126,65 @@
 		p.record(c, reasonHead, now)
 		return reasonHead
 	}
-	p.setCost(c, c.cost+int64(len(data)+bytes.Count(data, []byte{'\n'})*fieldBytes))
-	if !p.makeRoom(c, now) {
-		p.remove(c)
-		p.record(c, reasonMemory, now)
-		return reasonMemory
+	return p.charge(c, int64(len(data)+bytes.Count(data, []byte{'\n'})*fieldBytes), now)
+}
+
+// charge adds to the memory of a connection, and returns reasonMemory if there is no room.
+func (p *Pool) charge(c *Conn, size int64, now time.Time) (reason string) {
+	if p.makeRoom(c, c.cost+size, now) {
+		if _, counted := p.conns[c]; counted { // its owner may have closed it during the wait
+			p.setCost(c, c.cost+size)
+		}
+		return ""
+	}
+	if !c.evicted {
+		p.evict(c, reasonMemory, now)
 	}
-	return ""
+	return reasonMemory
 }
 
-// makeRoom closes more expensive connections until the limit is kept. It returns false if there is
-// none left and this one's head is not small.
-func (p *Pool) makeRoom(c *Conn, now time.Time) bool {
-	others := p.Messages()
-	for p.used+others > p.Limit {
-		victim := p.mostExpensive(now)
-		if victim == nil || victim == c || victim.cost <= c.cost {
-			return c.cost <= smallHead
+// makeRoom closes more expensive connections until this one may take the given memory, and waits for
+// theirs. It returns false if there are none or their memory is not free in time, and this one's is
+// not small. The caller holds the lock, which is free during waits.
+func (p *Pool) makeRoom(c *Conn, cost int64, now time.Time) bool {
+	var deadline <-chan time.Time
+	for cost > smallHead && !c.evicted {
+		needed := p.used - c.cost + cost + p.Messages()
+		if needed <= p.Limit {
+			break
+		}
+		if needed-p.closing > p.Limit {
+			victim := p.mostExpensive(now)
+			if victim == nil || victim == c || victim.cost <= cost {
+				return false
+			}
+			p.evict(victim, reasonMemory, now)
+			continue
+		}
+		if deadline == nil {
+			deadline = time.After(maxCloseWait)
+		}
+		if !p.wait(deadline) {
+			return false
 		}
-		p.evict(victim, reasonMemory, now)
 	}
-	return true
+	return !c.evicted
+}
+
+// wait waits until a connection has ended, and reports whether one has before the deadline.
+func (p *Pool) wait(deadline <-chan time.Time) bool {
+	if p.released == nil {
+		p.released = make(chan struct{})
+	}
+	released := p.released
+	p.mu.Unlock()
+	defer p.mu.Lock()
+	select {
+	case <-released:
+		return true
+	case <-deadline:
+		return false
+	}
 }
 
 // mostExpensive returns the closable connection that takes the most memory, the oldest of equal
@@ -140,9 +198,12 @@
 	return found
 }
 
-// evict closes a connection. The caller holds the lock.
+// evict closes a connection, whose memory is counted until its owner has closed it too. The caller
+// holds the lock.
 func (p *Pool) evict(c *Conn, reason string, now time.Time) {
 	p.remove(c)
+	c.evicted = true
+	p.closing += c.cost
 	p.record(c, reason, now)
 	_ = c.Conn.Close() // an error means that it is closed
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/stats"
 
 	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/acceptor"
@@ -37,6 +38,7 @@
 	Self       cowslipproxy.Owner
 	Hello      cowslipproxy.Hello
 	Listener   net.Listener
+	Calls      stats.Handler                                                     // follows the calls of other daemons; nil means none
 	Period     time.Duration                                                     // between two gossip rounds
 	Timeout    time.Duration                                                     // time without a heartbeat after which a daemon counts as down
 	MaxBytes   int64                                                             // limit for the body of a forwarded request, and for that of its response
@@ -120,7 +122,11 @@
 	if err := g.updateHello(func(*cowslipproxy.Hello) {}); err != nil {
 		return err
 	}
-	server := grpc.NewServer(serverOptions()...)
+	options := serverOptions()
+	if g.Calls != nil {
+		options = append(options, grpc.StatsHandler(g.Calls))
+	}
+	server := grpc.NewServer(options...)
 	g.Register(server)
 	g.mu.Lock()
 	g.server = server
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -64,7 +64,7 @@
 	MetricLiveUpstreams  = "relay.upstreams"      // upstreams that may get new work
 	MetricMessageMemory  = "relay.messages.bytes" // memory that bodies of requests and replies use, without small ones
 	MetricClients        = "relay.clients"        // open connections of clients: callers, operators and other daemons
-	MetricClientMemory   = "relay.clients.bytes"  // estimated memory of request heads
+	MetricClientMemory   = "relay.clients.bytes"  // estimated memory of request heads and of incomplete messages of other daemons
 	MetricClientsClosed  = "relay.clients.closed" // connections of clients closed because of a limit, by address and reason
 	MetricReader         = "relay.reader"         // 1 if the daemon reads the store for its data centre, else 0
 	MetricLeader         = "relay.leader"         // 1 if the daemon places layers, else 0
