evictor: read daemons that send no calls more slowly

Change: a connection that has received more than 16 KiB without a call in progress waits 100 ms after each full read.

--- a/evictor/calls.go
+++ b/evictor/calls.go
@@ -50,3 +50,10 @@
 		}
 	}
 }
+
+// receivesNoCall reports whether another daemon has sent much data that belongs to no call.
+func (p *Pool) receivesNoCall(c *Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.calls == 0 && c.cost > noCallBytes
+}
--- a/evictor/conn.go
+++ b/evictor/conn.go
@@ -24,6 +24,10 @@
 	stallTime = 5 * time.Second
 	// writePart is the number of bytes of an answer that are written at once.
 	writePart = 64 << 10
+	// noCallBytes is the data that another daemon may send at full speed without a call. Frames of
+	// 9 bytes, such as endless settings, would otherwise keep the processor busy.
+	noCallBytes = 16 << 10
+	noCallPause = 100 * time.Millisecond
 	// headRejectTime is the time in which a client can read the rejection of its head. A
 	// connection that is closed with unread bytes is reset, which discards the answer.
 	headRejectTime = 100 * time.Millisecond
@@ -74,6 +78,9 @@
 	}
 	switch c.listener.Pool.receive(c, data[:n]) {
 	case "":
+		if n == len(data) && c.listener.IsPeer && c.listener.Pool.receivesNoCall(c) {
+			time.Sleep(noCallPause)
+		}
 		return n, err
 	case reasonHead:
 		c.rejectHead()
