--- a/cowslipd/relay/forwarding_test.go
+++ b/cowslipd/relay/forwarding_test.go
@@ -133,6 +133,17 @@
 	require.Empty(t, d.fleet.RunsOf("asterisk"))
 }
 
+// Guards against heads over the configured limit, and against the rejection of heads within it.
+func TestConfiguredHeadLimitIsKept(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, 1)
+	send := func(size int) int {
+		return d.send(d.daemons[0], call{path: feesPath + "1", header: http.Header{"X-Filler": {strings.Repeat("x", size)}}}).status
+	}
+	require.Equal(t, http.StatusOK, send(15<<10))
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, send(24<<10))
+}
+
 // Guards against a connection reset instead of a refusal, due to an unread body.
 func TestRefusalsReachCallersThatCloseTheirConnections(t *testing.T) {
 	t.Parallel()
