pathfinder: choose among all flows by damped weights

Cause: daemons that compare 3 of 48 flows by loads that are about 1 s old all prefer the same ones. An engine that is back after 3 s out of use gets 2.8 to 3.1 times its usual requests for 2 s and then 0.15 times.

Change: package balancer gives each candidate a share by its load, the age of the figure and the time that a request takes, and deals requests out by these shares. A Finder with a Balancer uses it among all usable flows if the mean use of memory is above 0.15; below, it chooses as before.

--- a/cowslipd/relay/pools.go
+++ b/cowslipd/relay/pools.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cowslipproxy/cowslipproxy"
+	"github.com/cowslipproxy/cowslipproxy/balancer"
 	"github.com/cowslipproxy/cowslipproxy/loader"
 	"github.com/cowslipproxy/cowslipproxy/pathfinder"
 	"github.com/cowslipproxy/cowslipproxy/picker"
@@ -95,7 +96,7 @@
 // Finder implements relayer.Upstreams.
 func (p *pools) Finder(service string) *pathfinder.Finder {
 	return getOrCreate(p, &p.finders, service, func() *pathfinder.Finder {
-		finder := &pathfinder.Finder{Centre: p.centre, Random: newRandom()}
+		finder := &pathfinder.Finder{Centre: p.centre, Random: newRandom(), Balancer: &balancer.Balancer{Hold: pathfinder.HoldTime}}
 		finder.SetDaemons(p.daemonCount())
 		return finder
 	})
--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -39,6 +39,8 @@
 type Finder struct {
 	Centre string // data centre of this daemon
 	Random *rand.Rand
+	// Balancer chooses among the planned flows under load; nil for the least loaded of a few.
+	Balancer cowslipproxy.Balancer
 
 	mu             sync.Mutex
 	profile        cowslipproxy.EngineProfile
@@ -131,6 +133,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.replan(now)
+	if chosen := f.balanced(now, need); chosen != nil {
+		return f.chargeLinks(now, need, newPath(chosen.segments, float64(need.Tokens))), true
+	}
 	var best *flow
 	var lowest float64
 	start := 0
@@ -180,9 +185,18 @@
 	return true
 }
 
-// cost returns the load of the most loaded engine, with this request added. It is
-// raised by remoteEntryFactor for a path that starts in another data centre.
+// cost returns the use of a flow, raised by remoteEntryFactor if it starts in another data
+// centre.
 func (f *Finder) cost(now time.Time, candidate *flow, need Need) float64 {
+	use := f.use(now, candidate, need)
+	if candidate.segments[0].engine.Centre != f.Centre {
+		use *= remoteEntryFactor
+	}
+	return use
+}
+
+// use returns the load of the most loaded engine, with this request added.
+func (*Finder) use(now time.Time, candidate *flow, need Need) float64 {
 	var worst float64
 	for _, segment := range candidate.segments {
 		use := (segment.engine.use() + float64(need.Tokens*segment.layers.Len())) / segment.engine.memory
@@ -191,9 +205,6 @@
 		}
 		worst = max(worst, use)
 	}
-	if candidate.segments[0].engine.Centre != f.Centre {
-		worst *= remoteEntryFactor
-	}
 	return worst
 }
 
--- a/pathfinder/flows.go
+++ b/pathfinder/flows.go
@@ -37,7 +37,10 @@
 }
 
 // flow is one of the paths that requests are spread over evenly.
-type flow struct{ segments []segment }
+type flow struct {
+	segments []segment
+	credit   float64 // requests that the flow is owed, kept by the balancer
+}
 
 // load gives the utilisation that a search assumes: of engine memory and of
 // links between data centres, as fractions.
@@ -112,7 +115,7 @@
 				plannedLinkUse[linkBetween(segments[i-1].engine.Centre, s.engine.Centre)] += flowLinkUse
 			}
 		}
-		flows = append(flows, flow{segments})
+		flows = append(flows, flow{segments, f.Random.Float64()})
 	}
 	f.plannedLinkUse = plannedLinkUse
 	return flows
