picker: choose by shared load figures under load

Cause: a daemon knows a plain server's load from its own answers only, which 123 daemons get every few seconds each. The figures are discarded after 0.5 s, and each daemon sends to the servers of its own data centre.

Change: the existing share messages also carry each daemon's requests at plain servers. Under load (a mean of 0.35 of the slots), the balancer chooses by these or by the server's own figure, whichever is newer, up to an age of 2 s. Servers that fail are left out. Below that load, and without figures, the server with the lowest cost is chosen as before.

--- a/cowslipd/relay/dump.go
+++ b/cowslipd/relay/dump.go
@@ -25,7 +25,7 @@
 	ActiveRequests int64                   `json:"flight"`
 	Members        []cowslipproxy.Member   `json:"members"`
 	Instances      []cowslipproxy.Instance `json:"instances"`
-	Loads          map[string]float64      `json:"loads"` // load of this daemon's requests on each engine
+	Loads          map[string]float64      `json:"loads"` // load of this daemon's requests on each upstream
 	Quarantine     []quarantineEntry       `json:"quarantine"`
 	Limits         []limiter.GrantState    `json:"limits"` // limits that upstreams have named
 }
--- a/cowslipd/relay/pools.go
+++ b/cowslipd/relay/pools.go
@@ -63,17 +63,24 @@
 	}
 }
 
-// ownLoads returns the load that this daemon's requests put on each engine.
+// ownLoads returns the load that this daemon's requests put on each upstream: memory of
+// engines, and requests at plain servers.
 func (p *pools) ownLoads() map[string]float64 {
 	all := map[string]float64{}
+	for _, servers := range p.allPickers() {
+		maps.Copy(all, servers.OwnLoads())
+	}
 	for _, finder := range p.allFinders() {
 		maps.Copy(all, finder.OwnLoads())
 	}
 	return all
 }
 
-// setOtherLoads sets the load that other daemons' requests put on each engine.
-func (p *pools) setOtherLoads(loads map[string]float64) {
+// setOtherLoads sets the load that other daemons' requests put on each upstream.
+func (p *pools) setOtherLoads(now time.Time, loads map[string]float64) {
+	for _, servers := range p.allPickers() {
+		servers.SetOtherLoads(now, loads)
+	}
 	for _, finder := range p.allFinders() {
 		finder.SetOtherLoads(loads)
 	}
@@ -86,10 +93,17 @@
 	return slices.Collect(maps.Values(p.finders))
 }
 
+// allPickers returns the pickers of all services.
+func (p *pools) allPickers() []*picker.Picker {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Values(p.pickers))
+}
+
 // Picker implements relayer.Upstreams.
 func (p *pools) Picker(service string) *picker.Picker {
 	return getOrCreate(p, &p.pickers, service, func() *picker.Picker {
-		return &picker.Picker{Centre: p.centre, Random: newRandom()}
+		return &picker.Picker{Centre: p.centre, Random: newRandom(), Balancer: &balancer.Balancer{Hold: picker.HoldTime}}
 	})
 }
 
--- a/cowslipd/relay/share.go
+++ b/cowslipd/relay/share.go
@@ -25,7 +25,7 @@
 	now := d.Clock()
 	loads := &d.sharing.loads
 	loads.Put(now, d.owner.Name, d.pools.ownLoads())
-	d.pools.setOtherLoads(loads.Sum(now, d.owner.Name))
+	d.pools.setOtherLoads(now, loads.Sum(now, d.owner.Name))
 	var farNames []string
 	for _, member := range far {
 		farNames = append(farNames, member.Name)
@@ -155,7 +155,7 @@
 	} else {
 		s.loads.Put(now, share.From, share.Loads)
 		s.loads.Put(now, d.owner.Name, d.pools.ownLoads())
-		d.pools.setOtherLoads(s.loads.Sum(now, d.owner.Name))
+		d.pools.setOtherLoads(now, s.loads.Sum(now, d.owner.Name))
 		reply.Loads = s.loads.Sum(now, share.From)
 	}
 	if accepted {
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -35,6 +35,8 @@
 type Picker struct {
 	Centre string // data centre of this daemon
 	Random *rand.Rand
+	// Balancer chooses among the servers under load; nil for the one with the lowest cost.
+	Balancer cowslipproxy.Balancer
 
 	mu      sync.Mutex
 	servers []*server
@@ -47,6 +49,10 @@
 	failedAt    time.Time               // time of the latest failure
 	reported    cowslipproxy.ServerLoad // latest load that the server reported
 	reportedAt  time.Time
+	sent        int     // requests from this daemon since then
+	others      float64 // requests of other daemons
+	othersAt    time.Time
+	credit      float64 // requests that the server is owed, kept by the balancer
 }
 
 // Set replaces the servers of the service. A server that remains keeps its load and
@@ -57,7 +63,7 @@
 	old := p.servers
 	p.servers = nil
 	for _, instance := range instances {
-		s := &server{}
+		s := &server{credit: p.Random.Float64()}
 		if i := slices.IndexFunc(old, func(o *server) bool { return o.ID == instance.ID && o.StartedAt.Equal(instance.StartedAt) }); i >= 0 {
 			s = old[i]
 		}
@@ -71,6 +77,20 @@
 func (p *Picker) Pick(now time.Time, avoid []string) (cowslipproxy.Instance, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	best := p.balanced(now, avoid)
+	if best == nil {
+		best = p.cheapest(now, avoid)
+	}
+	if best == nil {
+		return cowslipproxy.Instance{}, false
+	}
+	best.inFlight++
+	best.sent++
+	return best.Instance, true
+}
+
+// cheapest returns the live server with the lowest cost, or nil.
+func (p *Picker) cheapest(now time.Time, avoid []string) *server {
 	var best *server
 	lowest := math.Inf(1)
 	for _, s := range p.servers {
@@ -82,25 +102,30 @@
 			best, lowest = s, cost
 		}
 	}
-	if best == nil {
-		return cowslipproxy.Instance{}, false
+	return best
+}
+
+// room returns the number of requests that the server runs at once.
+func (s *server) room() float64 {
+	if s.Slots <= 0 {
+		return defaultSlots
 	}
-	best.inFlight++
-	return best.Instance, true
+	return float64(s.Slots)
+}
+
+// failures returns the rate of failures, reduced by the time since the latest one.
+func (s *server) failures(now time.Time) float64 {
+	return s.failureRate * math.Exp2(-now.Sub(s.failedAt).Seconds()/failureHalfLife.Seconds())
 }
 
 // cost returns the load of a server as a fraction of its slots, plus the costs of
 // failures and of another data centre.
 func (p *Picker) cost(now time.Time, s *server) float64 {
-	slots := float64(s.Slots)
-	if slots <= 0 {
-		slots = defaultSlots
-	}
 	busy := float64(s.inFlight)
 	if now.Sub(s.reportedAt) < maxLoadAge {
 		busy = max(busy, float64(s.reported.Running+s.reported.Waiting))
 	}
-	cost := busy/slots + failureCost*s.failureRate*math.Exp2(-now.Sub(s.failedAt).Seconds()/failureHalfLife.Seconds())
+	cost := busy/s.room() + failureCost*s.failures(now)
 	if s.Centre != p.Centre {
 		cost += remoteCost
 	}
@@ -113,7 +138,7 @@
 	defer p.mu.Unlock()
 	for _, s := range p.servers {
 		if s.ID == id {
-			s.inFlight = max(s.inFlight-1, 0)
+			s.inFlight, s.sent = max(s.inFlight-1, 0), max(s.sent-1, 0)
 		}
 	}
 }
@@ -129,7 +154,7 @@
 		}
 		s.inFlight = max(s.inFlight-1, 0)
 		if reported != nil {
-			s.reported, s.reportedAt = *reported, now
+			s.reported, s.reportedAt, s.sent = *reported, now, 0
 		}
 		if failed {
 			s.failureRate += smoothing * (1 - s.failureRate)
