--- a/balancers.go
+++ b/balancers.go
@@ -19,3 +19,19 @@
 	// least one candidate.
 	Choose(candidates []Candidate) int
 }
+
+// Spread describes how even the load of a service's upstreams is, as a daemon knows it.
+type Spread struct {
+	Largest    float64 // load of the most loaded upstream, as a fraction of its room
+	Mean       float64
+	IsBalanced bool // the load is high enough for the balancer to choose
+}
+
+// NewSpread returns the spread of the loads of upstreams.
+func NewSpread(loads []float64) (s Spread) {
+	for _, load := range loads {
+		s.Largest = max(s.Largest, load)
+		s.Mean += load / float64(len(loads))
+	}
+	return s
+}
--- a/cowslipd/relay/dump.go
+++ b/cowslipd/relay/dump.go
@@ -50,6 +50,7 @@
 	reporter.SetGauge(d.Metrics, reporter.MetricLiveUpstreams, int64(countLive(d.registrar.Instances())))
 	reporter.SetGauge(d.Metrics, reporter.MetricMessageMemory, d.server.Memory.Used())
 	d.quarantine.setGauges(now, d.Metrics)
+	d.pools.setSpreadGauges(now, d.Metrics)
 	reporter.SetFlag(d.Metrics, reporter.MetricReader, d.sharing.isReader())
 	reporter.SetFlag(d.Metrics, reporter.MetricLeader, leader)
 	w.Header().Set("Content-Type", reporter.TextFormat)
--- a/pages_test.go
+++ b/pages_test.go
@@ -103,8 +103,8 @@
 		"`GET /metrics` on its operator address in the Prometheus text format. Metrics that\n" +
 		"counted nothing yet are absent. Times are summaries in seconds with the quantiles\n" +
 		"0.5, 0.95 and 0.99 over about the last five minutes; their count is exact and their\n" +
-		"sum is estimated. Labels are `outcome` and `reason` (see `callers.md`), `model` and\n" +
-		"`class`. Counters start from 0 with the daemon.\n\n" +
+		"sum is estimated. Labels are `outcome` and `reason` (see `callers.md`), `model`,\n" +
+		"`class` and `service`. Counters start from 0 with the daemon.\n\n" +
 		"| metric | name in the code | meaning |\n|---|---|---|\n")
 	for _, metric := range constants(t, "reporter", "Metric") {
 		fmt.Fprintf(&page, "| `%s` | `%s` | %s |\n", reporter.TextName(metric.value), metric.value, escapeCell(metric.comment))
--- a/pathfinder/finder.go
+++ b/pathfinder/finder.go
@@ -51,6 +51,7 @@
 	plannedAt      time.Time           // when Choose last planned the flows
 	plannedWithout []*engine           // suspect engines that Choose left out of the plan
 	plannedLinkUse map[link]float64    // planned use of each link, as a fraction of its bandwidth
+	isBalanced     bool                // the latest choice was made by Balancer
 	links          map[link]*linkState // as observed by requests that crossed them
 }
 
--- a/pathfinder/spread.go
+++ b/pathfinder/spread.go
@@ -40,8 +40,23 @@
 		}
 		flows, candidates, load = append(flows, candidate), append(candidates, c), load+c.Load
 	}
-	if load < lightLoad*float64(len(flows)) || len(flows) == 0 {
+	f.isBalanced = len(flows) > 0 && load >= lightLoad*float64(len(flows))
+	if !f.isBalanced {
 		return nil
 	}
 	return flows[f.Balancer.Choose(candidates)]
 }
+
+// Spread returns how even the use of the engines' memory is, and whether the latest choice was
+// balanced.
+func (f *Finder) Spread() cowslipproxy.Spread {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var uses []float64
+	for _, e := range f.listed {
+		uses = append(uses, e.use()/e.memory)
+	}
+	spread := cowslipproxy.NewSpread(uses)
+	spread.IsBalanced = f.isBalanced
+	return spread
+}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -40,6 +40,8 @@
 
 	mu      sync.Mutex
 	servers []*server
+
+	isBalanced bool // the latest choice was made by Balancer
 }
 
 type server struct {
--- a/picker/spread.go
+++ b/picker/spread.go
@@ -62,7 +62,8 @@
 		c := p.candidate(now, s)
 		servers, candidates, load = append(servers, s), append(candidates, c), load+c.Load
 	}
-	if len(servers) == 0 || load < lightLoad*float64(len(servers)) {
+	p.isBalanced = len(servers) > 0 && load >= lightLoad*float64(len(servers))
+	if !p.isBalanced {
 		return nil
 	}
 	return servers[p.Balancer.Choose(candidates)]
@@ -85,3 +86,16 @@
 	}
 	return c
 }
+
+// Spread returns how even the load of the servers is, and whether the latest choice was balanced.
+func (p *Picker) Spread(now time.Time) cowslipproxy.Spread {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var loads []float64
+	for _, s := range p.servers {
+		loads = append(loads, p.candidate(now, s).Load)
+	}
+	spread := cowslipproxy.NewSpread(loads)
+	spread.IsBalanced = p.isBalanced
+	return spread
+}
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -66,6 +66,10 @@
 	MetricReader         = "relay.reader"         // 1 if the daemon reads the store for its data centre, else 0
 	MetricLeader         = "relay.leader"         // 1 if the daemon places layers, else 0
 
+	MetricLargestLoad = "balancer.largest.percent" // load of the most loaded upstream of a service, in percent of its memory or slots, as this daemon knows it
+	MetricMeanLoad    = "balancer.mean.percent"    // mean load of the upstreams of a service, in the same unit
+	MetricBalanced    = "balancer.balanced"        // 1 if the load of a service is high enough for its requests to be balanced by weights, else 0
+
 	MetricMembers     = "gossiper.members" // entry daemons that are up, including this one
 	MetricMembersDown = "gossiper.down"    // entry daemons that send no heartbeats
 )
