--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -40,7 +40,7 @@
 	weights := make([]float64, len(candidates))
 	var sum float64
 	for i, c := range candidates {
-		weights[i] = c.Room * b.weight(c, load/room)
+		weights[i] = c.Room * c.Preference * b.weight(c, load/room)
 		sum += weights[i]
 	}
 	best := 0
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -126,7 +126,7 @@
 	}
 	var found []cowslipproxy.Candidate
 	for i, load := range loads {
-		found = append(found, cowslipproxy.Candidate{Credit: &f.credits[daemon][i], Load: float64(load) / float64(room), Room: 1, Age: time.Duration(at-figure) * step})
+		found = append(found, cowslipproxy.Candidate{Credit: &f.credits[daemon][i], Load: float64(load) / float64(room), Room: 1, Preference: 1, Age: time.Duration(at-figure) * step})
 	}
 	return found
 }
--- a/balancers.go
+++ b/balancers.go
@@ -7,6 +7,9 @@
 	Load float64       // fraction of its room that is in use, by the latest figure and the daemon's own sends since
 	Room float64       // requests that it can run at once, relative to the other candidates
 	Age  time.Duration // age of the figure
+	// Preference multiplies the candidate's part of the requests, for example by less than 1 in
+	// another data centre.
+	Preference float64
 	// Credit is the number of requests that the candidate is owed. The daemon keeps it for the
 	// balancer and sets it to a random value below 1 at first, so that daemons don't start in step.
 	Credit *float64
--- a/pathfinder/spread_test.go
+++ b/pathfinder/spread_test.go
@@ -45,10 +45,10 @@
 	delay = 650 * time.Millisecond // until a figure reaches another daemon
 )
 
-func newSite(daemons int, b cowslipproxy.Balancer) *site {
+func newSite(daemons int, centres string, b cowslipproxy.Balancer) *site {
 	s := &site{engines: chains("a", "b", "c", "a", "b", "c"), random: rand.New(rand.NewPCG(3, 4)), loads: map[string]float64{}, arrived: map[string]int{}}
 	for i := range daemons {
-		f := &pathfinder.Finder{Centre: string("abc"[i%3]), Random: rand.New(rand.NewPCG(5, uint64(i))), Balancer: b}
+		f := &pathfinder.Finder{Centre: string(centres[i%len(centres)]), Random: rand.New(rand.NewPCG(5, uint64(i))), Balancer: b}
 		f.Set(profile, s.engines)
 		s.finders = append(s.finders, f)
 	}
@@ -165,11 +165,14 @@
 // returns empty, so that its prompts queue, and that then all avoid it; and against load that is
 // less even than that of the least loaded of three flows.
 func TestEngineThatReturnsIsNotOverrun(t *testing.T) {
-	for _, daemons := range []int{4, 15, 126} {
+	for _, c := range []struct {
+		daemons int
+		centres string // of the daemons, in turn
+	}{{4, "abc"}, {15, "abc"}, {126, "abc"}, {126, "aaaab"}} {
 		const rate = 70 // about 0.6 of the memory in use
-		before, overrun := newSite(daemons, nil).measure(rate, 6)
-		spread, returned := newSite(daemons, &balancer.Balancer{Hold: pathfinder.HoldTime}).measure(rate, 6)
-		t.Logf("%d daemons: spread %.2f, before %.2f; requests of the engine by second %.2f, before %.2f", daemons, spread, before, returned, overrun)
+		before, overrun := newSite(c.daemons, c.centres, nil).measure(rate, 6)
+		spread, returned := newSite(c.daemons, c.centres, &balancer.Balancer{Hold: pathfinder.HoldTime}).measure(rate, 6)
+		t.Logf("%+v: spread %.2f, before %.2f; requests of the engine by second %.2f, before %.2f", c, spread, before, returned, overrun)
 		require.LessOrEqual(t, spread, before+0.02)
 		require.Less(t, slices.Max(returned[:]), 0.75*slices.Max(overrun[:]))
 		require.Greater(t, slices.Min(returned[:]), 0.7)
--- a/picker/spread.go
+++ b/picker/spread.go
@@ -15,8 +15,9 @@
 	// lightLoad is the mean load of the servers, as a fraction of their slots, below which the
 	// balancer is not used. Requests rarely wait then.
 	lightLoad = 0.35
-	// remoteRoom is the room of a server in another data centre, relative to a local one.
-	remoteRoom = 0.25
+	// remotePreference is the preference for servers in another data centre. Traffic between data
+	// centres is billed.
+	remotePreference = 0.25
 	// shareDelay is the usual age of other daemons' loads when they arrive.
 	shareDelay = 500 * time.Millisecond
 	// maxFailures is the rate of failures above which a server is not a candidate. It is that of
@@ -72,7 +73,7 @@
 // candidate returns what is known of a server: its own figure and the sends since, or the
 // requests of all daemons, whichever is newer.
 func (p *Picker) candidate(now time.Time, s *server) cowslipproxy.Candidate {
-	c := cowslipproxy.Candidate{Room: s.room(), Age: maxFigureAge, Credit: &s.credit}
+	c := cowslipproxy.Candidate{Room: s.room(), Preference: 1, Age: maxFigureAge, Credit: &s.credit}
 	busy := float64(s.inFlight)
 	if age := now.Sub(s.othersAt) + shareDelay; age < maxFigureAge {
 		busy, c.Age = busy+s.others, age
@@ -82,7 +83,7 @@
 	}
 	c.Load = busy / c.Room
 	if s.Centre != p.Centre {
-		c.Room *= remoteRoom
+		c.Preference = remotePreference
 	}
 	return c
 }
