--- a/sharer/loads.go
+++ b/sharer/loads.go
@@ -32,7 +32,7 @@
 	l.reports[from] = report{now, loads}
 }
 
-// Sum returns the total load by engine, without the reports of the named
+// Sum returns the total load by upstream, without the reports of the named
 // daemons.
 func (l *Loads) Sum(now time.Time, exclude ...string) map[string]float64 {
 	l.mu.Lock()
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -38,7 +38,7 @@
 	ListVersion               uint64             `json:"listed"`          // version of the sender's list
 	Complete                  bool               `json:"whole,omitempty"` // InstanceList is set
 	cowslipproxy.InstanceList                    // the complete list, if the receiver does not have it
-	Loads                     map[string]float64 `json:"loads,omitempty"` // load by engine, without the receiver's own
+	Loads                     map[string]float64 `json:"loads,omitempty"` // load by engine or plain server, without the receiver's own
 	RequestList               bool               `json:"ask,omitempty"`   // the sender cannot read the store and requests the list
 }
 
@@ -58,7 +58,7 @@
 	ConfigurationVersion      uint64             `json:"table"`           // version of the active configuration
 	ConfigurationAge          time.Duration      `json:"read"`            // time since the last successful read of the configuration, in a reply to a request
 	Age                       time.Duration      `json:"age"`             // age of its list
-	Loads                     map[string]float64 `json:"loads,omitempty"` // load of its own requests by engine
+	Loads                     map[string]float64 `json:"loads,omitempty"` // load of its own requests by engine or plain server
 	cowslipproxy.InstanceList                    // the complete list, if it was requested
 }
 
