--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,9 +9,9 @@
 	"github.com/cowslipproxy/cowslipproxy"
 )
 
-// Balancer chooses at random with weights that correct a difference in load within some multiple
+// Balancer deals requests out by weights that correct a difference in load within some multiple
 // of the age of the figures. Daemons that all send to the emptiest server overload it before
-// their figures show that. It is safe for concurrent use.
+// their figures show that. It holds no state; the caller guards the credits of the candidates.
 type Balancer struct {
 	Hold time.Duration // mean time that a request occupies its server
 }
@@ -29,7 +29,8 @@
 	maxCredit = 1.0
 )
 
-// Choose implements cowslipproxy.Balancer.
+// Choose implements cowslipproxy.Balancer. Credits sum up to about 0, so that a candidate that was
+// not offered for some time is owed no more than the others.
 func (b *Balancer) Choose(candidates []cowslipproxy.Candidate) int {
 	var load, room, credit float64
 	for _, c := range candidates {
