--- a/loader/relay.go
+++ b/loader/relay.go
@@ -29,6 +29,7 @@
 	Floor       float64               `json:"floor" validate:"gte=0"`       // further retries of all daemons per window, independent of the number of requests
 	LinkMbps    float64               `json:"link" validate:"gte=0"`        // speed of the VM's link, in megabits per second; 0 if unknown
 	MemoryMB    float64               `json:"memory" validate:"gte=0"`      // memory limit of the process; 0 if unknown; see MemoryBytes
+	Balance     bool                  `json:"balance"`                      // choose paths and plain servers by shared load figures; see docs/design/even-load.md
 	Descriptors float64               `json:"descriptors" validate:"gte=0"` // descriptors of the VM; 0 if unknown; see Sockets
 	Level       string                `json:"level" validate:"oneof=debug info warn error"`
 }
--- a/relayer/stream_exchange.go
+++ b/relayer/stream_exchange.go
@@ -338,7 +338,9 @@
 			return
 		}
 		a.finder.ReportFailure(a.Clock(), address)
-		if err == nil && !state.Leaving { // of that others learn with the state
+		// Others learn with the state that the engine leaves. With less memory free, it may refuse
+		// large requests only.
+		if err == nil && !state.Leaving && state.Memory < fullMemory/2 {
 			a.Speeds.RecordUnusable(ctx, a.Clock(), engine.Incarnation())
 		}
 	}()
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -38,8 +38,8 @@
 	ListVersion               uint64                      `json:"listed"`          // version of the sender's list
 	Complete                  bool                        `json:"whole,omitempty"` // InstanceList is set
 	cowslipproxy.InstanceList                             // the complete list, if the receiver does not have it
-	Loads                     map[string]float64          `json:"loads,omitempty"`  // load by engine, without the receiver's own
-	Speeds                    []cowslipproxy.EngineReport `json:"speeds,omitempty"` // of slow engines
+	Loads                     map[string]float64          `json:"loads,omitempty"`  // load by engine or plain server, without the receiver's own
+	Speeds                    []cowslipproxy.EngineReport `json:"speeds,omitempty"` // of slow, recovered and unusable engines
 	RequestList               bool                        `json:"ask,omitempty"`    // the sender cannot read the store and requests the list
 }
 
@@ -64,8 +64,8 @@
 	ConfigurationVersion      uint64                      `json:"table"`            // version of the active configuration
 	ConfigurationAge          time.Duration               `json:"read"`             // time since the last successful read of the configuration, in a reply to a request
 	Age                       time.Duration               `json:"age"`              // age of its list
-	Loads                     map[string]float64          `json:"loads,omitempty"`  // load of its own requests by engine
-	Speeds                    []cowslipproxy.EngineReport `json:"speeds,omitempty"` // of slow engines
+	Loads                     map[string]float64          `json:"loads,omitempty"`  // load of its own requests by engine or plain server
+	Speeds                    []cowslipproxy.EngineReport `json:"speeds,omitempty"` // of slow, recovered and unusable engines
 	cowslipproxy.InstanceList                             // the complete list, if it was requested
 }
 
