--- a/cowslipd/relay/dump.go
+++ b/cowslipd/relay/dump.go
@@ -25,7 +25,7 @@
 	ActiveRequests int64                   `json:"flight"`
 	Members        []cowslipproxy.Member   `json:"members"`
 	Instances      []cowslipproxy.Instance `json:"instances"`
-	Loads          map[string]float64      `json:"loads"` // load of this daemon's requests on each engine
+	Loads          map[string]float64      `json:"loads"` // load of this daemon's requests on each upstream
 	Quarantine     []quarantineEntry       `json:"quarantine"`
 	Limits         []limiter.GrantState    `json:"limits"` // limits that upstreams have named
 }
@@ -54,6 +54,7 @@
 	reporter.SetGauge(d.Metrics, reporter.MetricClientMemory, clientMemory+peerMemory)
 	reporter.SetGauge(d.Metrics, reporter.MetricClients, int64(clients+peers))
 	d.quarantine.setGauges(now, d.Metrics)
+	d.pools.setSpreadGauges(now, d.Metrics)
 	reporter.SetFlag(d.Metrics, reporter.MetricReader, d.sharing.isReader())
 	reporter.SetFlag(d.Metrics, reporter.MetricLeader, leader)
 	w.Header().Set("Content-Type", reporter.TextFormat)
--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -172,7 +171,7 @@
 			a.finder.ReportFailure(now, engine)
 		}
 		a.recordStall(path, failedEngines)
-		if idle < stallTimeout && !slices.Contains(failedEngines, path.First().Address) && !a.mayMove(now, stallTimeout-idle) {
+		if idle < stallTimeout && !a.mayMove(now, stallTimeout-idle) {
 			return
 		}
 		if a.reroutePath(path, failedEngines) {
