relayer: do not report engines that others wait for

Cause: an engine that many streams wait for is often busy with their prefill. Since all daemons avoided it for 3 s, which filled the others.

--- a/pathfinder/speeds.go
+++ b/pathfinder/speeds.go
@@ -72,16 +72,6 @@
 	return found
 }
 
-// IsWithinCentre reports whether an engine of a path gets its work from one in its data centre.
-func (f *Finder) IsWithinCentre(path *Path, address netip.AddrPort) bool {
-	for i := 1; i < len(path.segments); i++ {
-		if path.segments[i].engine.Address == address {
-			return path.segments[i-1].engine.Centre == path.segments[i].engine.Centre
-		}
-	}
-	return false
-}
-
 // ReportUnusable records that other daemons found an engine unusable. It is ignored if the engines that
 // get work would not suffice without it.
 func (f *Finder) ReportUnusable(at time.Time, address netip.AddrPort) {
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -63,8 +63,7 @@
 	RecordInTime(now time.Time, path []cowslipproxy.Hop)
 	// RecordReport records what an engine reported to this daemon, which asked it at the given time.
 	RecordReport(ctx context.Context, asked time.Time, incarnation string, state cowslipproxy.EngineState)
-	// RecordUnusable records that an engine refuses work although it has memory, or that another engine
-	// waits for it.
+	// RecordUnusable records that an engine refuses work although it has memory.
 	RecordUnusable(ctx context.Context, now time.Time, incarnation string)
 }
 
--- a/relayer/stream_attempt.go
+++ b/relayer/stream_attempt.go
@@ -275,23 +275,12 @@
 	}
 	for _, stall := range state.Stalled {
 		if stall.Request == a.callerRequest.ID {
-			a.recordUnusable(path, stall.Address)
 			return stall.Address, true
 		}
 	}
 	return netip.AddrPort{}, false
 }
 
-// recordUnusable records that an engine of the path keeps the one before it waiting. If their link
-// connects data centres, the link may be at fault.
-func (a *streamAttempt) recordUnusable(path *pathfinder.Path, address netip.AddrPort) {
-	for _, hop := range path.Hops {
-		if hop.Address == address && a.finder.IsWithinCentre(path, address) {
-			a.Speeds.RecordUnusable(a.ctx, a.Clock(), hop.Incarnation())
-		}
-	}
-}
-
 // firstState returns the state that the first engine of a path reports.
 func (a *streamAttempt) firstState(path *pathfinder.Path) (cowslipproxy.EngineState, error) {
 	return a.stateCache.state(a.ctx, a.Server, a.Clock(), firstEngine(path))
--- a/relays.go
+++ b/relays.go
@@ -108,7 +108,7 @@
 	ID          uint64        `json:"id"` // random; a daemon takes each report once
 	Incarnation string        `json:"engine"`
 	Slowdown    float64       `json:"slowdown,omitempty"` // factor by which it runs slower than its profile; 0 if not reported
-	Unusable    bool          `json:"unusable,omitempty"` // it refuses work although it has memory, or another engine waits for it
+	Unusable    bool          `json:"unusable,omitempty"` // it refuses work although it has memory
 	Leaving     bool          `json:"leaving,omitempty"`  // it will stop soon
 	Age         time.Duration `json:"age"`                // of the report
 }
