--- a/evictor/calls.go
+++ b/evictor/calls.go
@@ -6,7 +6,7 @@
 	"google.golang.org/grpc/stats"
 )
 
-// Calls tells a pool which data of other daemons was received completely. It implements
+// Calls reports to a pool which data of other daemons was received completely. It implements
 // stats.Handler of a gRPC server behind a listener with IsPeer.
 type Calls struct{ Pool *Pool }
 
