review: longer requests in case 10, others beside case 9, names in a file

Case 9 counts what the crashes break off. A test of the project keeps names of the platform out of Go files, so that the stand-ins read them from a file.

--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -19,8 +19,8 @@
 // call is a request of a requester.
 type call struct {
 	method, path, body string
-	parts              string // X-Prompt-Prefix
-	tokens             string // X-Token-Usage
+	parts              string
+	tokens             string
 	deadline           time.Duration
 }
 
@@ -64,13 +64,13 @@
 		return got
 	}
 	request.Host = host
-	request.Header.Set("X-Request-Id", got.id)
-	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(c.deadline.Milliseconds(), 10))
+	request.Header.Set(wire("id"), got.id)
+	request.Header.Set(wire("deadline"), strconv.FormatInt(c.deadline.Milliseconds(), 10))
 	request.Header.Set("Authorization", "Bearer "+key)
 	if c.parts != "" {
 		request.Header.Set("X-Model", "m")
-		request.Header.Set("X-Prompt-Prefix", c.parts)
-		request.Header.Set("X-Token-Usage", c.tokens)
+		request.Header.Set(wire("parts"), c.parts)
+		request.Header.Set(wire("tokens"), c.tokens)
 	}
 	q.record.add("sends %s %s %s parts=%q to %s", got.id, c.method, c.path, c.parts, q.address)
 	defer func() {
@@ -82,7 +82,7 @@
 		return got
 	}
 	defer response.Body.Close()
-	got.status, got.signed = response.StatusCode, response.Header.Get("X-Response-Signature") != ""
+	got.status, got.signed = response.StatusCode, response.Header.Get(wire("signature")) != ""
 	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
 		got.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
--- a/review/stage/daemon.go
+++ b/review/stage/daemon.go
@@ -120,7 +120,7 @@
 func (d *daemon) isReady() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.ready+"/api/ready", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.ready+wire("ready"), nil)
 	if err != nil {
 		return false
 	}
--- a/review/stage/late.go
+++ b/review/stage/late.go
@@ -14,8 +14,8 @@
 func playLate(s *stage) (verdict, error) {
 	const (
 		daemons  = 14
-		interval = 2500 * time.Millisecond // between two requests to each daemon
-		work     = time.Second             // of a server on a request
+		interval = 1500 * time.Millisecond // between two requests to each daemon
+		work     = 2500 * time.Millisecond // of a server on a request
 		late     = 5500 * time.Millisecond // of the write
 		drain    = 2 * time.Second         // drain_ms
 		serves   = 5 * time.Second         // for which the leaving server goes on after its report
@@ -29,7 +29,7 @@
 		servers = append(servers, one)
 	}
 	if err := s.publish([]map[string]any{{
-		"name": "confirm", "host": host, "path_prefix": "/confirm/", "kind": "unsafe", "timeout_ms": 4000, "target_latency_ms": 1000,
+		"name": "confirm", "host": host, wire("prefix"): "/confirm/", "kind": "unsafe", "timeout_ms": 8000, wire("target"): 3000,
 		"priority": 2, "service": "orders", "attempts": 2, "public": false,
 	}}, []map[string]any{{"name": "orders", "health_path": "/healthz", "max_connections": 214, "protocol": "h1", "tls": false}}); err != nil {
 		return couldNot, err
@@ -44,7 +44,7 @@
 		lost := leaver.nextEntry()
 		s.record.add("server %s writes its entry, and gets no answer from the store", leaver.id)
 		time.AfterFunc(late, func() {
-			s.store.put(topicServers, leaver.id, lost)
+			s.store.put(wire("servers"), leaver.id, lost)
 			s.record.add("the store executes that write")
 		})
 		var err error
@@ -81,7 +81,7 @@
 			defer q.close()
 			time.Sleep(rand.N(interval))
 			for {
-				got := q.send(call{method: http.MethodPost, path: "/confirm/1", body: "an order", deadline: 4 * time.Second})
+				got := q.send(call{method: http.MethodPost, path: "/confirm/1", body: "an order", deadline: 8 * time.Second})
 				mu.Lock()
 				sentAt[got.id] = got.at
 				sent++
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -37,11 +37,12 @@
 )
 
 var cases = map[string]func(*stage) (verdict, error){
-	"split":   playSplit,
-	"pause":   playPause,
-	"parts":   playParts,
-	"recover": playRecover,
-	"late":    playLate,
+	"split":    playSplit,
+	"pause":    playPause,
+	"parts":    playParts,
+	"recover":  playRecover,
+	"unframed": playUnframed,
+	"late":     playLate,
 }
 
 func main() {
@@ -123,25 +124,25 @@
 	data, err := json.Marshal(map[string]any{
 		"version": 7, "routes": routes, "services": services,
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "hule930", "api_keys": []string{key}, "priority": 1}},
+		"tenants": []map[string]any{{"name": "hule930", wire("keys"): []string{key}, "priority": 1}},
 	})
 	if err != nil {
 		return err
 	}
-	s.store.put(topicOp, "config", data)
+	s.store.put(wire("op"), "config", data)
 	return nil
 }
 
 // publishModel writes a configuration with a model service, whose streams may be resumed.
 func (s *stage) publishModel() error {
 	engine := map[string]any{
-		"slots": 64, "kv_capacity": 100000, "kv_token_bytes": 1000, "link_mbps": 480000.0, "stride": 2, "models": []map[string]any{{"name": "m", "pace": 1.0, "load_s": 2.0, "warm_s": 1.0}},
+		"slots": 64, "kv_capacity": 100000, wire("tokensize"): 1000, "link_mbps": 480000.0, "stride": 2, "models": []map[string]any{{"name": "m", "pace": 1.0, "load_s": 2.0, "warm_s": 1.0}},
 		"step_ms": 0.85, "per_seq_ms": 0.003, "context_per_k": 0.004, "read_per_s": 252000.0, "pairs_per_m": 0.129, "chunk": 512, "report_lag_ms": 200.0, "loads_at_once": 6,
 		"delays": []any{}, "usual": map[string]any{"prompt": 100, "answer": 10}, "layers": layers, "layer_mb": 100.0, "activation_bytes": 22900, "pipe_mbps": 7900.0,
 		"kinds": []map[string]any{{"name": "big", "size_mb": 36000.0, "pace": 1.0, "read_factor": 1.0}},
 	}
 	return s.publish([]map[string]any{{
-		"name": "letters", "host": host, "path_prefix": "/letters/", "kind": "streaming", "timeout_ms": 20000, "target_latency_ms": 500,
+		"name": "letters", "host": host, wire("prefix"): "/letters/", "kind": "streaming", "timeout_ms": 20000, wire("target"): 500,
 		"priority": 1, "service": "model", "attempts": 2, "public": false, "session_affinity": true, "resumable": true, "gap_target_ms": 200,
 	}}, []map[string]any{{"name": "model", "health_path": "/healthz", "max_connections": 2000, "protocol": "h1", "tls": false, "engine": engine}})
 }
--- a/review/stage/parts.go
+++ b/review/stage/parts.go
@@ -26,7 +26,7 @@
 		allowed     = 3 // requests with the part that may reach servers later than the window after the fifth crash
 	)
 	crashing := func(r *http.Request, _ []byte) bool {
-		return s.trouble && strings.Contains(r.Header.Get("X-Prompt-Prefix"), poisonPart)
+		return s.trouble && strings.Contains(r.Header.Get(wire("parts")), poisonPart)
 	}
 	for range engines {
 		if err := s.fleet.start(behaviour{service: "model", isEngine: true, events: 5, interval: 20 * time.Millisecond, crashes: crashing}); err != nil {
--- a/review/stage/pause.go
+++ b/review/stage/pause.go
@@ -27,7 +27,7 @@
 		minimum    = 20 // requests of the desk, of each kind
 	)
 	isPoison := func(parts string) bool { return strings.Contains(parts, poisonPart) }
-	crashing := func(r *http.Request, _ []byte) bool { return s.trouble && isPoison(r.Header.Get("X-Prompt-Prefix")) }
+	crashing := func(r *http.Request, _ []byte) bool { return s.trouble && isPoison(r.Header.Get(wire("parts"))) }
 	for range engines {
 		if err := s.fleet.start(behaviour{service: "model", isEngine: true, events: 5, interval: 20 * time.Millisecond, crashes: crashing}); err != nil {
 			return couldNot, err
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -180,7 +180,7 @@
 	if err != nil {
 		panic(err) // unreachable: only maps of plain values are encoded
 	}
-	s.fleet.store.put(topicServers, s.id, data)
+	s.fleet.store.put(wire("servers"), s.id, data)
 }
 
 // unregister removes the server's entry, unless the server has started again under its id.
@@ -188,7 +188,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.isReplaced {
-		s.fleet.store.put(topicServers, s.id, nil)
+		s.fleet.store.put(wire("servers"), s.id, nil)
 	}
 }
 
@@ -249,7 +249,7 @@
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if wanted := r.Header.Get("X-Expect-Instance"); wanted != "" && wanted != s.id {
+	if wanted := r.Header.Get(wire("instance")); wanted != "" && wanted != s.id {
 		w.Header().Set("X-Instance-Id", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -258,10 +258,10 @@
 	case "/healthz":
 		w.Header().Set("X-Instance-Id", s.id)
 		return
-	case "/api/report":
+	case wire("report"):
 		s.serveReport(w)
 		return
-	case "/api/order":
+	case wire("order"):
 		s.serveOrder(w, r)
 		return
 	}
@@ -269,14 +269,14 @@
 	if err != nil {
 		return
 	}
-	id := r.Header.Get("X-Request-Id")
-	if s.isEngine && !s.holdsPath(r.Header.Get("X-Hop-Count")) {
-		w.Header().Set("X-Request-Id", id)
-		w.Header().Set("At-Server", s.listener.Addr().String())
+	id := r.Header.Get(wire("id"))
+	if s.isEngine && !s.holdsPath(r.Header.Get(wire("path"))) {
+		w.Header().Set(wire("id"), id)
+		w.Header().Set(wire("engine"), s.listener.Addr().String())
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	a := arrival{at: time.Now(), service: s.service, server: s.id, id: id, path: r.URL.RequestURI(), body: string(body), parts: r.Header.Get("X-Prompt-Prefix")}
+	a := arrival{at: time.Now(), service: s.service, server: s.id, id: id, path: r.URL.RequestURI(), body: string(body), parts: r.Header.Get(wire("parts"))}
 	a.crashed = s.crashes != nil && s.crashes(r, body)
 	s.fleet.add(a)
 	s.fleet.record.add("request %s %s reaches %s of %s and runs, crashes=%v", id, a.path, s.id, s.service, a.crashed)
@@ -286,8 +286,8 @@
 	}
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	w.Header().Set("X-Request-Id", id)
-	w.Header().Set("X-Response-Signature", "sig."+s.id+"."+id)
+	w.Header().Set(wire("id"), id)
+	w.Header().Set(wire("signature"), "sig."+s.id+"."+id)
 	if s.isLeaving() {
 		w.Header().Set("Server-Leaving", "1")
 	}
@@ -321,8 +321,8 @@
 		defer s.mu.Unlock()
 		delete(s.conns, conn)
 	}()
-	id := r.Header.Get("X-Request-Id")
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\nX-Request-Id: %s\r\nX-Response-Signature: sig.%s.%s\r\n\r\n", id, s.id, id)
+	id := r.Header.Get(wire("id"))
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n%s: %s\r\n%s: sig.%s.%s\r\n\r\n", wire("id"), id, wire("signature"), s.id, id)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for number := last + 1; number <= s.events; number++ {
 		if _, err := fmt.Fprintf(conn, "id: %d\ndata: t%d\n\n", number, number); err != nil {
--- a/review/stage/split.go
+++ b/review/stage/split.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -15,12 +17,13 @@
 		repeats   = 30
 		allowed   = 3 // retries that may reach servers later than the window after the third crash
 		crashes   = 3
-		perSecond = 5 // sound requests
+		perSecond = 30 // sound requests
+		work      = 100 * time.Millisecond
 	)
 	crashing := func(r *http.Request, body []byte) bool { return s.trouble && string(body) == poison }
 	for range 3 {
 		for _, service := range []string{"orders-a", "orders-b"} {
-			if err := s.fleet.start(behaviour{service: service, crashes: crashing}); err != nil {
+			if err := s.fleet.start(behaviour{service: service, work: work, crashes: crashing}); err != nil {
 				return couldNot, err
 			}
 		}
@@ -31,7 +34,7 @@
 		services = append(services, map[string]any{"name": name, "health_path": "/healthz", "max_connections": 214, "protocol": "h1", "tls": false})
 	}
 	if err := s.publish([]map[string]any{{
-		"name": "confirm", "host": host, "path_prefix": "/confirm/", "kind": "unsafe", "timeout_ms": 2000, "target_latency_ms": 100,
+		"name": "confirm", "host": host, wire("prefix"): "/confirm/", "kind": "unsafe", "timeout_ms": 2000, wire("target"): 100,
 		"priority": 2, "split": split, "attempts": 2, "public": false,
 	}}, services); err != nil {
 		return couldNot, err
@@ -42,21 +45,31 @@
 	time.Sleep(2 * stabilityWindow) // all machines are in touch
 	soundDone := make(chan struct{})
 	stop := make(chan struct{})
+	var mu sync.Mutex
 	var sound, served int
 	go func() {
 		defer close(soundDone)
-		q := newRequester(s.record, s.daemons[0].callers)
-		defer q.close()
-		for ; ; time.Sleep(time.Second / perSecond) {
+		var group sync.WaitGroup
+		defer group.Wait()
+		var all []*requester
+		for _, d := range s.daemons {
+			all = append(all, newRequester(s.record, d.callers))
+		}
+		for number := 0; ; number++ {
 			select {
 			case <-stop:
 				return
-			default:
-			}
-			sound++
-			if q.send(call{method: http.MethodPost, path: "/confirm/1", body: "sound", deadline: time.Second}).served() {
-				served++
+			case <-time.After(time.Second / perSecond):
 			}
+			group.Go(func() {
+				got := all[number%len(all)].send(call{method: http.MethodPost, path: "/confirm/1", body: fmt.Sprintf("order %d", number), deadline: time.Second})
+				mu.Lock()
+				defer mu.Unlock()
+				sound++
+				if got.served() {
+					served++
+				}
+			})
 		}
 	}()
 	statuses := map[int]int{}
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	keyedPrefix  = "keyed."
-	topicOp      = "keyed.op"
-	topicServers = "keyed.servers"
 	maxPageItems = 500
 	maxWait      = 30 * time.Second
 )
@@ -44,9 +41,9 @@
 	}
 	s := &store{address: listener.Addr().String(), topics: map[string]*topic{}, changed: make(chan struct{})}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /api/log-append", s.serveAppend)
-	mux.HandleFunc("GET /api/log-read", s.serveRead)
-	mux.HandleFunc("GET /api/log-newest", s.serveNewest)
+	mux.HandleFunc("POST "+wire("append"), s.serveAppend)
+	mux.HandleFunc("GET "+wire("read"), s.serveRead)
+	mux.HandleFunc("GET "+wire("newest"), s.serveNewest)
 	s.http = &http.Server{Handler: mux}
 	go s.http.Serve(listener)
 	return s, nil
@@ -75,7 +72,7 @@
 	t := s.topic(name)
 	offset = len(t.records)
 	for _, record := range records {
-		if strings.HasPrefix(name, keyedPrefix) && len(record) > 0 && len(record) > int(record[0]) {
+		if strings.HasPrefix(name, wire("keyed")) && len(record) > 0 && len(record) > int(record[0]) {
 			key := string(record[1 : 1+int(record[0])])
 			if len(record) == 1+len(key) {
 				delete(t.newest, key)
@@ -92,7 +89,7 @@
 
 func (s *store) serveAppend(w http.ResponseWriter, r *http.Request) {
 	name := r.URL.Query().Get("topic")
-	if name == topicOp || name == topicServers {
+	if name == wire("op") || name == wire("servers") {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
