--- a/review/stage/late.go
+++ b/review/stage/late.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 )
 
@@ -13,82 +12,78 @@
 // executes a write of its former run late. Some time later the server leaves, as planned.
 func playLate(s *stage) (verdict, error) {
 	const (
-		daemons  = 14
-		interval = 1500 * time.Millisecond // between two requests to each daemon
-		work     = 2500 * time.Millisecond // of a server on a request
-		late     = 5500 * time.Millisecond // of the write
-		drain    = 2 * time.Second         // drain_ms
-		serves   = 5 * time.Second         // for which the leaving server goes on after its report
+		work   = 2500 * time.Millisecond // of a server on a request
+		serves = 5 * time.Second         // for which the leaving server goes on after its report
 	)
-	var servers []*server
-	for range 2 {
-		one, err := s.fleet.startServer(behaviour{service: "orders", work: work})
-		if err != nil {
-			return couldNot, err
-		}
-		servers = append(servers, one)
-	}
-	if err := s.publish([]map[string]any{{
-		"name": "confirm", "host": host, wire("prefix"): "/confirm/", "kind": "unsafe", "timeout_ms": 8000, wire("target"): 3000,
-		"priority": 2, "service": "orders", "attempts": 2, "public": false,
-	}}, []map[string]any{{"name": "orders", "health_path": "/healthz", "max_connections": 214, "protocol": "h1", "tls": false}}); err != nil {
+	orders := behaviour{service: "orders", work: work}
+	leaver, err := s.fleet.startServer(orders)
+	if err != nil {
 		return couldNot, err
 	}
-	if err := s.startDaemons(daemons); err != nil {
+	if err := s.deploy(repeat(1, orders), s.publishOrders, 14); err != nil {
 		return couldNot, err
 	}
-	time.Sleep(2 * stabilityWindow)
-
-	leaver := servers[0]
 	if s.trouble {
-		lost := leaver.nextEntry()
-		s.record.add("server %s writes its entry, and gets no answer from the store", leaver.id)
-		time.AfterFunc(late, func() {
-			s.store.put(wire("servers"), leaver.id, lost)
-			s.record.add("the store executes that write")
-		})
-		var err error
-		if leaver, err = leaver.restart(backAfter); err != nil {
+		if leaver, err = s.endTogether(leaver); err != nil {
 			return couldNot, err
 		}
-		for _, d := range s.daemons {
-			d.kill()
-		}
-		s.record.add("all daemons are killed")
-		time.Sleep(300 * time.Millisecond)
-		for _, d := range s.daemons {
-			if err := d.restart(s.root, s.folder); err != nil {
-				return couldNot, err
-			}
-		}
-		for _, d := range s.daemons {
-			if err := d.awaitReady(10 * time.Second); err != nil {
-				return couldNot, err
-			}
-		}
-		s.record.add("all daemons are ready again")
 	}
 	time.Sleep(12 * time.Second) // the store and all machines are in touch again
-
 	stop := make(chan struct{})
-	var mu sync.Mutex
-	sentAt := map[string]time.Time{}
-	var served, sent int
-	var group sync.WaitGroup
+	done := make(chan []result, 1)
+	go func() { done <- s.order(stop) }()
+	time.Sleep(6 * time.Second)
+	acked := leaver.drain()
+	time.Sleep(serves)
+	leaver.end()
+	s.record.add("server %s ends", leaver.id)
+	close(stop)
+	return s.judgeLate(<-done, leaver.id, acked), nil
+}
+
+func (s *stage) publishOrders() error {
+	return s.publish([]map[string]any{{
+		"name": "confirm", "host": host, wire("prefix"): "/confirm/", "kind": "unsafe", "timeout_ms": 8000, wire("target"): 3000,
+		"priority": 2, "service": "orders", "attempts": 2, "public": false,
+	}}, []map[string]any{plainService("orders")})
+}
+
+// endTogether loses the answer to a write of a server, ends it and all daemons, and starts them again. The
+// store executes the write some seconds later.
+func (s *stage) endTogether(leaver *server) (*server, error) {
+	const late = 5500 * time.Millisecond
+	lost := leaver.nextEntry()
+	s.record.add("server %s writes its entry, and gets no answer from the store", leaver.id)
+	time.AfterFunc(late, func() {
+		s.store.put(wire("servers"), leaver.id, lost)
+		s.record.add("the store executes that write")
+	})
+	again, err := leaver.restart(backAfter)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.restartDaemons(300 * time.Millisecond); err != nil {
+		return nil, err
+	}
+	for _, d := range s.daemons {
+		if err := d.awaitReady(10 * time.Second); err != nil {
+			return nil, err
+		}
+	}
+	return again, nil
+}
+
+// order sends requests to each daemon, one after the other, until it is stopped.
+func (s *stage) order(stop chan struct{}) []result {
+	const interval = 1500 * time.Millisecond // between the end of a request and the next one
+	all := &traffic{}
 	for _, d := range s.daemons {
-		group.Go(func() {
+		all.group.Go(func() {
 			q := newRequester(s.record, d.callers)
 			defer q.close()
 			time.Sleep(rand.N(interval))
 			for {
-				got := q.send(call{method: http.MethodPost, path: "/confirm/1", body: "an order", deadline: 8 * time.Second})
-				mu.Lock()
-				sentAt[got.id] = got.at
-				sent++
-				if got.served() {
-					served++
-				}
-				mu.Unlock()
+				all.add(q.send(call{method: http.MethodPost, path: "/confirm/1", body: "an order", deadline: 8 * time.Second}))
 				select {
 				case <-stop:
 					return
@@ -97,25 +92,18 @@
 			}
 		})
 	}
-	time.Sleep(6 * time.Second)
-	acked := leaver.drain()
-	time.Sleep(serves)
-	leaver.end()
-	s.record.add("server %s ends", leaver.id)
-	close(stop)
-	group.Wait()
-	violations := 0
-	for _, a := range s.fleet.reached(func(a arrival) bool { return a.server == leaver.id && a.at.After(acked.Add(drain)) }) {
-		violations++
-		s.record.say("request %s, sent %.2f s after the store accepted that server %s is draining, reached it %.2f s after that", a.id, sentAt[a.id].Sub(acked).Seconds(), leaver.id, a.at.Sub(acked).Seconds())
-	}
-	s.record.say("%d of %d requests got no whole answer", sent-served, sent)
-	if violations > 0 {
-		s.record.say("DRAIN broken: %d requests reached a server that the store had as draining for longer than %v", violations, drain)
-		return broken, nil
+	all.group.Wait()
+	return all.results
+}
+
+func (s *stage) judgeLate(results []result, leaver string, acked time.Time) verdict {
+	const drain = 2 * time.Second // drain_ms
+	late := s.fleet.reached(func(a arrival) bool { return a.server == leaver && a.at.After(acked.Add(drain)) })
+	for _, a := range late {
+		s.record.add("request %s reached server %s %.2f s after the store accepted that it is draining", a.id, leaver, a.at.Sub(acked).Seconds())
 	}
-	s.record.say("DRAIN held")
-	return held, nil
+	s.record.say("%d requests reached a server that the store had as draining for longer than %v; %d of %d got no whole answer", len(late), drain, len(results)-countServed(results), len(results))
+	return s.ruling("DRAIN", len(late) > 0)
 }
 
 // nextEntry returns the entry that the server writes at a heartbeat.
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -37,12 +37,11 @@
 )
 
 var cases = map[string]func(*stage) (verdict, error){
-	"split":    playSplit,
-	"pause":    playPause,
-	"parts":    playParts,
-	"recover":  playRecover,
-	"unframed": playUnframed,
-	"late":     playLate,
+	"split":   playSplit,
+	"pause":   playPause,
+	"parts":   playParts,
+	"recover": playRecover,
+	"late":    playLate,
 }
 
 func main() {
@@ -146,3 +145,33 @@
 		"priority": 1, "service": "model", "attempts": 2, "public": false, "session_affinity": true, "resumable": true, "gap_target_ms": 200,
 	}}, []map[string]any{{"name": "model", "health_path": "/healthz", "max_connections": 2000, "protocol": "h1", "tls": false, "engine": engine}})
 }
+
+// ruling says whether a rule was broken.
+func (s *stage) ruling(rule string, isBroken bool) verdict {
+	if isBroken {
+		s.record.say("%s broken", rule)
+		return broken
+	}
+	s.record.say("%s held", rule)
+	return held
+}
+
+func plainService(name string) map[string]any {
+	return map[string]any{"name": name, "health_path": "/healthz", "max_connections": 214, "protocol": "h1", "tls": false}
+}
+
+// restartDaemons kills all daemons and starts them again some time later.
+func (s *stage) restartDaemons(down time.Duration) error {
+	for _, d := range s.daemons {
+		d.kill()
+	}
+	s.record.add("all daemons are killed")
+	time.Sleep(down)
+	for _, d := range s.daemons {
+		if err := d.restart(s.root, s.folder); err != nil {
+			return err
+		}
+	}
+	s.record.add("all daemons are started again")
+	return nil
+}
--- a/review/stage/pause.go
+++ b/review/stage/pause.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 )
@@ -14,96 +13,83 @@
 // share their key and their first part with the requests of the desk, which then goes on.
 func playPause(s *stage) (verdict, error) {
 	const (
-		firstPart  = "5c1e07a2"
-		poisonPart = "bad0bad0"
-		daemons    = 10
-		engines    = 8
-		pause      = 6500 * time.Millisecond // of the desk, before the first request with the part
-		interval   = 400 * time.Millisecond  // between two requests with the part
-		perSecond  = 5                       // of the desk
-		sample     = 6 * time.Second
-		after      = 9 * time.Second // for which the desk goes on
-		crashes    = 5
-		minimum    = 20 // requests of the desk, of each kind
+		pause     = 6500 * time.Millisecond // of the desk, before the first request with the part
+		perSecond = 5                       // of the desk
+		sample    = 6 * time.Second
+		after     = 9 * time.Second // for which the desk goes on
 	)
-	isPoison := func(parts string) bool { return strings.Contains(parts, poisonPart) }
-	crashing := func(r *http.Request, _ []byte) bool { return s.trouble && isPoison(r.Header.Get(wire("parts"))) }
-	for range engines {
-		if err := s.fleet.start(behaviour{service: "model", isEngine: true, events: 5, interval: 20 * time.Millisecond, crashes: crashing}); err != nil {
-			return couldNot, err
-		}
-	}
-	if err := s.publishModel(); err != nil {
+	engine := behaviour{service: "model", isEngine: true, events: 5, interval: 20 * time.Millisecond, crashes: s.crashesOnPart}
+	if err := s.deploy(repeat(8, engine), s.publishModel, 10); err != nil {
 		return couldNot, err
 	}
-	if err := s.startDaemons(daemons); err != nil {
-		return couldNot, err
-	}
-	if err := s.fleet.awaitLayers(20 * time.Second); err != nil {
-		return couldNot, err
-	}
-	time.Sleep(2 * stabilityWindow) // all machines are in touch
-
 	d := &desk{stage: s, letter: func() call {
 		return call{method: http.MethodPost, path: "/letters/1", parts: fmt.Sprintf("%s:40,%08x:40", firstPart, rand.Uint32()), tokens: "80,10", deadline: 20 * time.Second}
 	}}
 	before := d.work(sample, perSecond)
 	s.record.say("the desk pauses")
 	time.Sleep(pause)
-
-	var poison sync.WaitGroup
 	stop := make(chan struct{})
-	var poisonMu sync.Mutex
+	var poison sync.WaitGroup
 	var lastPoison time.Time
-	poison.Go(func() {
-		for ; ; time.Sleep(interval) {
-			select {
-			case <-stop:
-				return
-			default:
-			}
-			poisonMu.Lock()
-			lastPoison = time.Now()
-			poisonMu.Unlock()
-			poison.Go(func() {
-				q := newRequester(s.record, s.daemons[rand.IntN(len(s.daemons))].callers)
-				defer q.close()
-				q.send(call{method: http.MethodPost, path: "/letters/1", parts: fmt.Sprintf("%s:40,%s:30,%08x:40", firstPart, poisonPart, rand.Uint32()), tokens: "110,10", deadline: 20 * time.Second})
-			})
-		}
-	})
-	crashTimes := func() (times []time.Time) {
-		for _, run := range s.fleet.reached(func(a arrival) bool { return a.crashed }) {
-			times = append(times, run.at)
-		}
-		return times
-	}
-	for begin := time.Now(); s.trouble && len(crashTimes()) < crashes && time.Since(begin) < 30*time.Second; time.Sleep(100 * time.Millisecond) {
-	}
+	poison.Go(func() { lastPoison = s.sendPoison(stop) })
+	s.awaitCrashes()
 	time.Sleep(2*stabilityWindow + 200*time.Millisecond)
 	s.record.say("the desk goes on")
 	later := d.work(after, perSecond)
 	close(stop)
 	poison.Wait()
 	d.retries.Wait()
+	return s.judgePause(before, later, lastPoison)
+}
+
+const (
+	firstPart       = "5c1e07a2"
+	decisiveCrashes = 5
+)
+
+// sendPoison sends requests with the part to any daemons until it is stopped, and returns when it sent
+// the last one.
+func (s *stage) sendPoison(stop chan struct{}) (last time.Time) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		last = time.Now()
+		group.Go(func() {
+			s.sendAny(call{method: http.MethodPost, path: "/letters/1", parts: fmt.Sprintf("%s:40,%s:30,%08x:40", firstPart, poisonPart, rand.Uint32()), tokens: "110,10", deadline: 20 * time.Second})
+		})
+		select {
+		case <-stop:
+			return last
+		case <-time.After(400 * time.Millisecond):
+		}
+	}
+}
+
+func (s *stage) crashes() []arrival {
+	return s.fleet.reached(func(a arrival) bool { return a.crashed })
+}
 
-	times := crashTimes()
+// awaitCrashes waits for the fifth crash. There may be fewer.
+func (s *stage) awaitCrashes() {
+	for begin := time.Now(); s.trouble && len(s.crashes()) < decisiveCrashes && time.Since(begin) < 30*time.Second; {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (s *stage) judgePause(before, later []result, lastPoison time.Time) (verdict, error) {
+	const minimum = 20 // requests of the desk, of each kind
+	crashes := s.crashes()
 	var from time.Time
-	if len(times) > 0 {
-		from = times[min(crashes, len(times))-1].Add(2 * stabilityWindow)
+	if len(crashes) > 0 {
+		from = crashes[min(decisiveCrashes, len(crashes))-1].at.Add(2 * stabilityWindow)
 	}
 	later = slices.DeleteFunc(later, func(r result) bool { return r.at.Before(from) || r.at.After(lastPoison) })
 	servedBefore, servedLater := countServed(before), countServed(later)
-	s.record.say("%d crashes; the desk's requests that began at the first attempt: %d of %d before, %d of %d from %v after the fifth crash", len(times), servedBefore, len(before), servedLater, len(later), 2*stabilityWindow)
-	if len(before) < minimum || len(later) < minimum || s.trouble && len(times) == 0 {
+	s.record.say("%d crashes; the desk's requests that began at the first attempt: %d of %d before, %d of %d from %v after the fifth crash", len(crashes), servedBefore, len(before), servedLater, len(later), 2*stabilityWindow)
+	if len(before) < minimum || len(later) < minimum || s.trouble && len(crashes) == 0 {
 		return couldNot, fmt.Errorf("too few requests or crashes")
 	}
-	if 2*float64(servedLater)/float64(len(later)) < float64(servedBefore)/float64(len(before)) {
-		s.record.say("LOST broken: sound requests began less than half as often")
-		return broken, nil
-	}
-	s.record.say("LOST held")
-	return held, nil
+	return s.ruling("LOST", 2*float64(servedLater)/float64(len(later)) < float64(servedBefore)/float64(len(before))), nil
 }
 
 // desk is a requester with one kept channel.
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -288,6 +288,11 @@
 	defer s.running.Add(-1)
 	w.Header().Set(wire("id"), id)
 	w.Header().Set(wire("signature"), "sig."+s.id+"."+id)
+	s.answer(w, r, id)
+}
+
+// answer works on a request and answers it.
+func (s *server) answer(w http.ResponseWriter, r *http.Request, id string) {
 	if s.isLeaving() {
 		w.Header().Set("Server-Leaving", "1")
 	}
--- a/review/stage/split.go
+++ b/review/stage/split.go
@@ -4,100 +4,64 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 )
 
+const repeatedBody = "a body that crashes servers"
+
 // playSplit sends a request that crashes each server that runs it, again and again to any daemon,
 // on a route that is split between two services.
 func playSplit(s *stage) (verdict, error) {
 	const (
-		poison    = "a body that crashes servers"
-		interval  = 1500 * time.Millisecond
-		repeats   = 30
-		allowed   = 3 // retries that may reach servers later than the window after the third crash
-		crashes   = 3
-		perSecond = 30 // sound requests
-		work      = 100 * time.Millisecond
+		interval = 1500 * time.Millisecond
+		repeats  = 30
+		sound    = time.Second / 30 // between two sound requests
+		work     = 100 * time.Millisecond
 	)
-	crashing := func(r *http.Request, body []byte) bool { return s.trouble && string(body) == poison }
-	for range 3 {
-		for _, service := range []string{"orders-a", "orders-b"} {
-			if err := s.fleet.start(behaviour{service: service, work: work, crashes: crashing}); err != nil {
-				return couldNot, err
-			}
-		}
-	}
-	split := []map[string]any{{"service": "orders-a", "weight": 50}, {"service": "orders-b", "weight": 50}}
-	services := []map[string]any{}
-	for _, name := range []string{"orders-a", "orders-b"} {
-		services = append(services, map[string]any{"name": name, "health_path": "/healthz", "max_connections": 214, "protocol": "h1", "tls": false})
-	}
-	if err := s.publish([]map[string]any{{
-		"name": "confirm", "host": host, wire("prefix"): "/confirm/", "kind": "unsafe", "timeout_ms": 2000, wire("target"): 100,
-		"priority": 2, "split": split, "attempts": 2, "public": false,
-	}}, services); err != nil {
-		return couldNot, err
-	}
-	if err := s.startDaemons(3); err != nil {
+	crashing := func(_ *http.Request, body []byte) bool { return s.trouble && string(body) == repeatedBody }
+	servers := append(repeat(3, behaviour{service: "orders-a", work: work, crashes: crashing}), repeat(3, behaviour{service: "orders-b", work: work, crashes: crashing})...)
+	if err := s.deploy(servers, s.publishSplit, 3); err != nil {
 		return couldNot, err
 	}
-	time.Sleep(2 * stabilityWindow) // all machines are in touch
-	soundDone := make(chan struct{})
-	stop := make(chan struct{})
-	var mu sync.Mutex
-	var sound, served int
-	go func() {
-		defer close(soundDone)
-		var group sync.WaitGroup
-		defer group.Wait()
-		var all []*requester
-		for _, d := range s.daemons {
-			all = append(all, newRequester(s.record, d.callers))
-		}
-		for number := 0; ; number++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(time.Second / perSecond):
-			}
-			group.Go(func() {
-				got := all[number%len(all)].send(call{method: http.MethodPost, path: "/confirm/1", body: fmt.Sprintf("order %d", number), deadline: time.Second})
-				mu.Lock()
-				defer mu.Unlock()
-				sound++
-				if got.served() {
-					served++
-				}
-			})
-		}
-	}()
+	others := s.startTraffic(sound, func() call {
+		return call{method: http.MethodPost, path: "/confirm/1", body: fmt.Sprintf("order %d", rand.Uint64()), deadline: time.Second}
+	})
 	statuses := map[int]int{}
 	for range repeats {
-		q := newRequester(s.record, s.daemons[rand.IntN(len(s.daemons))].callers)
-		statuses[q.send(call{method: http.MethodPost, path: "/confirm/2", body: poison, deadline: time.Second}).status]++
-		q.close()
+		statuses[s.sendAny(call{method: http.MethodPost, path: "/confirm/2", body: repeatedBody, deadline: time.Second}).status]++
 		time.Sleep(interval)
 	}
-	close(stop)
-	<-soundDone
-	runs := s.fleet.reached(func(a arrival) bool { return a.body == poison })
-	s.record.say("the repeated request was sent %d times and reached servers %d times; statuses %v; sound requests served: %d of %d", repeats, len(runs), statuses, served, sound)
+	results := others.finish()
+	s.record.say("the repeated request was sent %d times; statuses %v; sound requests served: %d of %d", repeats, statuses, countServed(results), len(results))
+	return s.judgeSplit(), nil
+}
+
+func (s *stage) publishSplit() error {
+	split := []map[string]any{{"service": "orders-a", "weight": 50}, {"service": "orders-b", "weight": 50}}
+	return s.publish([]map[string]any{{
+		"name": "confirm", "host": host, wire("prefix"): "/confirm/", "kind": "unsafe", "timeout_ms": 2000, wire("target"): 100,
+		"priority": 2, "split": split, "attempts": 2, "public": false,
+	}}, []map[string]any{plainService("orders-a"), plainService("orders-b")})
+}
+
+func (s *stage) judgeSplit() verdict {
+	const (
+		crashes = 3
+		allowed = 3 // retries that may reach servers later than the window after the third crash
+	)
+	runs := s.fleet.reached(func(a arrival) bool { return a.body == repeatedBody })
 	if !s.trouble || len(runs) < crashes {
-		return held, nil
+		s.record.say("it reached servers %d times", len(runs))
+		return held
 	}
 	third := runs[crashes-1].at
 	late := 0
 	for _, run := range runs[crashes:] {
 		if run.at.After(third.Add(stabilityWindow)) {
 			late++
-			s.record.say("retry %d reached %s of %s %.1f s after the third crash", late, run.server, run.service, run.at.Sub(third).Seconds())
+			s.record.add("retry %d reached %s of %s %.1f s after the third crash", late, run.server, run.service, run.at.Sub(third).Seconds())
 		}
 	}
-	if late > allowed {
-		s.record.say("BUDGET broken: %d retries reached servers later than %v after the third crash; %d are allowed", late, stabilityWindow, allowed)
-		return broken, nil
-	}
-	s.record.say("BUDGET held: %d retries reached servers later than %v after the third crash", late, stabilityWindow)
-	return held, nil
+	s.record.say("%d retries reached servers later than %v after the third crash; %d are allowed", late, stabilityWindow, allowed)
+	return s.ruling("BUDGET", late > allowed)
 }
