quarantiner: run trials of shared parts on any daemon

Cause: a part that no answer was written on for 5 s before the crashes is quarantined beside the bad one, and only a trial clears it. One daemon alone ran trials, while callers keep their connections to others. And after a failed trial, a request was tried only if it had one quarantined part, so that two shared parts were never cleared on any daemon.

Any daemon runs a trial now. A failed trial that another quarantined fingerprint explains does not keep fingerprints from being tried without that one. Both bounds on failed trials hold for each fingerprint over all daemons: two that nothing explains, three at all. Retry-After names the next trial.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -49,6 +49,7 @@
 	OnSuspects func(data []byte) (held []byte, err error)                        // handles suspect records and returns those held here
 	OnHold     func(data []byte) (response []byte, err error)                    // handles a request to reserve an upstream for a suspect, or to release it
 	OnGrant    func(data []byte) (reply []byte, err error)                       // handles a request of another daemon to send a request to an upstream with a limit
+	OnTrial    func(data []byte) (reply []byte, err error)                       // handles a request of another daemon for a trial of quarantined fingerprints
 	OnShare    func(data []byte) (response []byte, err error)                    // handles data that another daemon read from the platform's store, and returns the reply
 	Handler    http.Handler                                                      // serves forwarded requests
 	OnChange   func(item Item)                                                   // called for each new item from another daemon
--- a/gossiper/service.go
+++ b/gossiper/service.go
@@ -66,6 +66,7 @@
 		unary("Segment", func(g *Gossiper, _ context.Context, r *SegmentRequest) (*Segment, error) { return g.serveSegment(r) }),
 		unary("Hold", func(g *Gossiper, _ context.Context, p *Payload) (*Payload, error) { return g.handle(g.OnHold, p) }),
 		unary("Grant", func(g *Gossiper, _ context.Context, p *Payload) (*Payload, error) { return g.handle(g.OnGrant, p) }),
+		unary("Trial", func(g *Gossiper, _ context.Context, p *Payload) (*Payload, error) { return g.handle(g.OnTrial, p) }),
 		unary("Share", func(g *Gossiper, _ context.Context, p *Payload) (*Payload, error) { return g.handle(g.OnShare, p) }),
 		unary("Suspects", func(g *Gossiper, _ context.Context, p *Payload) (*Payload, error) { return g.handle(g.OnSuspects, p) }),
 	},
@@ -170,6 +171,14 @@
 	return reply.Data, err
 }
 
+// SendTrial asks another daemon to grant a trial of quarantined fingerprints.
+func (g *Gossiper) SendTrial(ctx context.Context, address string, data []byte) ([]byte, error) {
+	g.setup()
+	var reply Payload
+	err := g.invoke(ctx, address, "Trial", &Payload{Data: data}, &reply)
+	return reply.Data, err
+}
+
 // SendShare sends data that was read from the platform's store to another daemon.
 func (g *Gossiper) SendShare(ctx context.Context, address string, data []byte) ([]byte, error) {
 	g.setup()
--- a/quarantiner/evidence_test.go
+++ b/quarantiner/evidence_test.go
@@ -22,8 +22,10 @@
 
 // refusal returns the failure of a request that may not run. One that may run is sent.
 func refusal(q *quarantiner.Quarantiner, now time.Time, fingerprints []quarantiner.RequestFingerprint) *cowslipproxy.Failure {
-	tried, failure := q.Admit(now, fingerprints)
-	q.RecordTrial(now, tried)
+	trial, failure := q.Admit(now, fingerprints)
+	if failure == nil {
+		q.RecordTrial(now, trial.Fingerprints)
+	}
 	return failure
 }
 
@@ -166,9 +168,9 @@
 	q := newConcurrent("a")
 	crashUpstreams(q, epoch, 0, fleetThreshold, badPart)
 	for i := range 2 * allowedSends {
-		tried, failure := q.Admit(epoch.Add(time.Duration(i+1)*4*time.Second), bothParts)
+		trial, failure := q.Admit(epoch.Add(time.Duration(i+1)*4*time.Second), bothParts)
 		require.Nil(t, failure)
-		require.Equal(t, []quarantiner.RequestFingerprint{badPart}, tried)
+		require.Equal(t, []quarantiner.RequestFingerprint{badPart}, trial.Fingerprints)
 	}
 	require.Zero(t, q.Records(epoch)[0].Trials)
 	now := epoch.Add(time.Minute)
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/cowslipproxy/cowslipproxy/quarantiner"
@@ -93,6 +94,53 @@
 	}
 }
 
+// Guards against sound requests that are refused for parts that they share with bad ones.
+func TestFleetServesSharedPartsAfterPause(t *testing.T) {
+	for _, shared := range [][]string{{"shared"}, {"shared", "system", "tools"}} {
+		for _, daemons := range fleetSizes {
+			for seed := range fleetSeeds(daemons) {
+				f := newFleet(daemons, seed)
+				f.poisonFrom, f.isPaused, f.sharedParts = 0, true, shared
+				if seed%2 == 0 {
+					f.desk = f.random.IntN(daemons)
+				}
+				f.run(true, f.pauseUntilBounds)
+				checkPoisonSends(t, f, seed)
+				require.GreaterOrEqual(t, f.sound, minSample, "seed %d", seed)
+				require.LessOrEqual(t, f.refused, f.sound/2, "%d daemons, %d shared parts, seed %d", daemons, len(shared), seed)
+			}
+		}
+	}
+}
+
+// Guards against shared parts that stay quarantined because upstreams also crash for other reasons.
+func TestFleetServesSharedPartsAfterOtherCrashes(t *testing.T) {
+	const crashesUntil = 10 * time.Second
+	for _, poison := range []bool{false, true} {
+		for _, shared := range [][]string{{"shared"}, {"shared", "system", "tools"}} {
+			for _, daemons := range fleetSizes {
+				for seed := range fleetSeeds(daemons) {
+					f := newFleet(daemons, seed)
+					f.poisonFrom, f.sharedParts, f.soundRate = 0, shared, soundPerSecond/8
+					refused, sound := 0, 0
+					f.run(poison, func(elapsed time.Duration) {
+						if elapsed < crashesUntil {
+							f.crashRacks(elapsed)
+						}
+						if elapsed < crashesUntil+2*stabilityWindow {
+							refused, sound = f.refused, f.sound
+						}
+					})
+					if poison {
+						checkPoisonSends(t, f, seed)
+					}
+					assert.LessOrEqual(t, f.refused-refused, (f.sound-sound)/2, "poison %v, %d daemons, %d shared parts, seed %d", poison, daemons, len(shared), seed)
+				}
+			}
+		}
+	}
+}
+
 // Guards against the quarantine of shared parts because of other crashes.
 func TestFleetDoesNotQuarantineSharedParts(t *testing.T) {
 	for _, daemons := range fleetSizes {
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -55,7 +55,9 @@
 	local    bool            // this daemon changed the record since the last TakeChanges
 	reported State           // as of the last TakeChanges
 	since    time.Time       // when this daemon first knew of a crash
-	trialDue time.Time       // before this time, no trial of the fingerprint begins
+
+	evidenceAt time.Time // when this daemon last knew of a new crash or trial
+	trialDue   time.Time // before this time, no trial of the fingerprint is requested or granted
 }
 
 // Run is a permitted dispatch.
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -69,10 +69,18 @@
 	Trials  int       `json:"trials,omitempty"`  // number of requests that were sent as trials
 }
 
+// Check returns an error for the first invalid field.
+func (f RequestFingerprint) Check() error {
+	if (f.Customer == "") != f.Part {
+		return errors.Errorf("customer: %q; a part of prompts has none, a request has one", f.Customer)
+	}
+	return nil
+}
+
 // Check returns an error for the first invalid field.
 func (r Record) Check() error {
-	if (r.Customer == "") != r.Part {
-		return errors.Errorf("customer: %q; a part of prompts has none, a request has one", r.Customer)
+	if err := r.RequestFingerprint.Check(); err != nil {
+		return err
 	}
 	if len(r.Crashes) > maxCrashes {
 		return errors.Errorf("crashes: %d exceed the limit of %d", len(r.Crashes), maxCrashes)
@@ -190,12 +198,12 @@
 	return r.Crashes[0].Source
 }
 
-// failedTrials returns the number of upstreams that crashed after the first trial began.
-func (r Record) failedTrials() int {
+// failedTrials returns the crashes after the first trial began.
+func (r Record) failedTrials() []Crash {
 	if r.Tried == 0 {
-		return 0
+		return nil
 	}
-	return max(len(r.Crashes)-r.Tried, 0)
+	return r.Crashes[min(r.Tried, len(r.Crashes)):]
 }
 
 // lastEvent returns the time at which the TTL of the record starts: that of the last
--- a/quarantiner/simulation_test.go
+++ b/quarantiner/simulation_test.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cowslipproxy/cowslipproxy"
 	"github.com/cowslipproxy/cowslipproxy/quarantiner"
 )
 
@@ -76,10 +75,14 @@
 	poisonFrom  time.Duration
 	rejectFrom  time.Duration // from then on upstreams reject poisonous requests without running them; 0 if never
 	rackCrashes int           // crashes that no request caused
+	sharedParts []string      // parts of all requests
+	soundRate   int           // sound requests per second
+	isPaused    bool          // no sound requests arrive
+	desk        int           // daemon at which all sound requests arrive; -1 if they arrive at any
 }
 
 func newFleet(daemons int, seed uint64) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, uint64(daemons))), now: epoch, cut: -1, poisonFrom: fleetWarmUp, changed: make([]bool, daemons), impaired: make([]time.Time, daemons)}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, uint64(daemons))), now: epoch, cut: -1, desk: -1, sharedParts: []string{"shared"}, soundRate: soundPerSecond, poisonFrom: fleetWarmUp, changed: make([]bool, daemons), impaired: make([]time.Time, daemons)}
 	for i := range daemons {
 		f.daemons = append(f.daemons, f.newDaemon(i, 0))
 	}
@@ -134,9 +137,9 @@
 
 func (f *fleet) arrive(poisonous bool) {
 	f.number++
-	parts := []string{"shared", fmt.Sprint("middle-", f.number%middleParts)}
+	parts := append(slices.Clone(f.sharedParts), fmt.Sprint("middle-", f.number%middleParts))
 	if poisonous {
-		parts[1] = "bad"
+		parts[len(parts)-1] = "bad"
 	}
 	fingerprints := []quarantiner.RequestFingerprint{quarantiner.FingerprintOf("clerks", fmt.Sprint(f.number))}
 	for _, part := range parts {
@@ -145,17 +148,36 @@
 	request := &fleetRequest{fingerprints: fingerprints, daemon: f.random.IntN(len(f.daemons)), poisonous: poisonous}
 	if !poisonous {
 		f.sound++
+		if f.desk >= 0 {
+			request.daemon = f.desk
+		}
 	}
-	var failure *cowslipproxy.Failure
-	if request.tried, failure = f.daemons[request.daemon].Admit(f.now, fingerprints); failure != nil {
+	trial, failure := f.daemons[request.daemon].Admit(f.now, fingerprints)
+	if failure != nil && !f.ask(request.daemon, trial) {
 		if !poisonous {
 			f.refused++
 		}
 		return
 	}
+	request.tried = trial.Fingerprints
 	f.send(request)
 }
 
+// ask asks the arbiter of a trial, and reports whether it is granted.
+func (f *fleet) ask(asking int, trial quarantiner.Trial) bool {
+	for i, daemon := range f.daemons {
+		if daemon.Self != trial.Arbiter || asking == f.cut || i == f.cut {
+			continue
+		}
+		reply := daemon.Grant(f.now, trial.Fingerprints)
+		if !reply.Granted {
+			f.daemons[asking].HandleDenial(f.now, trial, reply.Wait)
+		}
+		return reply.Granted
+	}
+	return false
+}
+
 // send sends a request to an upstream that is up.
 func (f *fleet) send(request *fleetRequest) {
 	var up []int
@@ -253,7 +275,7 @@
 func (f *fleet) run(poison bool, each func(elapsed time.Duration)) {
 	arrives := func(perSecond int) bool { return f.random.Float64() < float64(perSecond)*fleetStep.Seconds() }
 	for elapsed := time.Duration(0); elapsed < fleetDuration; elapsed += fleetStep {
-		if arrives(soundPerSecond) {
+		if arrives(f.soundRate) && !f.isPaused {
 			f.arrive(false)
 		}
 		if poison && elapsed >= f.poisonFrom && arrives(poisonPerSecond) {
@@ -275,6 +297,20 @@
 	}
 }
 
+// decisiveCrash returns the time of the crash after which a bad part must be known.
+func (f *fleet) decisiveCrash() (at time.Time, ok bool) {
+	if len(f.crashes) < fleetThreshold {
+		return at, false
+	}
+	return f.crashes[min(len(f.crashes), allowedCrashes)-1], true
+}
+
+// pauseUntilBounds keeps sound requests away until the platform's bounds apply to them.
+func (f *fleet) pauseUntilBounds(time.Duration) {
+	at, ok := f.decisiveCrash()
+	f.isPaused = f.isPaused && (!ok || f.now.Sub(at) < 2*stabilityWindow)
+}
+
 // sendsAfter returns how many poisonous requests were sent after a time.
 func (f *fleet) sendsAfter(from time.Time) (count int) {
 	for _, at := range f.sends {
--- /dev/null
+++ b/quarantiner/trials.go
@@ -0,0 +1,263 @@
+package quarantiner
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
+)
+
+const (
+	// trialDelay is the time after the last crash, and after a trial without a result, until
+	// a request is run to find out whether a quarantined fingerprint is sound.
+	trialDelay = 3 * time.Second
+	// lateTrialDelay is the time after a trial without a result from the maxQuickTrials-th one on.
+	// Few requests may reach upstreams once it is known that they crash them, and a second daemon
+	// may run a trial at the same time.
+	lateTrialDelay = time.Minute
+	maxQuickTrials = 2
+	// maxUnexplainedTrials bounds the upstreams that the trials of a fingerprint crash, unless
+	// another quarantined fingerprint explains the crash, and maxFailedTrials bounds all of them.
+	maxUnexplainedTrials = 2
+	maxFailedTrials      = 3
+	// maxTrialFingerprints bounds the fingerprints of a trial. A prompt that fills a header of
+	// 16 KiB has about 1400 parts.
+	maxTrialFingerprints = 2048
+	// trialRetryAfter is added to the time until the next trial in the Retry-After of requests
+	// that may be sound. A trial takes about as long.
+	trialRetryAfter = time.Second
+	// denialInterval and denialSpread, which is multiplied by the number of daemons, give the time
+	// after which a daemon requests a trial again. They bound the load of the arbiter.
+	denialInterval = 500 * time.Millisecond
+	denialSpread   = 4 * time.Millisecond
+)
+
+// Trial is a run of a request to find out whether its quarantined fingerprints are sound.
+type Trial struct {
+	Fingerprints []RequestFingerprint
+	Arbiter      string // daemon that must grant the trial; empty if it is granted
+}
+
+// Request returns the message to the arbiter.
+func (t Trial) Request() TrialRequest { return TrialRequest{t.Fingerprints} }
+
+// TrialRequest requests the grant of a trial.
+type TrialRequest struct {
+	Fingerprints []RequestFingerprint `json:"fingerprints"`
+}
+
+// Check returns an error for the first invalid field.
+func (r TrialRequest) Check() error {
+	if len(r.Fingerprints) == 0 || len(r.Fingerprints) > maxTrialFingerprints {
+		return errors.Errorf("fingerprints: %d are not between 1 and %d", len(r.Fingerprints), maxTrialFingerprints)
+	}
+	for i, fp := range r.Fingerprints {
+		if err := fp.Check(); err != nil {
+			return errors.Wrapf(err, "fingerprints[%d]", i)
+		}
+	}
+	return nil
+}
+
+// TrialReply is the arbiter's decision.
+type TrialReply struct {
+	Granted bool          `json:"granted,omitempty"`
+	Wait    time.Duration `json:"wait,omitempty"` // until the next request may be granted
+}
+
+// Check returns an error for the first invalid field.
+func (r TrialReply) Check() error {
+	if r.Wait < 0 || r.Wait > lateTrialDelay {
+		return errors.Errorf("wait: %v is not between 0 and %v", r.Wait, lateTrialDelay)
+	}
+	return nil
+}
+
+// Admit returns a failure if a request must not run because one of its fingerprints is
+// quarantined. If a trial of them is due, it returns the trial. A trial with an arbiter comes with
+// a failure, which applies unless the arbiter grants the trial. RecordTrial must be called when the
+// request is sent. The next crash or answer is the result of the trial.
+func (q *Quarantiner) Admit(now time.Time, fingerprints []RequestFingerprint) (trial Trial, failure *cowslipproxy.Failure) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	held := q.quarantined(now, fingerprints)
+	if len(held) == 0 {
+		return Trial{}, nil
+	}
+	next, isInformative := q.nextTrial(held)
+	if !isInformative || now.Before(next) {
+		return Trial{}, q.refusal(now, held)
+	}
+	for _, e := range held {
+		trial.Fingerprints = append(trial.Fingerprints, e.RequestFingerprint)
+	}
+	if trial.Arbiter = q.arbiter(); trial.Arbiter == "" {
+		postpone(held, now.Add(trialDelay)) // of the next one, if this request is not sent
+		return trial, nil
+	}
+	postpone(held, now.Add(q.denialDelay()))
+	return trial, q.refusal(now, held)
+}
+
+// Grant decides on another daemon's request for a trial. Only the arbiter grants trials, one
+// at a time for each fingerprint.
+func (q *Quarantiner) Grant(now time.Time, fingerprints []RequestFingerprint) TrialReply {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	held := q.quarantined(now, fingerprints)
+	if q.arbiter() != "" || len(held) < len(fingerprints) || len(held) > maxTrialFingerprints {
+		return TrialReply{Wait: q.denialDelay()} // the daemons have yet to exchange what they know
+	}
+	next, isInformative := q.nextTrial(held)
+	if isInformative && !now.Before(next) {
+		postpone(held, now.Add(trialDelay))
+		return TrialReply{Granted: true}
+	}
+	return TrialReply{Wait: max(min(next.Sub(now), lateTrialDelay), q.denialDelay())}
+}
+
+// HandleDenial postpones the next request for a trial.
+func (q *Quarantiner) HandleDenial(now time.Time, trial Trial, wait time.Duration) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	postpone(q.quarantined(now, trial.Fingerprints), now.Add(wait))
+}
+
+func postpone(held []*entry, due time.Time) {
+	for _, e := range held {
+		e.trialDue = due
+	}
+}
+
+// RecordTrial records that a request is sent as a trial of its quarantined fingerprints.
+func (q *Quarantiner) RecordTrial(now time.Time, tried []RequestFingerprint) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for _, fp := range tried {
+		e := q.entry(now, fp)
+		if e == nil || q.state(e) != StateQuarantined {
+			continue // cleared since the request was admitted
+		}
+		record := e.Record
+		record.Trials++
+		if record.Tried == 0 {
+			record.Tried = len(e.Crashes)
+		}
+		q.update(e, record)
+		q.markLocal(e)
+		e.recordEvidence(now)
+	}
+}
+
+// Reject returns a failure if a request must not be sent again because one of its
+// fingerprints is quarantined.
+func (q *Quarantiner) Reject(now time.Time, fingerprints []RequestFingerprint) *cowslipproxy.Failure {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	held := q.quarantined(now, fingerprints)
+	if len(held) == 0 {
+		return nil
+	}
+	return q.refusal(now, held)
+}
+
+func (q *Quarantiner) quarantined(now time.Time, fingerprints []RequestFingerprint) (held []*entry) {
+	for _, fp := range fingerprints {
+		if e := q.entry(now, fp); e != nil && q.state(e) == StateQuarantined && now.Sub(e.since) >= objectionTime {
+			held = append(held, e)
+		}
+	}
+	return held
+}
+
+// refusal returns the failure of a request with quarantined fingerprints. If a trial may
+// show that they are sound, the caller may retry after it.
+func (q *Quarantiner) refusal(now time.Time, held []*entry) *cowslipproxy.Failure {
+	e := held[0]
+	var upstreams []string
+	for _, crash := range e.Crashes {
+		upstreams = append(upstreams, crash.Upstream)
+	}
+	subject := "request"
+	if e.Part {
+		subject = "part of the prompt"
+	}
+	remaining := e.lastEvent().Add(q.ttl()).Sub(now)
+	if next, isInformative := q.nextTrial(held); isInformative {
+		remaining = min(remaining, max(next.Sub(now), 0)+trialRetryAfter)
+	}
+	return cowslipproxy.Refuse(cowslipproxy.ReasonQuarantined, "%s %s crashed %d upstreams: %s", subject, e.Key(), len(upstreams), strings.Join(upstreams, ", ")).
+		After(remaining)
+}
+
+// nextTrial returns the earliest time of a trial of these fingerprints, and whether it can show
+// something new. After a failed trial of several fingerprints, any of them may have crashed the
+// upstream. They are then tried without one that was in the failed trial, each alone, or beside one
+// that was in no failed trial.
+func (q *Quarantiner) nextTrial(held []*entry) (next time.Time, isInformative bool) {
+	unexplained := q.unexplainedTrials(held)
+	isInformative = len(held) == 1 || len(unexplained) == 0
+	isFinished := false
+	for _, e := range held {
+		failed := e.failedTrials()
+		own := 0
+		for _, crash := range failed {
+			if unexplained[crash.Upstream] {
+				own++
+			}
+		}
+		isInformative = isInformative || len(failed) == 0
+		isFinished = isFinished || own >= maxUnexplainedTrials || len(failed) >= maxFailedTrials
+		delay := trialDelay
+		if e.Trials >= maxQuickTrials && (e.Trials >= maxFailedTrials || own == len(failed)) {
+			delay = lateTrialDelay
+		}
+		next = latest(next, e.evidenceAt.Add(delay), e.trialDue)
+	}
+	return next, isInformative && !isFinished
+}
+
+func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
+
+// unexplainedTrials returns the upstreams that failed trials of these fingerprints crashed, without
+// those that also crashed in a trial of another quarantined fingerprint, which explains them.
+func (q *Quarantiner) unexplainedTrials(held []*entry) map[string]bool {
+	unexplained := map[string]bool{}
+	for _, e := range held {
+		for _, crash := range e.failedTrials() {
+			unexplained[crash.Upstream] = true
+		}
+	}
+	if len(unexplained) == 0 {
+		return nil
+	}
+	for _, other := range q.entries {
+		if q.state(other) != StateQuarantined || slices.Contains(held, other) {
+			continue
+		}
+		for _, crash := range other.Crashes {
+			delete(unexplained, crash.Upstream)
+		}
+	}
+	return unexplained
+}
+
+// arbiter returns the live daemon, by rendezvous hashing, that grants trials. The name is empty if
+// it is this one.
+func (q *Quarantiner) arbiter() (name string) {
+	highest := xxhash.Sum64String(q.Self)
+	for _, peer := range q.peers {
+		if hash := xxhash.Sum64String(peer); hash > highest {
+			name, highest = peer, hash
+		}
+	}
+	return name
+}
+
+func (q *Quarantiner) denialDelay() time.Duration {
+	return denialInterval + denialSpread*time.Duration(len(q.peers))
+}
--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -39,6 +39,19 @@
 // publicCustomer is the customer of requests on routes that need no key.
 const publicCustomer = "public"
 
+// admit returns a failure if one of the request's fingerprints is quarantined and the request is
+// no trial of them.
+func (x *exchange) admit(ctx context.Context) *cowslipproxy.Failure {
+	trial, failure := x.Quarantine.Admit(x.Clock(), x.fingerprints)
+	if trial.Arbiter != "" && x.AskTrial(ctx, trial) {
+		failure = nil
+	}
+	if failure == nil {
+		x.tried = trial.Fingerprints
+	}
+	return failure
+}
+
 // recordTrial records that the request is sent to find out whether its quarantined
 // fingerprints are sound.
 func (x *exchange) recordTrial(upstream string) {
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -76,6 +76,7 @@
 	Transport  http.RoundTripper
 	Memory     *allocator.Allocator // for the bodies of requests and replies
 	Quarantine *quarantiner.Quarantiner
+	AskTrial   func(ctx context.Context, trial quarantiner.Trial) bool // asks the trial's arbiter, and reports whether it is granted
 	Limits     Limits
 	Speeds     Speeds
 	Stopping   func() bool     // whether to close connections after the reply, so that callers connect elsewhere
@@ -220,8 +221,7 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.fingerprints = fingerprintsOf(x.callerRequest, x.service.Name, x.customer.Name)
-	var failure *cowslipproxy.Failure
-	if x.tried, failure = x.Quarantine.Admit(x.Clock(), x.fingerprints); failure != nil {
+	if failure := x.admit(ctx); failure != nil {
 		reporter.Count(x.Metrics, reporter.MetricQuarantineRefusals)
 		return failure
 	}
--- a/reporter/metrics.go
+++ b/reporter/metrics.go
@@ -39,6 +39,7 @@
 	MetricQuarantined        = "quarantiner.quarantined" // fingerprints currently quarantined
 	MetricQuarantineRefusals = "quarantiner.refusals"    // requests that the relay refused because of a quarantined fingerprint
 	MetricTrials             = "quarantiner.trials"      // requests that the relay sent to find out whether quarantined fingerprints are sound
+	MetricTrialsDenied       = "quarantiner.denials"     // requests for such a trial that the arbiter denied or did not answer
 
 	MetricClaims         = "claimer.dispatched" // non-idempotent requests that were dispatched
 	MetricClaimsRefused  = "claimer.refused"    // non-idempotent requests that were refused
