platform, quarantiner: recognize bad parts at any place of a prompt

Cause: only the first 16 parts were decoded, and the last one of these was taken for the request's own, so that no fingerprint was made of any later one.

All parts are decoded now, 4096 at most. Tables and messages had one entry for each part, and hundreds of parts would have filled them at a single crash. So records that agree in all but the fingerprint are one message (Group) and one event 917, daemons object to all parts of a prompt at once, the relay tracks 16384 fingerprints and remembers the answers on 32768, evictions are chosen for many at once, and only changed records are examined for messages.

--- a/cowslipd/relay/item.go
+++ b/cowslipd/relay/item.go
@@ -19,9 +19,9 @@
 	var err error
 	switch item.Kind {
 	case gossiper.KindPoison:
-		var record quarantiner.Record
-		if err = decoder.CBOR(item.Data, &record); err == nil {
-			d.quarantine.Merge(d.Clock(), []quarantiner.Record{record})
+		var group quarantiner.Group
+		if err = decoder.CBOR(item.Data, &group); err == nil {
+			d.quarantine.Merge(d.Clock(), group.Records())
 		}
 	case gossiper.KindLimit:
 		var limit limiter.Limit
--- a/cowslipd/relay/poison_test.go
+++ b/cowslipd/relay/poison_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -90,11 +91,15 @@
 	}
 }
 
+// soundParts returns the parts of the prompt of a sound request.
+func soundParts(number int) []string {
+	return []string{sharedPart, fmt.Sprintf("%08x", 0xa0+number%3), fmt.Sprintf("%08x", 0x1000+number)}
+}
+
 // sendSound sends a request whose parts are sound.
-func (d *deployment) sendSound(traffic *soundTraffic, number int) {
+func (d *deployment) sendSound(traffic *soundTraffic, number int, parts []string) {
 	at := time.Now()
-	header := promptHeader(sharedPart, fmt.Sprintf("%08x", 0xa0+number%3), fmt.Sprintf("%08x", 0x1000+number))
-	got := d.send(d.daemons[number%len(d.daemons)], call{path: lettersPath + "1", tokens: soundTokens, header: header})
+	got := d.send(d.daemons[number%len(d.daemons)], call{path: lettersPath + "1", tokens: soundTokens, header: promptHeader(parts...)})
 	traffic.add(at, got.err == nil && got.body == streamBody(got.id, 1, soundTokens))
 }
 
@@ -144,13 +149,17 @@
 // checks that few poisonous requests reach engines once the part has crashed some, and
 // that sound requests are served meanwhile.
 func checkPoison(t *testing.T, d *deployment, allowedCrashes int, poisonParts func(number int) []string) {
+	checkPoisonBeside(t, d, allowedCrashes, soundParts, poisonParts)
+}
+
+func checkPoisonBeside(t *testing.T, d *deployment, allowedCrashes int, soundParts, poisonParts func(number int) []string) {
 	var traffic soundTraffic
 	begin := time.Now()
 	poisonedFrom, end := begin.Add(warmUpDuration), begin.Add(warmUpDuration+poisonedDuration)
 	d.fleet.SetPoison(poisonousPart)
 	var group sync.WaitGroup
 	group.Go(func() {
-		repeat(soundInterval, end, func(number int) { d.sendSound(&traffic, number) })
+		repeat(soundInterval, end, func(number int) { d.sendSound(&traffic, number, soundParts(number)) })
 	})
 	time.Sleep(warmUpDuration)
 	repeat(poisonInterval, end, func(number int) {
@@ -192,6 +201,23 @@
 	})
 }
 
+// Guards against a part far behind in a long prompt that crashes engine after engine.
+func TestLatePartThatCrashesEnginesIsQuarantined(t *testing.T) {
+	const count, place = 300, 250
+	var long []string
+	for i := range count {
+		long = append(long, fmt.Sprintf("%08x", 0x5000+i))
+	}
+	withOwn := func(number int) []string { return append(slices.Clone(long), fmt.Sprintf("%08x", 0x9000+number)) }
+	forEachSize(t, func(t *testing.T, daemons int) {
+		checkPoisonBeside(t, deployForPoison(t, daemons), allowedPartCrashes, withOwn, func(number int) []string {
+			parts := withOwn(number)
+			parts[place] = poisonousPart
+			return parts
+		})
+	})
+}
+
 // Guards against a repeated request that crashes engine after engine.
 func TestRequestThatCrashesEnginesIsQuarantined(t *testing.T) {
 	forEachSize(t, func(t *testing.T, daemons int) {
@@ -318,7 +344,7 @@
 	begin := time.Now()
 	var group sync.WaitGroup
 	group.Go(func() {
-		repeat(soundInterval, begin.Add(warmUpDuration+poisonedDuration), func(number int) { d.sendSound(&traffic, number) })
+		repeat(soundInterval, begin.Add(warmUpDuration+poisonedDuration), func(number int) { d.sendSound(&traffic, number, soundParts(number)) })
 	})
 	for range 6 {
 		time.Sleep(poisonedDuration / 6)
--- a/cowslipd/relay/quarantine.go
+++ b/cowslipd/relay/quarantine.go
@@ -21,6 +21,9 @@
 	// must crash to be quarantined. Two crashes are often a coincidence, because a request
 	// that was in flight at a crash is sent to another upstream at once.
 	quarantineThreshold = 3
+	// maxFingerprints bounds the fingerprints that are tracked, to about 6 MB. Twenty requests with 300
+	// parts each may be in flight at a crash.
+	maxFingerprints = 16384
 	// quarantineInterval is the longest time between two updates of the quarantine.
 	quarantineInterval = time.Second
 )
@@ -31,7 +34,8 @@
 type quarantine struct {
 	*quarantiner.Quarantiner
 	changed   chan struct{}
-	published map[quarantiner.RequestFingerprint]bool // items that this daemon has published, and whether it has stored the record
+	published publications
+	local     map[quarantiner.RequestFingerprint]bool // fingerprints whose records this daemon has changed, and whether it has stored the record
 	unstored  map[string][]byte                       // values to write to the store, by key; an empty one deletes the record
 	storing   bool                                    // a write is in progress
 	stored    chan storeResult
@@ -43,8 +47,9 @@
 func (q *quarantine) build(self cowslipproxy.Owner) {
 	q.changed, q.stored, q.expired = make(chan struct{}, 1), make(chan storeResult, 1), make(chan quarantiner.RequestFingerprint, maxExpiredDeletes)
 	q.restored, q.copies = make(chan struct{}, 1), make(chan []quarantiner.Record, 1)
-	q.published, q.unstored = map[quarantiner.RequestFingerprint]bool{}, map[string][]byte{}
-	q.Quarantiner = &quarantiner.Quarantiner{Self: self.Key(), Threshold: quarantineThreshold, Concurrent: true, OnChange: func() {
+	q.published.build()
+	q.local, q.unstored = map[quarantiner.RequestFingerprint]bool{}, map[string][]byte{}
+	q.Quarantiner = &quarantiner.Quarantiner{Self: self.Key(), Threshold: quarantineThreshold, MaxEntries: maxFingerprints, Concurrent: true, OnChange: func() {
 		select {
 		case q.changed <- struct{}{}:
 		default: // an update is already pending
@@ -79,7 +84,9 @@
 		if next := d.quarantine.Object(now); !next.IsZero() {
 			wait = min(wait, next.Sub(now))
 		}
-		for _, change := range d.quarantine.TakeChanges(now) {
+		changes := d.quarantine.TakeChanges(now)
+		d.setUnstored(ctx, changes)
+		for _, change := range quarantiner.GroupChanges(changes) {
 			d.handleChange(ctx, now, change)
 		}
 		d.withdrawExpired(ctx, now)
@@ -89,49 +96,71 @@
 }
 
 // handleChange logs a change of the quarantine, and publishes it if this daemon made it.
-func (d *Daemon) handleChange(ctx context.Context, now time.Time, change quarantiner.Change) {
-	q := &d.quarantine
-	var crashes []string
+func (d *Daemon) handleChange(ctx context.Context, now time.Time, change quarantiner.GroupChange) {
+	var crashes, fingerprints []string
 	for _, crash := range change.Crashes {
 		crashes = append(crashes, crash.Upstream+" seen by "+crash.Source+" "+now.Sub(crash.Time).Round(time.Millisecond).String()+" ago")
 	}
-	reporter.EventQuarantineChanged.Log(ctx, d.Logger, slog.String("fingerprint", change.Key()), slog.String("customer", change.Customer), slog.Bool("part", change.Part),
+	members := change.Members()
+	for _, member := range members {
+		fingerprints = append(fingerprints, member.Key())
+	}
+	reporter.EventQuarantineChanged.Log(ctx, d.Logger, slog.Any("fingerprints", fingerprints), slog.String("customer", change.Customer), slog.Bool("part", change.Part),
 		slog.String("before", string(change.Before)), slog.String("after", string(change.After)), slog.Uint64("version", change.Version), slog.Any("crashes", crashes),
 		slog.Int("tried", change.Tried), slog.Int("trials", change.Trials), slog.Bool("local", change.Local))
 	if !change.Local {
 		return
 	}
-	data, err := gossiper.Encode(change.Record)
+	data, err := gossiper.Encode(change.Group)
 	if err == nil {
-		err = d.gossiper.PublishSuspect(change.Key(), data)
+		err = d.gossiper.PublishSuspect(change.Group.Key(), data)
 	}
 	if err != nil {
 		reporter.EventExchangeFailed.Log(ctx, d.Logger, slog.Any("error", err))
 		return
 	}
-	q.published[change.RequestFingerprint] = change.After == quarantiner.StateQuarantined
-	if err := q.setUnstored(change); err != nil {
-		reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.String("fingerprint", change.Key()), slog.Any("error", err))
+	for _, key := range d.quarantine.published.add(change.Group.Key(), members) {
+		d.withdraw(ctx, key)
+	}
+}
+
+// setUnstored sets what is to be written to the store after changes that this daemon made.
+func (d *Daemon) setUnstored(ctx context.Context, changes []quarantiner.Change) {
+	for _, change := range changes {
+		if !change.Local {
+			continue
+		}
+		d.quarantine.local[change.RequestFingerprint] = change.After == quarantiner.StateQuarantined
+		if err := d.quarantine.setUnstored(change); err != nil {
+			reporter.EventQuarantineNotStored.Log(ctx, d.Logger, slog.String("fingerprint", change.Key()), slog.Any("error", err))
+		}
 	}
 }
 
 // withdrawExpired withdraws the published records that have expired, and deletes the stored
 // ones from the store.
 func (d *Daemon) withdrawExpired(ctx context.Context, now time.Time) {
-	for fp, isStored := range d.quarantine.published {
-		if d.quarantine.Holds(now, fp) {
+	q := &d.quarantine
+	for fp, isStored := range q.local {
+		if q.Holds(now, fp) {
 			continue
 		}
-		delete(d.quarantine.published, fp)
+		delete(q.local, fp)
 		if isStored {
-			d.quarantine.unstored[fp.Key()] = nil
+			q.unstored[fp.Key()] = nil
 		}
-		if err := d.gossiper.Withdraw(gossiper.KindPoison, fp.Key(), gossiper.ReachAll); err != nil {
-			reporter.EventExchangeFailed.Log(ctx, d.Logger, slog.Any("error", err))
+		if key := q.published.remove(fp); key != "" {
+			d.withdraw(ctx, key)
 		}
 	}
 }
 
+func (d *Daemon) withdraw(ctx context.Context, key string) {
+	if err := d.gossiper.Withdraw(gossiper.KindPoison, key, gossiper.ReachAll); err != nil {
+		reporter.EventExchangeFailed.Log(ctx, d.Logger, slog.Any("error", err))
+	}
+}
+
 // quarantineEntry is a fingerprint in the dump.
 type quarantineEntry struct {
 	quarantiner.Record
--- a/quarantiner/evidence.go
+++ b/quarantiner/evidence.go
@@ -38,7 +38,7 @@
 	if !q.Concurrent {
 		return
 	}
-	q.notify()
+	q.markChanged(e)
 	if len(e.Crashes) == 0 {
 		q.survivals.add(now, e.RequestFingerprint) // another daemon or an operator cleared it
 		return
@@ -49,7 +49,8 @@
 			q.objections = map[RequestFingerprint]time.Time{}
 		}
 		spread := uint64(objectionSpread) * uint64(len(q.peers)+1)
-		q.objections[e.RequestFingerprint] = now.Add(time.Duration(xxhash.Sum64String(q.Self+" "+e.Key()) % spread))
+		delay := xxhash.Sum64String(q.Self+" "+e.Crashes[len(e.Crashes)-1].Upstream) % spread // one for all parts of a prompt
+		q.objections[e.RequestFingerprint] = now.Add(time.Duration(delay))
 	}
 }
 
@@ -96,9 +97,8 @@
 func (q *Quarantiner) TakeChanges(now time.Time) (changes []Change) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	for fp, e := range q.entries {
-		if q.expired(now, e.Record) {
-			delete(q.entries, fp)
+	for fp, e := range q.changed {
+		if q.entries[fp] != e || q.expired(now, e.Record) {
 			continue
 		}
 		before, after := e.reported, q.state(e)
@@ -110,6 +110,7 @@
 		}
 		e.local, e.reported = false, after
 	}
+	q.changed = nil
 	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.Key(), b.Key()) })
 	return changes
 }
--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
@@ -113,6 +114,39 @@
 	}
 }
 
+// numbered returns names with the numbers from 0.
+func numbered(prefix string, count int) (names []string) {
+	for i := range count {
+		names = append(names, fmt.Sprint(prefix, i))
+	}
+	return names
+}
+
+// Guards against a bad part that is lost among hundreds of other parts, and messages for each of them.
+func TestFleetQuarantinesPartAmongHundreds(t *testing.T) {
+	const sharedParts, ownParts, messagesPerRequest = 150, 150, 10
+	for _, daemons := range fleetSizes {
+		if *fleetWork < daemons {
+			continue // takes long
+		}
+		for seed := range (fleetSeeds(daemons) + 9) / 10 {
+			f := newFleet(daemons, seed)
+			f.sharedParts, f.ownParts = numbered("shared-", sharedParts), ownParts
+			isPaused := seed%2 == 1
+			if isPaused {
+				f.poisonFrom, f.isPaused, f.desk = 0, true, f.random.IntN(daemons)
+			}
+			f.run(true, f.pauseUntilBounds)
+			checkPoisonSends(t, f, seed)
+			require.GreaterOrEqual(t, f.sound, minSample, "seed %d", seed)
+			require.LessOrEqual(t, f.refused, f.sound/2, "%d daemons, seed %d, paused %v", daemons, seed, isPaused)
+			require.Equal(t, quarantiner.StateQuarantined, f.daemons[0].State(f.now, badPart), "%d daemons, seed %d", daemons, seed)
+			require.LessOrEqual(t, f.published, messagesPerRequest*f.broken, "%d daemons, seed %d", daemons, seed)
+			t.Logf("%d daemons, seed %d, paused %v: %d crashes with %d requests in flight, %d messages, %d records, %d of %d sound requests refused", daemons, seed, isPaused, len(f.crashes), f.broken, f.published, len(f.daemons[0].Records(f.now)), f.refused, f.sound)
+		}
+	}
+}
+
 // Guards against shared parts that stay quarantined because upstreams also crash for other reasons.
 func TestFleetServesSharedPartsAfterOtherCrashes(t *testing.T) {
 	const crashesUntil = 10 * time.Second
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -3,6 +3,7 @@
 package quarantiner
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -38,11 +39,13 @@
 	MaxEntries int           // largest number of fingerprints that are tracked
 	Threshold  int           // crashes of distinct upstreams that quarantine a fingerprint
 	Concurrent bool          // suspects run beside other requests
-	OnChange   func()        // called when TakeChanges has a record to return; must not call the Quarantiner
+	OnChange   func()        // called when TakeChanges has a record to return, with Concurrent; must not call the Quarantiner
 
 	mutex      sync.Mutex
 	entries    map[RequestFingerprint]*entry
 	peers      []string
+	victims    []victim                      // entries that are evicted next
+	changed    map[RequestFingerprint]*entry // since the last TakeChanges
 	survivals  survivals
 	objections map[RequestFingerprint]time.Time // when this daemon clears a suspect that it knows to be sound
 }
@@ -251,10 +254,18 @@
 // markLocal marks a record that this daemon changes to be returned by TakeChanges.
 func (q *Quarantiner) markLocal(e *entry) {
 	e.local = true
-	q.notify()
+	q.markChanged(e)
 }
 
-func (q *Quarantiner) notify() {
+// markChanged marks a record that TakeChanges examines.
+func (q *Quarantiner) markChanged(e *entry) {
+	if !q.Concurrent {
+		return
+	}
+	if q.changed == nil {
+		q.changed = map[RequestFingerprint]*entry{}
+	}
+	q.changed[e.RequestFingerprint] = e
 	if q.OnChange != nil {
 		q.OnChange()
 	}
@@ -298,8 +309,8 @@
 	return DefaultTTL
 }
 
-// add adds a record. If the table is full, it evicts an entry: cleared ones first,
-// then suspects, the oldest of each first.
+// add adds a record. If the table is full, it evicts an entry: cleared ones first, then suspects,
+// the oldest of each first.
 func (q *Quarantiner) add(now time.Time, record Record) *entry {
 	maxEntries := q.MaxEntries
 	if maxEntries == 0 {
@@ -309,32 +320,54 @@
 		q.entries = map[RequestFingerprint]*entry{}
 	}
 	if len(q.entries) >= maxEntries {
-		q.evict(now)
+		q.evict(now, max(maxEntries/victimFraction, 1))
 	}
 	e := &entry{Record: record}
 	q.entries[record.RequestFingerprint] = e
 	return e
 }
 
-func (q *Quarantiner) evict(now time.Time) {
-	var victim *entry
+// victimFraction is the fraction of a full table that is chosen for eviction at once, since the
+// fingerprints of a crash may be hundreds, and each choice examines the whole table.
+const victimFraction = 16
+
+// victim is an entry that was chosen for eviction, with the number of its crashes at that time.
+type victim struct {
+	*entry
+	crashes int
+}
+
+// evict removes an entry, and chooses the next ones to be evicted if none is left.
+func (q *Quarantiner) evict(now time.Time, choice int) {
+	for len(q.victims) > 0 {
+		next := q.victims[0]
+		q.victims = q.victims[1:]
+		if q.entries[next.RequestFingerprint] == next.entry && len(next.Crashes) <= next.crashes {
+			delete(q.entries, next.RequestFingerprint)
+			return
+		}
+	}
+	var all []*entry
+	isFull := true
 	for fp, e := range q.entries {
 		if q.expired(now, e.Record) {
 			delete(q.entries, fp)
+			isFull = false
 			continue
 		}
-		if victim == nil || e.evictedBefore(victim) {
-			victim = e
-		}
+		all = append(all, e)
 	}
-	if victim != nil {
-		delete(q.entries, victim.RequestFingerprint)
+	slices.SortFunc(all, (*entry).compareEviction)
+	for _, e := range all[:min(choice, len(all))] {
+		q.victims = append(q.victims, victim{e, len(e.Crashes)})
+	}
+	if isFull && len(q.victims) > 0 {
+		delete(q.entries, q.victims[0].RequestFingerprint)
+		q.victims = q.victims[1:]
 	}
 }
 
-func (e *entry) evictedBefore(other *entry) bool {
-	if len(e.Crashes) != len(other.Crashes) {
-		return len(e.Crashes) < len(other.Crashes)
-	}
-	return e.lastEvent().Before(other.lastEvent())
+// compareEviction orders the entries that are evicted first before others.
+func (e *entry) compareEviction(other *entry) int {
+	return cmp.Or(cmp.Compare(len(e.Crashes), len(other.Crashes)), e.lastEvent().Compare(other.lastEvent()))
 }
--- a/quarantiner/simulation_test.go
+++ b/quarantiner/simulation_test.go
@@ -48,11 +48,11 @@
 	survived     bool
 }
 
-// delivery is a record on its way to a daemon.
+// delivery is a message on its way to a daemon.
 type delivery struct {
-	at     time.Time
-	to     int
-	record quarantiner.Record
+	at    time.Time
+	to    int
+	group quarantiner.Group
 }
 
 // fleet simulates daemons that exchange records with delays, and upstreams that crash.
@@ -76,7 +76,10 @@
 	rejectFrom  time.Duration // from then on upstreams reject poisonous requests without running them; 0 if never
 	rackCrashes int           // crashes that no request caused
 	sharedParts []string      // parts of all requests
+	ownParts    int           // parts that no other request has, of each request
 	soundRate   int           // sound requests per second
+	published   int           // messages that daemons published
+	broken      int           // requests in flight at crashes
 	isPaused    bool          // no sound requests arrive
 	desk        int           // daemon at which all sound requests arrive; -1 if they arrive at any
 }
@@ -118,7 +121,7 @@
 func (f *fleet) synchronize(from, to int) {
 	f.impaired[to] = f.now.Add(stabilityWindow)
 	for _, record := range f.daemons[from].Records(f.now) {
-		f.deliveries = append(f.deliveries, delivery{f.now.Add(500 * time.Millisecond), to, record})
+		f.deliveries = append(f.deliveries, delivery{f.now.Add(500 * time.Millisecond), to, quarantiner.Group{Record: record}})
 	}
 }
 
@@ -129,7 +132,7 @@
 		f.synchronize((healed+1)%len(f.daemons), healed)
 		f.cut = -1
 		for _, record := range f.daemons[healed].Records(f.now) {
-			f.publish(healed, record)
+			f.publish(healed, quarantiner.Group{Record: record})
 		}
 	}
 	f.cut = number
@@ -138,8 +141,11 @@
 func (f *fleet) arrive(poisonous bool) {
 	f.number++
 	parts := append(slices.Clone(f.sharedParts), fmt.Sprint("middle-", f.number%middleParts))
+	for i := range f.ownParts {
+		parts = append(parts, fmt.Sprint("own-", f.number, "-", i))
+	}
 	if poisonous {
-		parts[len(parts)-1] = "bad"
+		parts[len(f.sharedParts)] = "bad"
 	}
 	fingerprints := []quarantiner.RequestFingerprint{quarantiner.FingerprintOf("clerks", fmt.Sprint(f.number))}
 	for _, part := range parts {
@@ -214,6 +220,7 @@
 		}
 		return r.upstream == upstream
 	})
+	f.broken += len(broken)
 	for _, request := range broken {
 		daemon := f.daemons[request.daemon]
 		if !request.survived {
@@ -246,7 +253,7 @@
 		if f.now.Before(d.at) {
 			return false
 		}
-		f.daemons[d.to].Merge(f.now, []quarantiner.Record{d.record})
+		f.daemons[d.to].Merge(f.now, d.group.Records())
 		return true
 	})
 	for i, daemon := range f.daemons {
@@ -254,19 +261,20 @@
 			continue
 		}
 		f.changed[i] = !daemon.Object(f.now).IsZero()
-		for _, change := range daemon.TakeChanges(f.now) {
+		for _, change := range quarantiner.GroupChanges(daemon.TakeChanges(f.now)) {
 			if change.Local {
-				f.publish(i, change.Record)
+				f.published++
+				f.publish(i, change.Group)
 			}
 		}
 	}
 }
 
-func (f *fleet) publish(from int, record quarantiner.Record) {
+func (f *fleet) publish(from int, group quarantiner.Group) {
 	for to := range f.daemons {
 		if to != from && to != f.cut {
 			delay := 20*time.Millisecond + time.Duration(f.random.IntN(300))*time.Millisecond
-			f.deliveries = append(f.deliveries, delivery{f.now.Add(delay), to, record})
+			f.deliveries = append(f.deliveries, delivery{f.now.Add(delay), to, group})
 		}
 	}
 }
--- a/quarantiner/survivals.go
+++ b/quarantiner/survivals.go
@@ -7,9 +7,9 @@
 	// is long enough for a part that many requests share to be answered again while
 	// several upstreams are down.
 	survivalWindow = 5 * time.Second
-	// maxSurvivals bounds the fingerprints that are remembered. At 60 requests a second,
-	// each with three fingerprints, a window has 900.
-	maxSurvivals = 4096
+	// maxSurvivals bounds the fingerprints that are remembered, to about 3 MB. At 60 requests a
+	// second, each with 300 fingerprints that no other one has, half of them are of the last 0.9 s.
+	maxSurvivals = 32768
 )
 
 // survivals holds when answers were last written on fingerprints, by the local clock. It
--- a/quarantiner/trials.go
+++ b/quarantiner/trials.go
@@ -24,9 +24,8 @@
 	// another quarantined fingerprint explains the crash, and maxFailedTrials bounds all of them.
 	maxUnexplainedTrials = 2
 	maxFailedTrials      = 3
-	// maxTrialFingerprints bounds the fingerprints of a trial. A prompt that fills a header of
-	// 16 KiB has about 1400 parts.
-	maxTrialFingerprints = 2048
+	// maxTrialFingerprints bounds the fingerprints of a trial. A prompt has up to 4096 parts.
+	maxTrialFingerprints = 4097
 	// trialRetryAfter is added to the time until the next trial in the Retry-After of requests
 	// that may be sound. A trial takes about as long.
 	trialRetryAfter = time.Second
--- a/quarantiner/trials_test.go
+++ b/quarantiner/trials_test.go
@@ -120,7 +120,7 @@
 	require.NoError(t, valid.Check())
 	require.Error(t, quarantiner.TrialRequest{}.Check())
 	require.Error(t, quarantiner.TrialRequest{Fingerprints: make([]quarantiner.RequestFingerprint, 1)}.Check())
-	many := make([]quarantiner.RequestFingerprint, 3000)
+	many := make([]quarantiner.RequestFingerprint, 5000)
 	for i := range many {
 		many[i] = badPart
 	}
--- a/relayer/quarantine.go
+++ b/relayer/quarantine.go
@@ -27,11 +27,11 @@
 		customer = publicCustomer
 	}
 	content := append([]string{service, request.Method, request.Host, request.Target, request.Model, string(request.Body)}, request.Parts...)
+	shared := slices.Clone(request.SharedParts())
+	slices.Sort(shared)
 	found := []quarantiner.RequestFingerprint{quarantiner.FingerprintOf(customer, content...)}
-	for _, part := range request.SharedParts() {
-		if fp := quarantiner.PartFingerprint(service, part); !slices.Contains(found, fp) {
-			found = append(found, fp)
-		}
+	for _, part := range slices.Compact(shared) {
+		found = append(found, quarantiner.PartFingerprint(service, part))
 	}
 	return found
 }
