quarantiner: try sound parts again after a crash for another reason

Sound requests that always share several parts were refused for ten minutes if the one trial of these parts failed because its server crashed for another reason within the same second.

Cause: after a failed trial, the same set of parts counted as shown to be bad, also if another quarantined part, which the request lacks, explains the crashes that quarantined them.

Such a set is tried once more: parts that fewer than three crashes speak against would not be quarantined by these. The bounds on failed trials of a fingerprint stay. A request waits for the grant of its trial for 500 ms instead of 100 ms, since a grant that comes too late is lost for 3 s.

TestSoundPartsAreTriedAgainAfterOtherCrash failed before.

--- a/cowslipd/relay/trials.go
+++ b/cowslipd/relay/trials.go
@@ -13,8 +13,9 @@
 	"github.com/cowslipproxy/cowslipproxy/reporter"
 )
 
-// trialTimeout bounds the time that a request waits for the grant of a trial.
-const trialTimeout = 100 * time.Millisecond
+// trialTimeout bounds the time that a request waits for the grant of a trial. It would be refused
+// otherwise, and a grant that comes too late is lost.
+const trialTimeout = 500 * time.Millisecond
 
 // askTrial asks the arbiter of a trial of quarantined fingerprints, and reports whether it is
 // granted. It does not end with the caller's request, since the arbiter grants one trial at a time.
--- a/quarantiner/trials.go
+++ b/quarantiner/trials.go
@@ -195,46 +195,56 @@
 
 // nextTrial returns the earliest time of a trial of these fingerprints, and whether it can show
 // something new. After a failed trial of several fingerprints, any of them may have crashed the
-// upstream. They are then tried without one that was in the failed trial, each alone, or beside one
-// that was in no failed trial.
+// upstream. They are then tried if other quarantined fingerprints explain their failed trials or
+// so many of their crashes that the rest would not quarantine them, or each alone, or beside one that
+// was in no failed trial.
 func (q *Quarantiner) nextTrial(held []*entry) (next time.Time, isInformative bool) {
-	unexplained := q.unexplainedTrials(held)
-	isInformative = len(held) == 1 || len(unexplained) == 0
-	isFinished := false
+	unexplained := q.unexplainedCrashes(held)
+	isInformative = len(held) == 1
+	areTrialsExplained, areCrashesExplained, isFinished := true, true, false
 	for _, e := range held {
 		failed := e.failedTrials()
-		own := 0
-		for _, crash := range failed {
-			if unexplained[crash.Upstream] {
-				own++
-			}
-		}
+		failures := unexplained.countOf(failed)
+		areTrialsExplained = areTrialsExplained && failures == 0
+		areCrashesExplained = areCrashesExplained && unexplained.countOf(e.Crashes) < q.threshold()
 		isInformative = isInformative || len(failed) == 0
-		isFinished = isFinished || own >= maxUnexplainedTrials || len(failed) >= maxFailedTrials
+		isFinished = isFinished || failures >= maxUnexplainedTrials || len(failed) >= maxFailedTrials
 		delay := trialDelay
-		if e.Trials >= maxQuickTrials && (e.Trials >= maxFailedTrials || own == len(failed)) {
+		if e.Trials >= maxQuickTrials && (e.Trials >= maxFailedTrials || failures == len(failed)) {
 			delay = lateTrialDelay
 		}
 		next = latest(next, e.evidenceAt.Add(delay), e.trialDue)
 	}
-	return next, isInformative && !isFinished
+	return next, (isInformative || areTrialsExplained || areCrashesExplained) && !isFinished
 }
 
 func latest(times ...time.Time) time.Time { return slices.MaxFunc(times, time.Time.Compare) }
 
-// unexplainedTrials returns the upstreams that failed trials of these fingerprints crashed, without
-// those that also crashed in a trial of another quarantined fingerprint, which explains them.
-func (q *Quarantiner) unexplainedTrials(held []*entry) map[string]bool {
-	unexplained := map[string]bool{}
+// upstreamSet is a set of incarnations of upstreams.
+type upstreamSet map[string]bool
+
+func (s upstreamSet) countOf(crashes []Crash) (count int) {
+	for _, crash := range crashes {
+		if s[crash.Upstream] {
+			count++
+		}
+	}
+	return count
+}
+
+// unexplainedCrashes returns the upstreams that crashed with these fingerprints in flight and with no
+// other quarantined fingerprint, which would explain the crash.
+func (q *Quarantiner) unexplainedCrashes(held []*entry) upstreamSet {
+	unexplained := upstreamSet{}
 	for _, e := range held {
-		for _, crash := range e.failedTrials() {
+		for _, crash := range e.Crashes {
 			unexplained[crash.Upstream] = true
 		}
 	}
-	if len(unexplained) == 0 {
-		return nil
-	}
 	for _, other := range q.entries {
+		if len(unexplained) == 0 {
+			break
+		}
 		if q.state(other) != StateQuarantined || slices.Contains(held, other) {
 			continue
 		}
--- a/quarantiner/trials_test.go
+++ b/quarantiner/trials_test.go
@@ -128,3 +128,18 @@
 	require.NoError(t, quarantiner.TrialReply{Wait: time.Second}.Check())
 	require.Error(t, quarantiner.TrialReply{Wait: -time.Second}.Check())
 }
+
+// Guards against sound parts that stay quarantined because an upstream crashed for another reason during their trial.
+func TestSoundPartsAreTriedAgainAfterOtherCrash(t *testing.T) {
+	q := newConcurrent("a")
+	sound := []quarantiner.RequestFingerprint{soundPart, otherSoundPart}
+	crashUpstreams(q, epoch, 0, fleetThreshold, soundPart, otherSoundPart, badPart)
+	now := epoch.Add(4 * time.Second)
+	require.Nil(t, refusal(q, now, sound))
+	crashUpstreams(q, now, fleetThreshold, 1, sound...)
+	now = now.Add(4 * time.Second)
+	require.Nil(t, refusal(q, now, sound), "the first crashes are explained by the bad part")
+	crashUpstreams(q, now, fleetThreshold+1, 1, sound...)
+	now = now.Add(2 * time.Minute)
+	require.NotNil(t, refusal(q, now, sound), "a third trial follows two that nothing explains")
+}
