relayer, forwarder: reject replies without an HTTP status

On the relay, callers got 502 for it, but a reply with a status from 600 to 999 was passed on as the answer. On the daemon's own protocol, 000 and other numbers below 100 ended the caller's connection without an answer, and 600 to 999 were passed on and recorded for the key of the request.

Cause: net/http accepts each number of three digits, and only the relay checked for a lower bound.

IsFinalStatus (200 to 599) decides now on each way on which an answer comes in: plain and streamed replies and resumptions on the relay, replies of services on the own protocol, which count as failed attempts whose outcome is unknown, answers that another daemon forwards or that were recorded, and replies to cowslipctl.

--- a/cowslipctl/daemon.go
+++ b/cowslipctl/daemon.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/cowslipproxy/cowslipproxy"
 )
 
 // maxResponseSize is the maximum size of a daemon's response, in bytes. At the size
@@ -75,7 +77,7 @@
 	if len(data) > maxResponseSize {
 		return nil, errors.Errorf("%s: response exceeds %d bytes", path, maxResponseSize)
 	}
-	if response.StatusCode >= http.StatusBadRequest {
+	if response.StatusCode >= http.StatusBadRequest || !cowslipproxy.IsFinalStatus(response.StatusCode) {
 		return nil, statusError(response.Status, data)
 	}
 	return data, nil
--- a/cowslipctl/daemon_test.go
+++ b/cowslipctl/daemon_test.go
@@ -77,7 +77,7 @@
 }
 
 // Guards against commands that reach the daemon altered, against exit codes that report
-// the wrong result to a script, and against truncated responses that are accepted.
+// the wrong result to a script, and against truncated or invalid responses that are accepted.
 func TestDaemonCommands(t *testing.T) {
 	p := build(t)
 	f := &fakeDaemon{}
@@ -85,6 +85,15 @@
 	t.Setenv("COWSLIP_OPERATOR", address)
 	truncated := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"name":`) }))
 	t.Cleanup(truncated.Close)
+	odd := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}")
+		_ = conn.Close()
+	}))
+	t.Cleanup(odd.Close)
 	for _, c := range []struct {
 		args    []string
 		code    int
@@ -93,6 +102,8 @@
 	}{
 		{[]string{"dump", "--operator", strings.TrimPrefix(truncated.URL, "http://")}, 1, "response", ""},
 		{[]string{"dump", "--json", "--operator", strings.TrimPrefix(truncated.URL, "http://")}, 1, "response", ""},
+		{[]string{"dump", "--operator", strings.TrimPrefix(odd.URL, "http://")}, 1, "status 000", ""},
+		{[]string{"drain", "--operator", strings.TrimPrefix(odd.URL, "http://"), "engine-1"}, 1, "status 000", ""},
 		{[]string{"dump"}, 0, "feed         clerks    quarantined", ""},
 		{[]string{"dump"}, 0, "drained", ""},
 		{[]string{"dump", "--json"}, 0, `"name": "entry-1-abc"`, ""},
--- a/cowslipd/router/guard.go
+++ b/cowslipd/router/guard.go
@@ -122,6 +122,10 @@
 
 // replay writes a recorded answer.
 func replay(w http.ResponseWriter, request string, answer claimer.Answer) {
+	if !cowslipproxy.IsFinalStatus(answer.Status) {
+		caller.WriteFailure(w, request, cowslipproxy.Unknown(cowslipproxy.ReasonAnswerLost, "the request completed, but its answer was recorded with the invalid status %d", answer.Status))
+		return
+	}
 	for name, values := range answer.Header {
 		w.Header()[name] = values
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -139,6 +139,10 @@
 		_ = response.Body.Close() // its context is cancelled, so it can't be read
 		err = errors.Errorf("%s did not begin its response in time", name)
 	}
+	if err == nil && !cowslipproxy.IsFinalStatus(response.StatusCode) {
+		_ = response.Body.Close() // no valid response, so its rest does not matter
+		err = errors.Errorf("%s returned the invalid status %q", name, response.Status)
+	}
 	if err == nil && response.StatusCode == http.StatusTooEarly {
 		_ = response.Body.Close() // the status means that the call was not started
 		err = errors.Wrapf(cowslipproxy.ErrNotStarted, "%s returned status %d", name, response.StatusCode)
--- a/gossiper/forward.go
+++ b/gossiper/forward.go
@@ -35,7 +35,7 @@
 
 // Check reports the first invalid field.
 func (p Part) Check() error {
-	if p.Status != 0 && (p.Status < 200 || p.Status > 599) {
+	if p.Status != 0 && !cowslipproxy.IsFinalStatus(p.Status) {
 		return errors.Errorf("status: %d is not between 200 and 599", p.Status)
 	}
 	if p.Method != "" && !strings.HasPrefix(p.Path, "/") {
@@ -181,7 +181,10 @@
 		if err := stream.RecvMsg(&part); err != nil {
 			return errors.Wrap(err, "receive response")
 		}
-		if part.Status != 0 && !started {
+		if !started && part.Status == 0 {
+			return errors.New("the response begins without a status")
+		}
+		if !started {
 			started = true
 			copyHeader(w.Header(), part.Header, "")
 			w.WriteHeader(part.Status)
--- a/headers.go
+++ b/headers.go
@@ -24,6 +24,10 @@
 	}
 }
 
+// IsFinalStatus reports whether a number is the status of a complete HTTP response. net/http also
+// accepts other numbers of three digits, such as 000 and 999.
+func IsFinalStatus(status int) bool { return status >= http.StatusOK && status <= 599 }
+
 const identity = "identity" // net/http's name for a body that ends with its connection
 
 // IsFramed reports whether the body of a response has a length or chunks. Otherwise it ends
--- a/relayer/send.go
+++ b/relayer/send.go
@@ -93,8 +93,8 @@
 	if reply.Header.Get("Content-Encoding") != "" {
 		return errors.Wrap(errInvalidReply, "unexpected Content-Encoding")
 	}
-	if reply.StatusCode < http.StatusOK {
-		return errors.Wrapf(errInvalidReply, "unexpected status %d", reply.StatusCode)
+	if !cowslipproxy.IsFinalStatus(reply.StatusCode) {
+		return errors.Wrapf(errInvalidReply, "unexpected status %q", reply.Status)
 	}
 	if reply.StatusCode < http.StatusMultipleChoices && !reply.Signed {
 		return errors.Wrap(errInvalidReply, "signature is missing")
