relay: do not ask daemons that stop for trials

A daemon that stops refuses calls of others soon, so that requests for trials would fail until it is gone, up to grace_s. It is no arbiter for the others from the time on at which it states that it stops.

Expired records are looked for once a second instead of after each message, and the next trial of a request is determined once.

go test ./quarantiner and, of ./cowslipd/relay, the tests of the quarantine's store and of shared parts with 4 and 15 daemons passed.

--- a/cowslipd/relay/members.go
+++ b/cowslipd/relay/members.go
@@ -70,7 +70,9 @@
 	d.speeds.SetDaemons(len(live))
 	var keys []string
 	for _, member := range live {
-		keys = append(keys, member.Key())
+		if !member.Stopping { // a stopping daemon refuses requests for trials soon
+			keys = append(keys, member.Key())
+		}
 	}
 	d.quarantine.SetPeers(keys)
 	d.limits.setMembers(now, live)
--- a/cowslipd/relay/quarantine.go
+++ b/cowslipd/relay/quarantine.go
@@ -62,10 +62,14 @@
 func (d *Daemon) exchangeQuarantine(ctx context.Context) {
 	timer := time.NewTimer(quarantineInterval)
 	defer timer.Stop()
+	expiry := time.NewTicker(quarantineInterval)
+	defer expiry.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-expiry.C:
+			d.withdrawExpired(ctx, d.Clock())
 		case <-d.quarantine.changed:
 		case <-timer.C:
 		case result := <-d.quarantine.stored:
@@ -89,7 +93,6 @@
 		for _, change := range quarantiner.GroupChanges(changes) {
 			d.handleChange(ctx, now, change)
 		}
-		d.withdrawExpired(ctx, now)
 		d.storeQuarantine(ctx)
 		timer.Reset(wait)
 	}
--- a/quarantiner/trials.go
+++ b/quarantiner/trials.go
@@ -88,8 +88,9 @@
 		return Trial{}, nil
 	}
 	next, isInformative := q.nextTrial(held)
+	failure = q.refusal(now, held, next, isInformative)
 	if !isInformative || now.Before(next) {
-		return Trial{}, q.refusal(now, held)
+		return Trial{}, failure
 	}
 	for _, e := range held {
 		trial.Fingerprints = append(trial.Fingerprints, e.RequestFingerprint)
@@ -99,7 +100,7 @@
 		return trial, nil
 	}
 	postpone(held, now.Add(q.denialDelay()))
-	return trial, q.refusal(now, held)
+	return trial, failure
 }
 
 // Grant decides on another daemon's request for a trial. Only the arbiter grants trials, one
@@ -116,7 +117,8 @@
 		postpone(held, now.Add(trialDelay))
 		return TrialReply{Granted: true}
 	}
-	return TrialReply{Wait: max(min(next.Sub(now), lateTrialDelay), q.denialDelay())}
+	// The wait is bounded since the daemon may get requests with some of the fingerprints only.
+	return TrialReply{Wait: max(min(next.Sub(now), trialDelay), q.denialDelay())}
 }
 
 // HandleDenial postpones the next request for a trial.
@@ -161,7 +163,8 @@
 	if len(held) == 0 {
 		return nil
 	}
-	return q.refusal(now, held)
+	next, isInformative := q.nextTrial(held)
+	return q.refusal(now, held, next, isInformative)
 }
 
 func (q *Quarantiner) quarantined(now time.Time, fingerprints []RequestFingerprint) (held []*entry) {
@@ -173,9 +176,9 @@
 	return held
 }
 
-// refusal returns the failure of a request with quarantined fingerprints. If a trial may
-// show that they are sound, the caller may retry after it.
-func (q *Quarantiner) refusal(now time.Time, held []*entry) *cowslipproxy.Failure {
+// refusal returns the failure of a request with quarantined fingerprints. If their next trial is
+// informative, the caller may retry after it.
+func (q *Quarantiner) refusal(now time.Time, held []*entry, next time.Time, isInformative bool) *cowslipproxy.Failure {
 	e := held[0]
 	var upstreams []string
 	for _, crash := range e.Crashes {
@@ -186,7 +189,7 @@
 		subject = "part of the prompt"
 	}
 	remaining := e.lastEvent().Add(q.ttl()).Sub(now)
-	if next, isInformative := q.nextTrial(held); isInformative {
+	if isInformative {
 		remaining = min(remaining, max(next.Sub(now), 0)+trialRetryAfter)
 	}
 	return cowslipproxy.Refuse(cowslipproxy.ReasonQuarantined, "%s %s crashed %d upstreams: %s", subject, e.Key(), len(upstreams), strings.Join(upstreams, ", ")).
@@ -268,5 +271,5 @@
 }
 
 func (q *Quarantiner) denialDelay() time.Duration {
-	return denialInterval + denialSpread*time.Duration(len(q.peers))
+	return min(denialInterval+denialSpread*time.Duration(len(q.peers)), lateTrialDelay)
 }
