quarantiner: test prompts with varying sets of shared parts

Trials of the sets in which a bad part comes with sound ones could crash an upstream for each set.

Also renames a field of the simulation. No code but tests is changed.

--- a/quarantiner/fleet_test.go
+++ b/quarantiner/fleet_test.go
@@ -103,7 +103,7 @@
 				f := newFleet(daemons, seed)
 				f.poisonFrom, f.isPaused, f.sharedParts = 0, true, shared
 				if seed%2 == 0 {
-					f.desk = f.random.IntN(daemons)
+					f.soundDaemon = f.random.IntN(daemons)
 				}
 				f.run(true, f.pauseUntilBounds)
 				checkPoisonSends(t, f, seed)
@@ -134,7 +134,7 @@
 			f.sharedParts, f.ownParts = numbered("shared-", sharedParts), ownParts
 			isPaused := seed%2 == 1
 			if isPaused {
-				f.poisonFrom, f.isPaused, f.desk = 0, true, f.random.IntN(daemons)
+				f.poisonFrom, f.isPaused, f.soundDaemon = 0, true, f.random.IntN(daemons)
 			}
 			f.run(true, f.pauseUntilBounds)
 			checkPoisonSends(t, f, seed)
@@ -147,6 +147,34 @@
 	}
 }
 
+// runVaried runs a fleet whose requests have varying sets of shared parts, and whose sound ones come
+// once the platform's bounds apply to them.
+func runVaried(daemons int, seed uint64) *fleet {
+	f := newFleet(daemons, seed)
+	f.poisonFrom, f.isPaused, f.areVaried, f.sharedParts = 0, true, true, numbered("shared-", 6)
+	f.run(true, f.pauseUntilBounds)
+	return f
+}
+
+// Guards against trials of each set of parts that a bad one comes with.
+func TestFleetBoundsTrialsOfVaryingParts(t *testing.T) {
+	for _, daemons := range fleetSizes {
+		for seed := range fleetSeeds(daemons) {
+			checkPoisonSends(t, runVaried(daemons, seed), seed)
+		}
+	}
+}
+
+// Guards against sound parts that are refused because they were in all trials with a bad one.
+func TestFleetServesVaryingSharedParts(t *testing.T) {
+	for _, daemons := range fleetSizes {
+		for seed := range fleetSeeds(daemons) {
+			f := runVaried(daemons, seed)
+			assert.LessOrEqual(t, f.refused, f.sound/2, "%d daemons, seed %d", daemons, seed)
+		}
+	}
+}
+
 // runBesideOtherCrashes runs a fleet whose upstreams also crash for other reasons for a while. It
 // returns how many sound requests were refused, and how many arrived, once the bounds apply again.
 func (f *fleet) runBesideOtherCrashes(poison bool) (refused, sound int) {
--- a/quarantiner/simulation_test.go
+++ b/quarantiner/simulation_test.go
@@ -76,16 +76,17 @@
 	rejectFrom  time.Duration // from then on upstreams reject poisonous requests without running them; 0 if never
 	rackCrashes int           // crashes that no request caused
 	sharedParts []string      // parts of all requests
+	areVaried   bool          // requests lack a third of the shared parts
 	ownParts    int           // parts that no other request has, of each request
 	soundRate   int           // sound requests per second
 	published   int           // messages that daemons published
 	broken      int           // requests in flight at crashes
 	isPaused    bool          // no sound requests arrive
-	desk        int           // daemon at which all sound requests arrive; -1 if they arrive at any
+	soundDaemon int           // daemon at which all sound requests arrive; -1 if they arrive at any
 }
 
 func newFleet(daemons int, seed uint64) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, uint64(daemons))), now: epoch, cut: -1, desk: -1, sharedParts: []string{"shared"}, soundRate: soundPerSecond, poisonFrom: fleetWarmUp, changed: make([]bool, daemons), impaired: make([]time.Time, daemons)}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, uint64(daemons))), now: epoch, cut: -1, soundDaemon: -1, sharedParts: []string{"shared"}, soundRate: soundPerSecond, poisonFrom: fleetWarmUp, changed: make([]bool, daemons), impaired: make([]time.Time, daemons)}
 	for i := range daemons {
 		f.daemons = append(f.daemons, f.newDaemon(i, 0))
 	}
@@ -147,6 +148,9 @@
 	if poisonous {
 		parts[len(f.sharedParts)] = "bad"
 	}
+	if f.areVaried {
+		parts = slices.DeleteFunc(parts, func(part string) bool { return part != "bad" && f.random.IntN(3) == 0 })
+	}
 	fingerprints := []quarantiner.RequestFingerprint{quarantiner.FingerprintOf("clerks", fmt.Sprint(f.number))}
 	for _, part := range parts {
 		fingerprints = append(fingerprints, quarantiner.PartFingerprint("scribe", part))
@@ -154,8 +158,8 @@
 	request := &fleetRequest{fingerprints: fingerprints, daemon: f.random.IntN(len(f.daemons)), poisonous: poisonous}
 	if !poisonous {
 		f.sound++
-		if f.desk >= 0 {
-			request.daemon = f.desk
+		if f.soundDaemon >= 0 {
+			request.daemon = f.soundDaemon
 		}
 	}
 	trial, failure := f.daemons[request.daemon].Admit(f.now, fingerprints)
