relay: let the other server answer in the test of invalid statuses

SetScript(nil) made the stand-in panic, so that the part of TestReplyWithoutStatusIsNoAnswer in which one server replies as usual checked nothing: no reply of it was ever used. It gets a script that replies as usual, and the test requires that such replies are used.

--- a/cowslipd/relay/status_test.go
+++ b/cowslipd/relay/status_test.go
@@ -17,6 +17,7 @@
 func TestReplyWithoutStatusIsNoAnswer(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, 1)
+	served := 0
 	for _, status := range invalidStatuses {
 		for _, header := range []string{"", "X-Response-Signature: sig\r\n", "X-Response-Signature: sig\r\nX-Not-Executed: 1\r\n"} {
 			servers := d.fleet.Servers("ledger")
@@ -31,14 +32,16 @@
 				require.Less(t, got.status, 600, form)
 				require.NotContains(t, got.body, "failure", form)
 			}
-			servers[0].SetScript(nil)
+			servers[0].SetScript(func(string, string) string { return "" }) // the regular reply
 			got := d.send(d.daemons[0], call{path: readsPath + "1", method: http.MethodGet})
 			require.NoError(t, got.err, form)
 			if got.status == http.StatusOK {
+				served++
 				require.Equal(t, worker.ResponseBody(got.id), got.body, form)
 			}
 		}
 	}
+	require.Positive(t, served, "no reply of the other server was used")
 }
 
 // Guards against callers that get a reply without an HTTP status as their stream or as its rest.
