--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 cd review/lab-3
-GOWORK=off go build -o ../../target/lab-3 .
+GOWORK=off go build -buildvcs=false -o ../../target/lab-3 .
--- a/review/lab-3/lab.go
+++ b/review/lab-3/lab.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -23,6 +24,7 @@
 	trouble bool   // the disruption takes place
 	folder  string // for settings and logs
 	ip      string // loopback address of the run, so that runs at the same time share no port
+	port    int    // last one that was given to a process
 	store   *Store
 	start   time.Time
 
@@ -48,6 +50,7 @@
 	name, zone                                 string
 	front, ready, directory, control, storeURL string
 	file                                       string
+	seeds                                      []string
 	cmd                                        *exec.Cmd
 	output                                     *os.File
 }
@@ -87,13 +90,19 @@
 	return s
 }
 
+// freePort returns a free port of the address of the run. The ports are below those that the system
+// gives to other sockets.
 func (l *Lab) freePort() string {
-	listener, err := net.Listen("tcp", l.ip+":0")
-	if err != nil {
-		fail("no free port: %v", err)
+	for range 1000 {
+		l.port++
+		address := net.JoinHostPort(l.ip, strconv.Itoa(l.port))
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	fail("no free port")
+	return ""
 }
 
 // addDaemons starts daemons, in turn in the zones.
@@ -114,7 +123,8 @@
 		seeds = append(seeds, d.control)
 	}
 	for _, d := range l.daemons {
-		d.write(seeds)
+		d.seeds = seeds
+		d.write(true)
 		d.run()
 	}
 	for _, d := range l.daemons {
@@ -122,9 +132,10 @@
 	}
 }
 
-// write writes the settings file as the template of the deploy file gives it.
-func (d *Daemon) write(seeds []string) {
-	list, _ := json.Marshal(seeds)
+// write writes the settings file as the template of the deploy file gives it. The setting first is
+// true only when the whole deployment starts for the first time.
+func (d *Daemon) write(first bool) {
+	list, _ := json.Marshal(d.seeds)
 	text := fmt.Sprintf(`name: %q
 centre: %q
 callers: %q
@@ -133,7 +144,7 @@
 peers: %q
 store: %q
 seeds: %s
-first: true
+first: %t
 metrics: 0
 grace: "8s"
 window: "10s"
@@ -142,7 +153,7 @@
 link: 700.0
 memory: 206
 descriptors: 2940
-`, d.name, d.zone, d.front, d.ready, d.directory, d.control, d.storeURL, list)
+`, d.name, d.zone, d.front, d.ready, d.directory, d.control, d.storeURL, list, first)
 	d.file = filepath.Join(d.lab.folder, d.name+".yaml")
 	if err := os.WriteFile(d.file, []byte(text), 0o600); err != nil {
 		fail("settings: %v", err)
@@ -181,7 +192,9 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	fail("%s is not ready", d.name)
+	output, _ := os.ReadFile(d.output.Name())
+	lines := strings.Split(strings.TrimSpace(string(output)), "\n")
+	fail("%s is not ready: %s", d.name, lines[len(lines)-1])
 }
 
 func (d *Daemon) signal(signal syscall.Signal) {
@@ -189,13 +202,6 @@
 	_ = d.cmd.Process.Signal(signal)
 }
 
-// kill ends the process at once.
-func (d *Daemon) kill() {
-	d.signal(syscall.SIGKILL)
-	_ = d.cmd.Wait()
-	d.output.Close()
-}
-
 func (l *Lab) close() {
 	l.killDaemons()
 	l.mu.Lock()
@@ -344,7 +350,7 @@
 		return nil, err
 	}
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
-	return &Lab{trouble: trouble, folder: folder, ip: ip, store: newStore(), start: time.Now(), log: bufio.NewWriter(file), servers: map[string]*Server{}, sent: map[string]time.Time{}}, nil
+	return &Lab{trouble: trouble, folder: folder, ip: ip, port: 10000 + rand.IntN(10000), store: newStore(), start: time.Now(), log: bufio.NewWriter(file), servers: map[string]*Server{}, sent: map[string]time.Time{}}, nil
 }
 
 // hasPart reports whether a prompt has a part.
--- a/review/lab-3/poison.go
+++ b/review/lab-3/poison.go
@@ -123,6 +123,8 @@
 	}
 	for _, d := range l.daemons {
 		_ = d.cmd.Wait()
+		_ = d.output.Close()
+		d.write(false)
 		d.run()
 	}
 	for _, d := range l.daemons {
