review: judge case 13 by BUDGET, as its claim says

The script counted successes with a part of the body, which are MIXED. Now it counts the late runs of the request; both are in the verdict.

--- a/review/lab-3/cut.go
+++ b/review/lab-3/cut.go
@@ -67,5 +67,5 @@
 		time.Sleep(4 * time.Second)
 	}
 	late, total := runs.after(3)
-	return cut > 0, fmt.Sprintf("%d answers were whole, %d successes had a part of the server's body (the rule allows none); the request crashed servers %d times, %d of them later than %v after crash 3", whole, cut, total, late, stabilityWindow)
+	return late > 3, fmt.Sprintf("the request crashed servers %d times; %d of these runs began later than %v after crash 3 (the rule allows 3); %d answers were whole, %d successes had a part of the server's body", total, late, stabilityWindow, whole, cut)
 }
