--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]func(l *Lab) (broken bool, verdict string){
 	"unframed-load":   unframedLoad,
+	"long-lines":      longLines,
 	"cut-answers":     cutAnswers,
 	"killed-suspects": killedSuspects,
 }
