--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -24,6 +24,7 @@
 	"unframed-load":   unframedLoad,
 	"long-lines":      longLines,
 	"cut-answers":     cutAnswers,
+	"varying-parts":   varyingParts,
 	"killed-suspects": killedSuspects,
 }
 
