--- a/review/lab-3/cut.go
+++ b/review/lab-3/cut.go
@@ -24,9 +24,9 @@
 	runs := &crashingRuns{}
 	handle := func(s *Server, w http.ResponseWriter, r *http.Request, _ []byte) bool {
 		l.recordRun(s, r)
-		request, whole := r.Header.Get("X-Request-Id"), wholeAnswer(r.URL.Path)
+		request, whole := r.Header.Get(headerID), wholeAnswer(r.URL.Path)
 		w.Header().Set("Transfer-Encoding", "identity") // neither a length nor chunks
-		w.Header().Set("X-Response-Signature", "sig."+request)
+		w.Header().Set(headerSignature, "sig."+request)
 		time.Sleep(15 * time.Millisecond)
 		if !l.trouble || r.URL.Path != poisonPath {
 			_, _ = w.Write([]byte(whole))
--- a/review/lab-3/lab.go
+++ b/review/lab-3/lab.go
@@ -65,11 +65,11 @@
 }
 
 func (l *Lab) recordRun(s *Server, r *http.Request) {
-	run := Run{s, r.Header.Get("X-Request-Id"), time.Now(), r.Header.Clone()}
+	run := Run{s, r.Header.Get(headerID), time.Now(), r.Header.Clone()}
 	l.mu.Lock()
 	l.runs = append(l.runs, run)
 	l.mu.Unlock()
-	l.record("run server=%s request=%s path=%s after=%s", s.name, run.Request, r.Header.Get("X-Hop-Count"), r.Header.Get("Last-Event-Id"))
+	l.record("run server=%s request=%s path=%s after=%s", s.name, run.Request, r.Header.Get(headerPath), r.Header.Get("Last-Event-Id"))
 }
 
 func (l *Lab) serverAt(address string) *Server {
@@ -168,7 +168,7 @@
 	}
 	d.output = output
 	d.cmd = exec.Command("target/cowslipd", "relay")
-	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.lab.folder, "COWSLIPD_SETTINGS=" + d.file, "COWSLIPPROXY_BOOT=" + d.file}
+	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.lab.folder, "COWSLIPD_SETTINGS=" + d.file, variableBoot + "=" + d.file}
 	d.cmd.Stdout, d.cmd.Stderr = output, output
 	if err := d.cmd.Start(); err != nil {
 		fail("start %s: %v", d.name, err)
@@ -177,7 +177,7 @@
 
 func (d *Daemon) isReady() bool {
 	client := http.Client{Timeout: 500 * time.Millisecond}
-	response, err := client.Get("http://" + d.ready + "/api/ready")
+	response, err := client.Get("http://" + d.ready + pathReady)
 	if err != nil {
 		return false
 	}
@@ -256,7 +256,8 @@
 // text returns the bytes of the request.
 func (r Request) text() string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n", r.Method, r.Path, host, r.ID, r.timeout().Milliseconds(), key)
+	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n",
+		r.Method, r.Path, host, headerID, r.ID, headerDeadline, r.timeout().Milliseconds(), key)
 	for name, value := range r.Header {
 		fmt.Fprintf(&text, "%s: %s\r\n", name, value)
 	}
@@ -302,15 +303,15 @@
 type route map[string]any
 
 func streamRoute(name, prefix, service string) route {
-	return route{"name": name, "host": host, "path_prefix": prefix, "kind": "streaming", "timeout_ms": 20000, "target_latency_ms": 500, "priority": 1, "service": service, "attempts": 2, "public": false, "session_affinity": true, "resumable": true, "gap_target_ms": 200}
+	return route{"name": name, "host": host, fieldPrefix: prefix, "kind": "streaming", "timeout_ms": 20000, fieldTarget: 500, "priority": 1, "service": service, "attempts": 2, "public": false, "session_affinity": true, "resumable": true, "gap_target_ms": 200}
 }
 
 func unsafeRoute(name, prefix string) route {
-	return route{"name": name, "host": host, "path_prefix": prefix, "kind": "unsafe", "target_latency_ms": 100, "priority": 2, "attempts": 1, "public": false}
+	return route{"name": name, "host": host, fieldPrefix: prefix, "kind": "unsafe", fieldTarget: 100, "priority": 2, "attempts": 1, "public": false}
 }
 
 func idempotentRoute(name, prefix string) route {
-	return route{"name": name, "host": host, "path_prefix": prefix, "kind": "idempotent", "target_latency_ms": 100, "priority": 2, "attempts": 2, "public": false}
+	return route{"name": name, "host": host, fieldPrefix: prefix, "kind": "idempotent", fieldTarget: 100, "priority": 2, "attempts": 2, "public": false}
 }
 
 func plainService(name string) map[string]any {
@@ -320,7 +321,7 @@
 func engineService(name string, layers int) map[string]any {
 	s := plainService(name)
 	s["engine"] = map[string]any{
-		"slots": 192, "kv_capacity": 100000, "kv_token_bytes": 459000, "link_mbps": 480000.0, "stride": 2,
+		"slots": 192, "kv_capacity": 100000, fieldBytes: 459000, "link_mbps": 480000.0, "stride": 2,
 		"models": []any{map[string]any{"name": "m0", "pace": 1.0, "load_s": 14.0, "warm_s": 1.0}}, "step_ms": 0.85, "per_seq_ms": 0.00297, "context_per_k": 0.00398,
 		"read_per_s": 252000.0, "pairs_per_m": 0.129, "chunk": 512, "report_lag_ms": 200.0, "loads_at_once": 6,
 		"delays": []any{}, "usual": map[string]int{"prompt": 772, "answer": 154}, "layers": layers, "layer_mb": 1750.0, "activation_bytes": 22900, "pipe_mbps": 7900.0,
@@ -334,9 +335,9 @@
 	data, _ := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits":  map[string]int{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []any{map[string]any{"name": "hule930", "api_keys": []string{key}, "priority": 1}},
+		"tenants": []any{map[string]any{"name": "hule930", fieldKeys: []string{key}, "priority": 1}},
 	})
-	l.store.put("keyed.op", "config", data)
+	l.store.put(topicOp, "config", data)
 	l.record("configuration version=%d", version)
 }
 
@@ -355,7 +356,7 @@
 
 // hasPart reports whether a prompt has a part.
 func hasPart(r *http.Request, part string) bool {
-	for _, entry := range strings.Split(r.Header.Get("X-Prompt-Prefix"), ",") {
+	for _, entry := range strings.Split(r.Header.Get(headerParts), ",") {
 		if id, _, _ := strings.Cut(entry, ":"); id == part {
 			return true
 		}
--- a/review/lab-3/lines.go
+++ b/review/lab-3/lines.go
@@ -74,7 +74,7 @@
 }
 
 func (c *cutter) serve(s *Server, w http.ResponseWriter, r *http.Request, _ []byte) bool {
-	request, path := r.Header.Get("X-Request-Id"), r.Header.Get("X-Hop-Count")
+	request, path := r.Header.Get(headerID), r.Header.Get(headerPath)
 	if status, _ := s.checkPath(parsePath(path)); status != 0 {
 		return false
 	}
@@ -87,7 +87,7 @@
 	defer c.add(s, -1)
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("X-Response-Signature", "sig."+request)
+	w.Header().Set(headerSignature, "sig."+request)
 	for number := after + 1; number <= lineEvents; number++ {
 		if !s.awaitToken(r, request) {
 			panic(http.ErrAbortHandler)
--- a/review/lab-3/poison.go
+++ b/review/lab-3/poison.go
@@ -50,7 +50,7 @@
 		l.recordRun(s, r)
 		runs.add()
 		time.Sleep(5 * time.Millisecond)
-		s.crash("by request " + r.Header.Get("X-Request-Id"))
+		s.crash("by request " + r.Header.Get(headerID))
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -63,7 +63,7 @@
 // sendAgain sends the request with poisonBody a number of times, in turn to all daemons, and an
 // ordinary one each time.
 func (l *Lab) sendAgain(to route, count int, pause time.Duration, before func()) {
-	path := strings.TrimSuffix(to["path_prefix"].(string), "/") + "/2f"
+	path := strings.TrimSuffix(to[fieldPrefix].(string), "/") + "/2f"
 	for i := range count {
 		if before != nil {
 			before()
@@ -125,7 +125,7 @@
 // letter is a request for a stream of the given number of events.
 func letter(id, parts string, events int) Request {
 	return Request{ID: id, Method: http.MethodPost, Path: "/letters/2f", Body: "{}", Timeout: 20 * time.Second, Header: map[string]string{
-		"X-Model": "m0", "X-Token-Usage": fmt.Sprintf("860,%d", events), "X-Prompt-Prefix": parts,
+		"X-Model": "m0", headerTokens: fmt.Sprintf("860,%d", events), headerParts: parts,
 	}}
 }
 
--- a/review/lab-3/server.go
+++ b/review/lab-3/server.go
@@ -102,7 +102,7 @@
 		entry["layers"] = map[string]int{"from": s.first, "target": s.end, "version": 1}
 	}
 	data, _ := json.Marshal(entry)
-	s.lab.store.put("keyed.servers", s.id, data)
+	s.lab.store.put(topicServers, s.id, data)
 	return true
 }
 
@@ -128,7 +128,7 @@
 	s.mu.Unlock()
 	s.lab.record("crash server=%s id=%s %s", s.name, id, why)
 	_ = serving.Close()
-	time.AfterFunc(entryTimeout, func() { s.lab.store.put("keyed.servers", id, nil) })
+	time.AfterFunc(entryTimeout, func() { s.lab.store.put(topicServers, id, nil) })
 	time.AfterFunc(crashTime, func() {
 		for try := 0; s.start() != nil && try < 50; try++ {
 			time.Sleep(100 * time.Millisecond)
@@ -147,7 +147,7 @@
 	s.mu.Lock()
 	id := s.id
 	s.mu.Unlock()
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != id {
+	if expected := r.Header.Get(headerInstance); expected != "" && expected != id {
 		w.Header().Set("X-Instance-Id", id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -156,10 +156,10 @@
 	case "/healthz":
 		w.Header().Set("X-Instance-Id", id)
 		return
-	case "/api/report":
+	case pathReport:
 		s.serveReport(w)
 		return
-	case "/api/order":
+	case pathOrder:
 		s.serveOrder(w, r)
 		return
 	}
@@ -167,13 +167,13 @@
 	if err != nil {
 		return
 	}
-	request := r.Header.Get("X-Request-Id")
+	request := r.Header.Get(headerID)
 	if request == "" {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(headerUnrun, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	w.Header().Set("X-Request-Id", request)
+	w.Header().Set(headerID, request)
 	if s.handle != nil && s.handle(s, w, r, body) {
 		return
 	}
@@ -187,7 +187,7 @@
 	case <-r.Context().Done():
 		return
 	}
-	w.Header().Set("X-Response-Signature", "sig."+request)
+	w.Header().Set(headerSignature, "sig."+request)
 	_, _ = io.WriteString(w, "answer to "+request+"\n")
 }
 
@@ -329,20 +329,20 @@
 }
 
 func (s *Server) serveStream(w http.ResponseWriter, r *http.Request) {
-	request, path := r.Header.Get("X-Request-Id"), r.Header.Get("X-Hop-Count")
+	request, path := r.Header.Get(headerID), r.Header.Get(headerPath)
 	if status, address := s.checkPath(parsePath(path)); status != 0 {
-		w.Header().Set("X-Not-Executed", "1")
-		w.Header().Set("At-Server", address)
+		w.Header().Set(headerUnrun, "1")
+		w.Header().Set(headerEngine, address)
 		w.WriteHeader(status)
 		return
 	}
 	defer s.track(request, path)()
 	s.lab.recordRun(s, r)
-	_, tokens, _ := strings.Cut(r.Header.Get("X-Token-Usage"), ",")
+	_, tokens, _ := strings.Cut(r.Header.Get(headerTokens), ",")
 	count, _ := strconv.Atoi(tokens)
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("X-Response-Signature", "sig."+request)
+	w.Header().Set(headerSignature, "sig."+request)
 	for number := after + 1; number <= count; number++ {
 		if !s.awaitToken(r, request) {
 			panic(http.ErrAbortHandler)
--- a/review/lab-3/store.go
+++ b/review/lab-3/store.go
@@ -78,11 +78,11 @@
 		return
 	}
 	switch r.URL.Path {
-	case "/api/log-append":
+	case pathAppend:
 		s.serveAppend(w, r)
-	case "/api/log-read":
+	case pathRead:
 		s.serveRead(w, r)
-	case "/api/log-newest":
+	case pathNewest:
 		s.serveNewest(w, r)
 	default:
 		http.NotFound(w, r)
@@ -97,7 +97,7 @@
 
 func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request) {
 	name := r.URL.Query().Get("topic")
-	if name == "keyed.op" || name == "keyed.servers" {
+	if name == topicOp || name == topicServers {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
@@ -133,7 +133,7 @@
 // first returns the first retained offset. Records of keyed topics are kept, which the platform
 // allows.
 func (t *topic) first(name string) int {
-	if len(name) > 6 && name[:6] == "keyed." {
+	if len(name) > len(topicPrefix) && name[:len(topicPrefix)] == topicPrefix {
 		return 0
 	}
 	limit := time.Now().Add(-keepTime)
--- a/review/lab-3/varying.go
+++ b/review/lab-3/varying.go
@@ -33,15 +33,15 @@
 		if !l.trouble || !hasPart(r, poisonPart) {
 			return false
 		}
-		if status, _ := s.checkPath(parsePath(r.Header.Get("X-Hop-Count"))); status != 0 {
+		if status, _ := s.checkPath(parsePath(r.Header.Get(headerPath))); status != 0 {
 			return false
 		}
 		l.recordRun(s, r)
 		runs.add()
-		request, number := r.Header.Get("X-Request-Id"), 0
+		request, number := r.Header.Get(headerID), 0
 		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &number)
 		w.Header().Set("Content-Type", "text/event-stream")
-		w.Header().Set("X-Response-Signature", "sig."+request)
+		w.Header().Set(headerSignature, "sig."+request)
 		event := streamEvent(request, number+1)
 		_, _ = io.WriteString(w, event[:len(event)/2])
 		_ = http.NewResponseController(w).Flush()
