--- a/review/lab-3/main.go
+++ b/review/lab-3/main.go
@@ -29,16 +29,16 @@
 }
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: lab-3 CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: lab-3 CASE RECORD TROUBLE")
 		os.Exit(exitCannotRun)
 	}
-	os.Exit(play(cases[os.Args[1]], os.Args[2]))
+	os.Exit(play(cases[os.Args[1]], os.Args[2], os.Args[3] != "0"))
 }
 
 // play plays a case and returns the exit status.
-func play(run func(l *Lab) (bool, string), recordFile string) (status int) {
-	l, err := newLab(recordFile, os.Getenv("TROUBLE") != "0")
+func play(run func(l *Lab) (bool, string), recordFile string, trouble bool) (status int) {
+	l, err := newLab(recordFile, trouble)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cannot run:", err)
 		return exitCannotRun
